--- /dev/null
+++ b/include/egrettide/core/configuration.h
@@ -0,0 +1,91 @@
+// The operators' whole intent, as one declarative file states it: database
+// services with their upstreams, rules of freshness and durability, classes and
+// tenants. A configuration is accepted whole or not at all.
+
+#pragma once
+
+#include "egrettide/core/error.h"
+#include "egrettide/core/types.h"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace egrettide
+{
+
+// When a write is acknowledged.
+enum class Durability {
+    // Once a majority of the group holds it: survives the loss of the primary.
+    Majority,
+    // Once the primary has it: faster, and a failover may lose acknowledged
+    // writes. The file has to say so.
+    PrimaryOnly,
+};
+
+struct UpstreamSpec {
+    std::string name;
+    // "IP:port".
+    std::string address;
+    std::string zone;
+    // Statements it runs at once without queueing.
+    int slots = 1;
+    // Connections it accepts.
+    int connections = 1;
+    // True while operators are taking it away: it gets no new work.
+    bool leaving = false;
+};
+
+struct DatabaseSpec {
+    std::string name;
+    std::vector<UpstreamSpec> upstreams;
+    Durability durability = Durability::Majority;
+    // For callers that do not ask: the oldest state a read may show on top of
+    // the session's own floor; unset means the floor alone.
+    std::optional<milliseconds> maxAge;
+    // How long a read may wait for a replica before it goes to the primary.
+    milliseconds replicaWait{20};
+
+    const UpstreamSpec *upstream(std::string_view upstreamName) const;
+};
+
+// A class of callers, such as desks or parents.
+struct ClassSpec {
+    std::string name;
+    // The part of an upstream's slots kept for this class, 0 to 1.
+    double reservedShare = 0;
+    // The deadline of statements whose caller names none.
+    milliseconds timeout{5000};
+    // Higher goes first when unreserved slots are scarce.
+    int priority = 0;
+};
+
+// A customer; callers name it as their user.
+struct TenantSpec {
+    std::string name;
+    std::string className;
+    // Empty means that no password is asked for.
+    std::string password;
+    // The part of unreserved slots it may take while others wait, 0 to 1.
+    double share = 1.0;
+};
+
+struct Configuration {
+    // Set by the store; only rises.
+    std::uint64_t version = 0;
+    // Names one attempt to apply a file, so that a lost answer can be resolved.
+    std::string applyId;
+    std::vector<DatabaseSpec> databases;
+    std::vector<ClassSpec> classes;
+    std::vector<TenantSpec> tenants;
+
+    const DatabaseSpec *database(std::string_view databaseName) const;
+    const ClassSpec *classNamed(std::string_view className) const;
+    const TenantSpec *tenant(std::string_view tenantName) const;
+};
+
+} // namespace egrettide
--- /dev/null
+++ b/src/core/error.cpp
@@ -0,0 +1,73 @@
+// The fixed table behind ErrorKind.
+
+#include "egrettide/core/error.h"
+
+namespace egrettide
+{
+
+namespace
+{
+
+struct KindRow {
+    std::string_view name;
+    std::string_view sqlState;
+    Outcome outcome;
+};
+
+KindRow rowOf(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::Overloaded:
+        return {"overloaded", "53400", Outcome::NotRun};
+    case ErrorKind::DeadlineExceeded:
+        return {"deadline_exceeded", "57014", Outcome::NotRun};
+    case ErrorKind::NoPrimary:
+        return {"no_primary", "57P03", Outcome::NotRun};
+    case ErrorKind::NotFresh:
+        return {"not_fresh", "57P03", Outcome::NotRun};
+    case ErrorKind::NoConfiguration:
+        return {"no_configuration", "57P03", Outcome::NotRun};
+    case ErrorKind::UnknownDatabase:
+        return {"unknown_database", "3D000", Outcome::NotRun};
+    case ErrorKind::Leaving:
+        return {"leaving", "57P01", Outcome::NotRun};
+    case ErrorKind::Moved:
+        return {"moved", "57P03", Outcome::NotRun};
+    case ErrorKind::ConnectionLimit:
+        return {"connection_limit", "53300", Outcome::NotRun};
+    case ErrorKind::UnknownOutcome:
+        return {"unknown_outcome", "08007", Outcome::Unknown};
+    case ErrorKind::Unsupported:
+        return {"unsupported", "0A000", Outcome::NotRun};
+    case ErrorKind::InvalidInput:
+        return {"invalid_input", "08P01", Outcome::NotRun};
+    case ErrorKind::Conflict:
+        return {"conflict", "40001", Outcome::NotRun};
+    case ErrorKind::StoreUnavailable:
+        return {"store_unavailable", "57P03", Outcome::NotRun};
+    case ErrorKind::AuthenticationFailed:
+        return {"authentication_failed", "28P01", Outcome::NotRun};
+    case ErrorKind::Internal:
+        break;
+    }
+    return {"internal", "XX000", Outcome::Unknown};
+}
+
+} // namespace
+
+Outcome outcomeOf(ErrorKind kind)
+{
+    return rowOf(kind).outcome;
+}
+
+std::string_view sqlStateOf(ErrorKind kind)
+{
+    return rowOf(kind).sqlState;
+}
+
+std::string_view nameOf(ErrorKind kind)
+{
+    return rowOf(kind).name;
+}
+
+} // namespace egrettide
