--- /dev/null
+++ b/src/runtime/log.h
@@ -0,0 +1,80 @@
+// Structured logs: one JSON object a line, with stable event names that
+// operators can search and alert on (docs/OPERATIONS.md lists them). Secrets are
+// never passed in: callers log names, marks and counts only.
+
+#pragma once
+
+#include <cstdint>
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace egrettide::log
+{
+
+enum class Level { Debug, Info, Warning, Error };
+
+// The level of that name ("debug", "info", "warning", "error"); Info otherwise.
+Level levelNamed(std::string_view name);
+
+// A value beside an event.
+using Value = std::variant<std::string, std::int64_t, std::uint64_t, double, bool>;
+
+struct Field {
+    Field(std::string_view fieldName, std::string_view text) : name(fieldName), value(std::string(text))
+    {
+    }
+    Field(std::string_view fieldName, const char *text) : name(fieldName), value(std::string(text))
+    {
+    }
+    Field(std::string_view fieldName, const std::string &text) : name(fieldName), value(text)
+    {
+    }
+    Field(std::string_view fieldName, bool flag) : name(fieldName), value(flag)
+    {
+    }
+    Field(std::string_view fieldName, double number) : name(fieldName), value(number)
+    {
+    }
+    Field(std::string_view fieldName, int number) : name(fieldName), value(static_cast<std::int64_t>(number))
+    {
+    }
+    Field(std::string_view fieldName, long number) : name(fieldName), value(static_cast<std::int64_t>(number))
+    {
+    }
+    Field(std::string_view fieldName, unsigned long number) : name(fieldName), value(static_cast<std::uint64_t>(number))
+    {
+    }
+
+    std::string_view name;
+    Value value;
+};
+
+// Sends lines of `level` and above to standard error, each with the host's name.
+// To be called once, before other threads start.
+void open(std::string_view host, Level level);
+
+// Writes one line. Thread-safe; may block on a slow standard error.
+void event(Level level, std::string_view name, std::initializer_list<Field> fields = {});
+
+inline void debug(std::string_view name, std::initializer_list<Field> fields = {})
+{
+    event(Level::Debug, name, fields);
+}
+inline void info(std::string_view name, std::initializer_list<Field> fields = {})
+{
+    event(Level::Info, name, fields);
+}
+inline void warning(std::string_view name, std::initializer_list<Field> fields = {})
+{
+    event(Level::Warning, name, fields);
+}
+inline void error(std::string_view name, std::initializer_list<Field> fields = {})
+{
+    event(Level::Error, name, fields);
+}
+
+} // namespace egrettide::log
--- /dev/null
+++ b/src/runtime/settings.cpp
@@ -0,0 +1,77 @@
+// Checks and reads a host's settings file.
+
+#include "runtime/settings.h"
+
+#include "runtime/schemacheck.h"
+
+#include <nlohmann/json.hpp>
+
+namespace egrettide
+{
+
+std::string_view settingsSchema()
+{
+    static constexpr std::string_view schema = R"json({
+  "$schema": "http://json-schema.org/draft-07/schema#",
+  "title": "Settings of one egrettided",
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["host", "zone", "callerAddress", "peerAddress", "operatorAddress", "platformAddress", "sessionKey"],
+  "properties": {
+    "host": {"type": "string", "pattern": "^[a-zA-Z0-9._-]{1,64}$"},
+    "zone": {"type": "string", "pattern": "^[a-zA-Z0-9._-]{1,64}$"},
+    "callerAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+    "peerAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+    "operatorAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+    "platformAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+    "logLevel": {"enum": ["debug", "info", "warning", "error"]},
+    "trafficThreads": {"type": "integer", "minimum": 1, "maximum": 64},
+    "maxCallers": {"type": "integer", "minimum": 1, "maximum": 1000000},
+    "sessionKey": {"type": "string", "minLength": 16},
+    "upstreamUser": {"type": "string", "minLength": 1},
+    "routingPolicy": {"enum": ["adaptive", "baseline"]}
+  }
+}
+)json";
+    return schema;
+}
+
+namespace
+{
+
+Settings settingsFrom(const nlohmann::json &document)
+{
+    Settings settings;
+    settings.host = document.at("host");
+    settings.zone = document.at("zone");
+    settings.callerAddress = document.at("callerAddress");
+    settings.peerAddress = document.at("peerAddress");
+    settings.operatorAddress = document.at("operatorAddress");
+    settings.platformAddress = document.at("platformAddress");
+    settings.sessionKey = document.at("sessionKey");
+    settings.logLevel = document.value("logLevel", settings.logLevel);
+    settings.trafficThreads = document.value("trafficThreads", settings.trafficThreads);
+    settings.maxCallers = document.value("maxCallers", settings.maxCallers);
+    settings.upstreamUser = document.value("upstreamUser", settings.upstreamUser);
+    settings.routingPolicy = document.value("routingPolicy", settings.routingPolicy);
+    return settings;
+}
+
+} // namespace
+
+tl::expected<Settings, std::vector<Error>> parseSettings(std::string_view text)
+{
+    const auto document = nlohmann::json::parse(text, nullptr, false);
+    if (document.is_discarded()) {
+        Error notJson{ErrorKind::InvalidInput, "The settings are not valid JSON; check brackets, commas and quotes.",
+                      milliseconds{0}};
+        return tl::unexpected(std::vector<Error>{std::move(notJson)});
+    }
+    std::vector<Error> faults = schemaFaults(settingsSchema(), document);
+    if (!faults.empty()) {
+        return tl::unexpected(std::move(faults));
+    }
+    return settingsFrom(document);
+}
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/settings.h
@@ -0,0 +1,45 @@
+// The settings of one host: who and where it is, and whom it talks to. Everything
+// that operators change while the system runs is in the configuration instead.
+
+#pragma once
+
+#include "egrettide/core/error.h"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace egrettide
+{
+
+struct Settings {
+    // Unique among hosts; a replaced host may come back under the same name.
+    std::string host;
+    std::string zone;
+    // All addresses are "IP:port".
+    std::string callerAddress;
+    std::string peerAddress;
+    std::string operatorAddress;
+    std::string platformAddress;
+    std::string logLevel = "info";
+    int trafficThreads = 2;
+    int maxCallers = 5000;
+    // Signs session tokens; the same on all hosts of a deployment.
+    std::string sessionKey;
+    // The role under which hosts connect to upstreams.
+    std::string upstreamUser = "egrettide";
+    // "adaptive", or "baseline" to measure against.
+    std::string routingPolicy = "adaptive";
+};
+
+// The JSON Schema that settings files are checked against; also shipped as
+// schema/settings.schema.json.
+std::string_view settingsSchema();
+
+// Reads a settings file's text. All faults are reported at once, each with the
+// JSON path and what to write instead.
+tl::expected<Settings, std::vector<Error>> parseSettings(std::string_view text);
+
+} // namespace egrettide
