--- /dev/null
+++ b/src/runtime/configurationkeeper.cpp
@@ -0,0 +1,165 @@
+// Keeps this host's configuration current.
+
+#include "runtime/configurationkeeper.h"
+
+#include "egrettide/core/configurationapply.h"
+#include "runtime/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace egrettide
+{
+
+namespace
+{
+
+constexpr milliseconds readTimeout{2000};
+// A waiting watch counts as one call, so long ones are cheap.
+constexpr milliseconds watchTimeout{30000};
+constexpr milliseconds pauseAfterFailure{500};
+// Hosts that watch nothing look whether they have become the watcher.
+constexpr milliseconds watcherCheck{500};
+constexpr milliseconds pullPatience{1000};
+// Each host tells this many others of a new version: 510 hosts are reached in
+// three rounds, and nobody sends the file itself more than a few times.
+constexpr std::size_t offersPerHost = 8;
+
+} // namespace
+
+ConfigurationKeeper::ConfigurationKeeper(boost::asio::io_context &control, StoreClient &store, ConfigurationKeeperHooks hooks)
+    : m_store(store), m_hooks(std::move(hooks)), m_timer(control)
+{
+}
+
+void ConfigurationKeeper::start()
+{
+    fetch();
+}
+
+void ConfigurationKeeper::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+}
+
+std::shared_ptr<const Configuration> ConfigurationKeeper::current() const
+{
+    return m_state.current();
+}
+
+void ConfigurationKeeper::schedule(milliseconds pause)
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([this](const boost::system::error_code &failure) {
+        if (failure || m_stopped) {
+            return;
+        }
+        if (m_hooks.isWatcher()) {
+            watch();
+        } else if (m_state.version() == 0 || m_state.isBehind()) {
+            fetch();
+        } else {
+            schedule(watcherCheck);
+        }
+    });
+}
+
+void ConfigurationKeeper::fetch()
+{
+    m_store.read(std::string(ConfigurationKey), Clock::now() + readTimeout,
+                 [this](const tl::expected<VersionedObject, StoreError> &answer) {
+                     if (m_stopped) {
+                         return;
+                     }
+                     if (answer) {
+                         takeObject(answer->value, answer->version, "store");
+                     }
+                     schedule(pauseAfterFailure);
+                 });
+}
+
+void ConfigurationKeeper::watch()
+{
+    m_store.watch(std::string(ConfigurationKey), m_state.version(), Clock::now() + watchTimeout,
+                  [this](const tl::expected<VersionedObject, StoreError> &answer) {
+                      if (m_stopped) {
+                          return;
+                      }
+                      if (answer) {
+                          takeObject(answer->value, answer->version, "store");
+                          watch();
+                          return;
+                      }
+                      if (answer.error().failure == StoreFailure::Unchanged) {
+                          schedule(milliseconds{0});
+                          return;
+                      }
+                      log::debug("store_watch_failed", {{"error", answer.error().error.message}});
+                      schedule(pauseAfterFailure);
+                  });
+}
+
+void ConfigurationKeeper::takeObject(const nlohmann::json &value, std::uint64_t version, std::string_view source)
+{
+    if (version <= m_state.version()) {
+        return;
+    }
+    auto configuration = parseConfigurationObject(value, version);
+    if (!configuration) {
+        // Only egrettidectl writes the object, and it checks first: this is a file
+        // of another release or a damaged one. The last good one stays in force.
+        log::error("configuration_refused",
+                   {{"version", version}, {"source", source}, {"fault", configuration.error().front().message}});
+        return;
+    }
+    if (m_state.offer(std::move(*configuration)) != OfferResult::Accepted) {
+        return;
+    }
+    m_object = value.dump();
+    log::info("configuration_accepted", {{"version", version}, {"source", source}});
+    m_hooks.accepted(m_state.current());
+    spread();
+}
+
+void ConfigurationKeeper::spread()
+{
+    for (const std::string &host : m_hooks.someHosts(offersPerHost)) {
+        m_hooks.send(host, hop::ConfigOffer{m_state.version()});
+    }
+}
+
+void ConfigurationKeeper::heardOf(const std::string &host, std::uint64_t version)
+{
+    m_state.heardOf(version);
+    const TimePoint now = Clock::now();
+    if (version <= m_state.version() || now < m_pullBefore) {
+        return;
+    }
+    m_pullBefore = now + pullPatience;
+    m_hooks.send(host, hop::ConfigPull{m_state.version()});
+}
+
+void ConfigurationKeeper::onOffer(const std::string &from, const hop::ConfigOffer &offer)
+{
+    heardOf(from, offer.version);
+}
+
+void ConfigurationKeeper::onPull(const std::string &from, const hop::ConfigPull &pull)
+{
+    if (m_state.version() > pull.version) {
+        m_hooks.send(from, hop::ConfigPush{m_state.version(), m_object});
+    }
+}
+
+void ConfigurationKeeper::onPush(const std::string &from, const hop::ConfigPush &push)
+{
+    m_pullBefore = TimePoint{};
+    const auto value = nlohmann::json::parse(push.json, nullptr, false);
+    if (value.is_discarded()) {
+        log::warning("configuration_push_malformed", {{"peer", from}, {"version", push.version}});
+        return;
+    }
+    takeObject(value, push.version, from);
+}
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/configurationkeeper.h
@@ -0,0 +1,73 @@
+// Keeps this host's configuration current: from the platform's store where this
+// host is its zone's watcher, and from other hosts everywhere else and whenever
+// the store is out. Store calls therefore grow with zones and not with hosts.
+
+#pragma once
+
+#include "egrettide/core/configuration.h"
+#include "egrettide/core/configurationstate.h"
+#include "runtime/storeclient.h"
+#include "wire/hopcodec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace egrettide
+{
+
+struct ConfigurationKeeperHooks {
+    // A higher version came into force here.
+    std::function<void(std::shared_ptr<const Configuration>)> accepted;
+    // Sends to one host by name.
+    std::function<void(const std::string &host, hop::HopMessage)> send;
+    // Some live hosts other than this one, in random order, at most `count`.
+    std::function<std::vector<std::string>(std::size_t count)> someHosts;
+    // True when this host holds its zone's watch on the store.
+    std::function<bool()> isWatcher;
+};
+
+// Used from the control thread only.
+class ConfigurationKeeper
+{
+public:
+    ConfigurationKeeper(boost::asio::io_context &control, StoreClient &store, ConfigurationKeeperHooks hooks);
+    ConfigurationKeeper(const ConfigurationKeeper &) = delete;
+    ConfigurationKeeper &operator=(const ConfigurationKeeper &) = delete;
+
+    void start();
+    void stop();
+
+    // Messages of other hosts.
+    void onOffer(const std::string &from, const hop::ConfigOffer &offer);
+    void onPull(const std::string &from, const hop::ConfigPull &pull);
+    void onPush(const std::string &from, const hop::ConfigPush &push);
+    // A heartbeat told that `host` holds `version`.
+    void heardOf(const std::string &host, std::uint64_t version);
+
+    std::shared_ptr<const Configuration> current() const;
+
+private:
+    void fetch();
+    void watch();
+    void schedule(milliseconds pause);
+    void takeObject(const nlohmann::json &value, std::uint64_t version, std::string_view source);
+    void spread();
+
+    StoreClient &m_store;
+    ConfigurationKeeperHooks m_hooks;
+    boost::asio::steady_timer m_timer;
+    ConfigurationState m_state;
+    // The store's object of the version in force, to be passed on as it is.
+    std::string m_object;
+    // When the last pull was asked for; another is not asked before its answer
+    // had a fair chance.
+    TimePoint m_pullBefore;
+    bool m_stopped = false;
+};
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/hostdaemon.cpp
@@ -0,0 +1,781 @@
+// Connects the parts of one entry host.
+
+#include "runtime/hostdaemon.h"
+
+#include "egrettide/core/membership.h"
+#include "egrettide/core/placement.h"
+#include "egrettide/core/retrybudget.h"
+#include "runtime/address.h"
+#include "runtime/configurationkeeper.h"
+#include "runtime/front.h"
+#include "runtime/groupcoordination.h"
+#include "runtime/homeservice.h"
+#include "runtime/hostmetrics.h"
+#include "runtime/hoststatus.h"
+#include "runtime/log.h"
+#include "runtime/membershipdriver.h"
+#include "runtime/operatorserver.h"
+#include "runtime/peernetwork.h"
+#include "runtime/storeclient.h"
+#include "runtime/switchoverdesk.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
+#include <thread>
+
+namespace egrettide
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+// How long a graceful stop waits for callers' transactions and for homes' work.
+constexpr std::chrono::seconds drainBound{30};
+constexpr milliseconds drainPoll{20};
+// The news of a departure gets this long to leave the sockets.
+constexpr milliseconds farewell{100};
+constexpr std::string_view localFrontKey = "local";
+constexpr std::string_view watchKey = "egrettide/watch";
+constexpr milliseconds movedRetry{100};
+
+// Where every upstream's home is, under one view and one configuration. Threads
+// that route read it without a lock.
+struct Routes {
+    std::shared_ptr<const Configuration> configuration;
+    std::shared_ptr<const MembershipView> view;
+    std::unique_ptr<const Placement> placement;
+
+    std::optional<std::string> homeOf(const UpstreamSpec &upstream) const
+    {
+        return placement->homeOf(upstream.name, upstream.zone);
+    }
+};
+
+std::unique_ptr<const Placement> placementFor(const Configuration *configuration, const MembershipView &view)
+{
+    std::vector<PlacementUpstream> upstreams;
+    if (configuration != nullptr) {
+        for (const DatabaseSpec &database : configuration->databases) {
+            for (const UpstreamSpec &upstream : database.upstreams) {
+                upstreams.push_back(PlacementUpstream{upstream.name, upstream.zone});
+            }
+        }
+    }
+    return std::make_unique<const Placement>(view.placementHosts(), std::move(upstreams));
+}
+
+std::string frontKeyOf(const PeerRef &peer)
+{
+    return peer.host + "#" + std::to_string(peer.link);
+}
+
+StatementReply refusal(std::uint64_t id, Error error)
+{
+    StatementReply reply;
+    reply.id = id;
+    reply.error = std::move(error);
+    return reply;
+}
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace
+
+class HostDaemon::Impl
+{
+public:
+    explicit Impl(Settings settings)
+        : m_settings(std::move(settings))
+        , m_incarnation(static_cast<std::uint64_t>(
+              std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()))
+        , m_random(randomNumber())
+    {
+    }
+
+    ~Impl()
+    {
+        stopNow();
+        join();
+    }
+
+    tl::expected<HostAddresses, Error> start();
+    void beginStop();
+    void stopNow();
+    void wait();
+
+private:
+    // Construction, in the order in which parts depend on each other.
+    void makeContexts();
+    tl::expected<void, Error> makeStore();
+    void makeNetwork();
+    void makeHomes();
+    void makeFront();
+    void makeOperators();
+    tl::expected<HostAddresses, Error> listen();
+    void startThreads();
+    void startControl();
+
+    // Routing of requests, from any thread.
+    void execute(StatementRequest request, ReplyHandler handler);
+    void executeAt(const std::string &home, const std::string &address, StatementRequest request, ReplyHandler handler);
+    void cancel(std::uint64_t requestId);
+
+    // Messages of other hosts; on the link thread.
+    void onPeerRequest(const PeerRef &from, StatementRequest request, ReplyHandler reply);
+    void onPeerMessage(const PeerRef &from, hop::HopMessage message);
+    // On the control thread.
+    void onControlMessage(const PeerRef &from, const hop::HopMessage &message);
+    void answerOpinion(const PeerRef &from, const hop::Opinion &question);
+    void learnPrimary(const std::string &database, Term term, const std::string &primary);
+
+    void send(const std::string &host, hop::HopMessage message);
+    void sendTo(const std::string &host, const std::string &address, hop::HopMessage message);
+    void sendOn(const PeerRef &peer, hop::HopMessage message);
+
+    // On the control thread.
+    void onConfiguration(const std::shared_ptr<const Configuration> &configuration);
+    void onView(const std::shared_ptr<const MembershipView> &view);
+    void rebuildRoutes();
+    bool isWatcher() const;
+    std::vector<std::string> otherHosts() const;
+    std::vector<std::string> someHosts(std::size_t count);
+    std::vector<std::string> otherHomes(const std::string &database) const;
+
+    // Operators' requests; on the control thread.
+    void handleOperator(const OperatorRequest &request, const OperatorResponder &respond);
+    void respondMetrics(const OperatorResponder &respond);
+
+    // The steps of a graceful stop; on the control thread.
+    void drainCallers(TimePoint deadline);
+    void drainHomes(TimePoint deadline);
+    void departAndStop();
+    void join();
+
+    std::shared_ptr<const Routes> routes() const
+    {
+        return std::atomic_load(&m_routes);
+    }
+
+    Settings m_settings;
+    const std::uint64_t m_incarnation;
+    std::mt19937_64 m_random;
+
+    asio::io_context m_control{1};
+    asio::io_context m_link{1};
+    std::vector<std::unique_ptr<asio::io_context>> m_traffic;
+    std::vector<WorkGuard> m_guards;
+    std::vector<std::thread> m_threads;
+
+    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<PeerNetwork> m_network;
+    std::unique_ptr<MembershipDriver> m_membership;
+    std::unique_ptr<ConfigurationKeeper> m_keeper;
+    std::unique_ptr<GroupCoordination> m_coordination;
+    std::unique_ptr<HomeService> m_homes;
+    std::unique_ptr<SwitchoverDesk> m_switchovers;
+    std::unique_ptr<Front> m_front;
+    std::unique_ptr<OperatorServer> m_operators;
+    std::unique_ptr<asio::steady_timer> m_drainTimer;
+
+    HostMetrics m_metrics;
+    std::mutex m_retryMutex;
+    // Guarded by m_retryMutex.
+    RetryBudget m_retries;
+
+    // Written on the control thread, read everywhere; never null after start().
+    std::shared_ptr<const Routes> m_routes;
+
+    // Requests of this host's callers that are at another host: id -> host.
+    std::mutex m_remoteMutex;
+    absl::flat_hash_map<std::uint64_t, std::string> m_remote;
+
+    std::atomic<bool> m_leaving{false};
+    std::mutex m_stopMutex;
+    std::condition_variable m_stopChanged;
+    // Guarded by m_stopMutex.
+    bool m_stopped = false;
+};
+
+void HostDaemon::Impl::makeContexts()
+{
+    for (int i = 0; i < m_settings.trafficThreads; ++i) {
+        m_traffic.push_back(std::make_unique<asio::io_context>(1));
+    }
+    m_guards.push_back(asio::make_work_guard(m_control));
+    m_guards.push_back(asio::make_work_guard(m_link));
+    for (const auto &context : m_traffic) {
+        m_guards.push_back(asio::make_work_guard(*context));
+    }
+    m_drainTimer = std::make_unique<asio::steady_timer>(m_control);
+}
+
+tl::expected<void, Error> HostDaemon::Impl::makeStore()
+{
+    const auto platform = parseEndpoint(m_settings.platformAddress);
+    if (!platform) {
+        return tl::unexpected(platform.error());
+    }
+    m_store = std::make_unique<StoreClient>(m_control, *platform);
+    return {};
+}
+
+void HostDaemon::Impl::makeNetwork()
+{
+    PeerNetworkOptions options;
+    options.self = hop::Hello{hop::protocolVersion, m_settings.host, m_settings.zone, m_incarnation};
+    options.listenAddress = m_settings.peerAddress;
+    options.seed = m_random();
+    PeerNetworkHooks hooks;
+    hooks.onRequest = [this](const PeerRef &from, StatementRequest request, ReplyHandler reply) {
+        onPeerRequest(from, std::move(request), std::move(reply));
+    };
+    hooks.onMessage = [this](const PeerRef &from, hop::HopMessage message) { onPeerMessage(from, std::move(message)); };
+    hooks.onLinkLost = [this](const PeerRef &from) { m_homes->abandonFront(frontKeyOf(from)); };
+    hooks.onUnreachable = [this](const std::string &host) {
+        asio::post(m_control, [this, host] { m_membership->onUnreachable(host); });
+    };
+    m_network = std::make_unique<PeerNetwork>(m_link, std::move(options), std::move(hooks));
+}
+
+void HostDaemon::Impl::makeHomes()
+{
+    m_coordination = std::make_unique<GroupCoordination>(
+        m_control, *m_store,
+        GroupCoordinationHooks{[this](const std::string &host, hop::HopMessage message) { send(host, std::move(message)); },
+                               [this](const std::string &database) { return otherHomes(database); },
+                               [this] { return otherHosts(); }});
+    GroupObserverHooks hooks = m_coordination->observerHooks();
+    hooks.announce = [this, tellOthers = hooks.announce](const std::string &database, Term term, const std::string &primary) {
+        tellOthers(database, term, primary);
+        learnPrimary(database, term, primary);
+    };
+    GroupObserverSettings observerSettings;
+    // A restarted host must not pass for the one whose promises it finds.
+    observerSettings.hostName = m_settings.host + "." + std::to_string(m_incarnation);
+    observerSettings.seed = static_cast<std::uint32_t>(m_random());
+    UpstreamHomeSettings homeSettings;
+    homeSettings.upstreamUser = m_settings.upstreamUser;
+    homeSettings.firstTransaction = (m_random() >> 2U) | 1U;
+    std::vector<asio::io_context *> traffic;
+    for (const auto &context : m_traffic) {
+        traffic.push_back(context.get());
+    }
+    m_homes = std::make_unique<HomeService>(m_control, std::move(traffic), observerSettings, std::move(hooks), homeSettings);
+    m_switchovers = std::make_unique<SwitchoverDesk>(
+        m_control, *m_homes,
+        SwitchoverDeskHooks{[this](const std::string &host, hop::HopMessage message) { send(host, std::move(message)); },
+                            [this](const std::string &database) { return otherHomes(database); }});
+}
+
+void HostDaemon::Impl::makeFront()
+{
+    FrontOptions options;
+    options.zone = m_settings.zone;
+    options.maxConnections = static_cast<std::size_t>(m_settings.maxCallers);
+    options.tokenKey = m_settings.sessionKey;
+    options.baselineRouting = m_settings.routingPolicy == "baseline";
+    FrontHooks hooks;
+    hooks.configuration = [this] { return routes()->configuration; };
+    hooks.execute = [this](StatementRequest request, ReplyHandler handler) { execute(std::move(request), std::move(handler)); };
+    hooks.cancel = [this](std::uint64_t id) { cancel(id); };
+    hooks.takeRetry = [this] {
+        const std::lock_guard<std::mutex> lock(m_retryMutex);
+        return m_retries.mayRetry({});
+    };
+    hooks.observe = [this](const RequestObservation &observation) {
+        m_metrics.observe(observation);
+        const std::lock_guard<std::mutex> lock(m_retryMutex);
+        m_retries.onRequest({});
+    };
+    std::vector<asio::io_context *> traffic;
+    for (const auto &context : m_traffic) {
+        traffic.push_back(context.get());
+    }
+    m_front = std::make_unique<Front>(m_link, std::move(traffic), std::move(options), std::move(hooks));
+}
+
+void HostDaemon::Impl::makeOperators()
+{
+    m_operators =
+        std::make_unique<OperatorServer>(m_control, [this](const OperatorRequest &request, const OperatorResponder &respond) {
+            handleOperator(request, respond);
+        });
+}
+
+tl::expected<HostAddresses, Error> HostDaemon::Impl::listen()
+{
+    const auto caller = parseEndpoint(m_settings.callerAddress);
+    const auto peer = parseEndpoint(m_settings.peerAddress);
+    const auto operators = parseEndpoint(m_settings.operatorAddress);
+    for (const auto *endpoint : {&caller, &peer, &operators}) {
+        if (!*endpoint) {
+            return tl::unexpected(endpoint->error());
+        }
+    }
+    if (const auto listening = m_network->listen(); !listening) {
+        return tl::unexpected(listening.error());
+    }
+    if (const auto listening = m_front->listen(caller->address().to_string(), caller->port()); !listening) {
+        return tl::unexpected(listening.error());
+    }
+    const auto operatorPort = m_operators->listen(m_settings.operatorAddress);
+    if (!operatorPort) {
+        return tl::unexpected(operatorPort.error());
+    }
+    const auto text = [](const asio::ip::tcp::endpoint &endpoint, unsigned short port) {
+        return endpoint.address().to_string() + ":" + std::to_string(port);
+    };
+    return HostAddresses{text(*caller, m_front->port()), text(*peer, m_network->port()), text(*operators, *operatorPort)};
+}
+
+tl::expected<HostAddresses, Error> HostDaemon::Impl::start()
+{
+    makeContexts();
+    if (const auto made = makeStore(); !made) {
+        return tl::unexpected(made.error());
+    }
+    makeNetwork();
+    makeHomes();
+    makeFront();
+    makeOperators();
+    const auto addresses = listen();
+    if (!addresses) {
+        return tl::unexpected(addresses.error());
+    }
+    HostRecord self;
+    self.name = m_settings.host;
+    self.zone = m_settings.zone;
+    self.peerAddress = addresses->peer;
+    self.callerAddress = addresses->caller;
+    self.operatorAddress = addresses->operators;
+    self.incarnation = m_incarnation;
+    m_membership = std::make_unique<MembershipDriver>(
+        m_control, *m_store, std::move(self), m_random(),
+        MembershipDriverHooks{[this](const std::string &host, const std::string &address, hop::HopMessage message) {
+                                  sendTo(host, address, std::move(message));
+                              },
+                              [this](const std::shared_ptr<const MembershipView> &view) { onView(view); },
+                              [this](const std::string &host, std::uint64_t version) { m_keeper->heardOf(host, version); },
+                              [this] { return isWatcher(); }});
+    m_keeper = std::make_unique<ConfigurationKeeper>(
+        m_control, *m_store,
+        ConfigurationKeeperHooks{
+            [this](const std::shared_ptr<const Configuration> &configuration) { onConfiguration(configuration); },
+            [this](const std::string &host, hop::HopMessage message) { send(host, std::move(message)); },
+            [this](std::size_t count) { return someHosts(count); }, [this] { return isWatcher(); }});
+    rebuildRoutes();
+    startThreads();
+    return addresses;
+}
+
+void HostDaemon::Impl::startThreads()
+{
+    asio::post(m_control, [this] {
+        m_membership->start();
+        m_keeper->start();
+    });
+    m_threads.emplace_back([this] { m_control.run(); });
+    m_threads.emplace_back([this] { m_link.run(); });
+    for (const auto &context : m_traffic) {
+        m_threads.emplace_back([&context] { context->run(); });
+    }
+}
+
+// Routing of requests.
+
+void HostDaemon::Impl::execute(StatementRequest request, ReplyHandler handler)
+{
+    const auto now = routes();
+    const DatabaseSpec *database = now->configuration ? now->configuration->database(request.database) : nullptr;
+    const UpstreamSpec *upstream = database != nullptr ? database->upstream(request.upstream) : nullptr;
+    if (upstream == nullptr) {
+        handler(refusal(request.id,
+                        Error{ErrorKind::Moved, "The upstream is not in the configuration in force; ask again.", movedRetry}));
+        return;
+    }
+    const auto home = now->homeOf(*upstream);
+    if (home == m_settings.host) {
+        m_homes->execute(std::move(request), std::string(localFrontKey), std::move(handler));
+        return;
+    }
+    const HostRecord *record = home ? now->view->host(*home) : nullptr;
+    if (record == nullptr) {
+        handler(refusal(request.id, Error{ErrorKind::Moved, "No live host is known for this upstream; ask again.", movedRetry}));
+        return;
+    }
+    executeAt(record->name, record->peerAddress, std::move(request), std::move(handler));
+}
+
+void HostDaemon::Impl::executeAt(const std::string &home, const std::string &address, StatementRequest request,
+                                 ReplyHandler handler)
+{
+    const std::uint64_t id = request.id;
+    {
+        const std::lock_guard<std::mutex> lock(m_remoteMutex);
+        m_remote[id] = home;
+    }
+    ReplyHandler forget = [this, id, handler = std::move(handler)](StatementReply reply) {
+        {
+            const std::lock_guard<std::mutex> lock(m_remoteMutex);
+            m_remote.erase(id);
+        }
+        handler(std::move(reply));
+    };
+    asio::post(m_link, [this, home, address, request = std::move(request), forget = std::move(forget)]() mutable {
+        m_network->execute(home, address, std::move(request), std::move(forget));
+    });
+}
+
+void HostDaemon::Impl::cancel(std::uint64_t requestId)
+{
+    std::string home;
+    {
+        const std::lock_guard<std::mutex> lock(m_remoteMutex);
+        const auto found = m_remote.find(requestId);
+        if (found != m_remote.end()) {
+            home = found->second;
+        }
+    }
+    if (home.empty()) {
+        m_homes->cancel(std::string(localFrontKey), requestId);
+        return;
+    }
+    asio::post(m_link, [this, home, requestId] { m_network->cancel(home, requestId); });
+}
+
+// Messages of other hosts.
+
+void HostDaemon::Impl::onPeerRequest(const PeerRef &from, StatementRequest request, ReplyHandler reply)
+{
+    m_homes->execute(std::move(request), frontKeyOf(from), [this, reply = std::move(reply)](StatementReply answer) {
+        asio::post(m_link, [reply, answer = std::move(answer)]() mutable { reply(std::move(answer)); });
+    });
+}
+
+void HostDaemon::Impl::onPeerMessage(const PeerRef &from, hop::HopMessage message)
+{
+    if (const auto *cancelled = std::get_if<hop::Cancel>(&message)) {
+        m_homes->cancel(frontKeyOf(from), cancelled->id);
+        return;
+    }
+    if (std::holds_alternative<hop::FrontGone>(message)) {
+        m_homes->abandonFront(frontKeyOf(from));
+        return;
+    }
+    asio::post(m_control, [this, from, message = std::move(message)] { onControlMessage(from, message); });
+}
+
+void HostDaemon::Impl::onControlMessage(const PeerRef &from, const hop::HopMessage &message)
+{
+    if (const auto *gossip = std::get_if<hop::Gossip>(&message)) {
+        m_membership->onGossip(gossip->message);
+    } else if (const auto *opinion = std::get_if<hop::Opinion>(&message)) {
+        answerOpinion(from, *opinion);
+    } else if (const auto *opinionReply = std::get_if<hop::OpinionReply>(&message)) {
+        m_coordination->onOpinionReply(from.host, *opinionReply);
+    } else if (const auto *announced = std::get_if<hop::Announce>(&message)) {
+        learnPrimary(announced->database, announced->term, announced->primary);
+    } else if (const auto *offer = std::get_if<hop::ConfigOffer>(&message)) {
+        m_keeper->onOffer(from.host, *offer);
+    } else if (const auto *pull = std::get_if<hop::ConfigPull>(&message)) {
+        m_keeper->onPull(from.host, *pull);
+    } else if (const auto *push = std::get_if<hop::ConfigPush>(&message)) {
+        m_keeper->onPush(from.host, *push);
+    } else if (const auto *request = std::get_if<hop::SwitchoverRequest>(&message)) {
+        m_switchovers->onRequest(*request, [this, from](hop::SwitchoverReply reply) { sendOn(from, std::move(reply)); });
+    } else if (const auto *reply = std::get_if<hop::SwitchoverReply>(&message)) {
+        m_switchovers->onReply(*reply);
+    }
+}
+
+void HostDaemon::Impl::answerOpinion(const PeerRef &from, const hop::Opinion &question)
+{
+    m_homes->suspects(question.database, question.upstream, [this, from, id = question.id](std::optional<bool> suspects) {
+        // A host that does not watch the group has no opinion and stays silent.
+        if (suspects) {
+            sendOn(from, hop::OpinionReply{id, *suspects, !*suspects});
+        }
+    });
+}
+
+void HostDaemon::Impl::learnPrimary(const std::string &database, Term term, const std::string &primary)
+{
+    m_homes->onAnnounce(database, term, primary);
+    GroupHint hint;
+    hint.database = database;
+    hint.term = term;
+    hint.primary = primary;
+    m_front->learn(hint);
+}
+
+void HostDaemon::Impl::send(const std::string &host, hop::HopMessage message)
+{
+    const HostRecord *record = routes()->view->host(host);
+    if (record != nullptr) {
+        sendTo(host, record->peerAddress, std::move(message));
+    }
+}
+
+void HostDaemon::Impl::sendTo(const std::string &host, const std::string &address, hop::HopMessage message)
+{
+    asio::post(m_link, [this, host, address, message = std::move(message)]() mutable {
+        m_network->send(host, address, std::move(message));
+    });
+}
+
+void HostDaemon::Impl::sendOn(const PeerRef &peer, hop::HopMessage message)
+{
+    asio::post(m_link, [this, peer, message = std::move(message)]() mutable { m_network->sendOn(peer, std::move(message)); });
+}
+
+// Configuration and membership.
+
+void HostDaemon::Impl::onConfiguration(const std::shared_ptr<const Configuration> &configuration)
+{
+    m_membership->setConfigurationVersion(configuration->version);
+    rebuildRoutes();
+}
+
+void HostDaemon::Impl::onView(const std::shared_ptr<const MembershipView> &)
+{
+    rebuildRoutes();
+}
+
+void HostDaemon::Impl::rebuildRoutes()
+{
+    auto next = std::make_shared<Routes>();
+    next->configuration = m_keeper ? m_keeper->current() : nullptr;
+    next->view = m_membership->view();
+    next->placement = placementFor(next->configuration.get(), *next->view);
+    std::atomic_store(&m_routes, std::shared_ptr<const Routes>(next));
+    if (next->configuration) {
+        m_homes->update(next->configuration, [this, next](const DatabaseSpec &, const UpstreamSpec &upstream) {
+            return next->homeOf(upstream) == m_settings.host;
+        });
+    }
+}
+
+bool HostDaemon::Impl::isWatcher() const
+{
+    return routes()->placement->homeOf(watchKey, m_settings.zone) == m_settings.host;
+}
+
+std::vector<std::string> HostDaemon::Impl::otherHosts() const
+{
+    std::vector<std::string> names;
+    for (const PlacementHost &host : routes()->view->placementHosts()) {
+        if (host.name != m_settings.host) {
+            names.push_back(host.name);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> HostDaemon::Impl::someHosts(std::size_t count)
+{
+    std::vector<std::string> names = otherHosts();
+    std::shuffle(names.begin(), names.end(), m_random);
+    names.resize(std::min(names.size(), count));
+    return names;
+}
+
+std::vector<std::string> HostDaemon::Impl::otherHomes(const std::string &database) const
+{
+    const auto now = routes();
+    const DatabaseSpec *spec = now->configuration ? now->configuration->database(database) : nullptr;
+    std::vector<std::string> homes;
+    if (spec == nullptr) {
+        return homes;
+    }
+    for (const UpstreamSpec &upstream : spec->upstreams) {
+        const auto home = now->homeOf(upstream);
+        if (home && *home != m_settings.host) {
+            homes.push_back(*home);
+        }
+    }
+    return homes;
+}
+
+// Operators.
+
+void HostDaemon::Impl::handleOperator(const OperatorRequest &request, const OperatorResponder &respond)
+{
+    const auto now = routes();
+    if (request.path == "/health") {
+        respond(OperatorResponse{200, "application/json", R"({"status":"ok"})"});
+    } else if (request.path == "/ready") {
+        const bool ready = now->configuration != nullptr && !m_leaving;
+        respond(OperatorResponse{ready ? 200U : 503U, "application/json", ready ? R"({"ready":true})" : R"({"ready":false})"});
+    } else if (request.path == "/metrics") {
+        respondMetrics(respond);
+    } else if (request.path == "/status") {
+        const HostIdentity self{m_settings.host, m_settings.zone, m_leaving};
+        respond(OperatorResponse{200, "application/json",
+                                 statusDocument(self, *now->view, now->configuration.get(), *m_homes).dump(2)});
+    } else if (request.path == "/drain" && request.method == "POST") {
+        respond(OperatorResponse{202, "application/json", R"({"draining":true})"});
+        beginStop();
+    } else if (request.path == "/switchover" && request.method == "POST") {
+        m_switchovers->onOperator(request.body, respond);
+    } else {
+        respond(OperatorResponse{
+            404, "application/json",
+            R"({"error":"invalid_input","message":"No such command; see docs/OPERATIONS.md.","retryAfterMs":0})"});
+    }
+}
+
+void HostDaemon::Impl::respondMetrics(const OperatorResponder &respond)
+{
+    m_homes->stats([this, respond](const std::vector<UpstreamHomeStats> &homes) {
+        const auto now = routes();
+        MetricsRegistry gauges;
+        addStoreMetrics(gauges, m_store->callCounts());
+        addHomeMetrics(gauges, homes);
+        gauges.set("callers", {}, static_cast<double>(m_front->openConnections()));
+        gauges.set("configuration_version", {}, static_cast<double>(now->configuration ? now->configuration->version : 0));
+        gauges.set("hosts_live", {}, static_cast<double>(now->view->placementHosts().size()));
+        gauges.set("control_cpu_seconds", {}, threadCpuSeconds());
+        // The links belong to their own thread.
+        asio::post(m_link, [this, gauges, respond]() mutable {
+            addPeerMetrics(gauges, m_network->traffic(), m_network->linkCount());
+            respond(OperatorResponse{200, "text/plain; version=0.0.4", m_metrics.render(gauges)});
+        });
+    });
+}
+
+// Stopping.
+
+void HostDaemon::Impl::beginStop()
+{
+    if (m_leaving.exchange(true)) {
+        return;
+    }
+    asio::post(m_control, [this] {
+        log::info("stop_begun", {{"callers", m_front->openConnections()}});
+        m_membership->leave();
+        m_front->beginDrain();
+        drainCallers(Clock::now() + drainBound);
+    });
+}
+
+void HostDaemon::Impl::drainCallers(TimePoint deadline)
+{
+    if (m_front->openConnections() == 0 || Clock::now() >= deadline) {
+        drainHomes(deadline);
+        return;
+    }
+    m_drainTimer->expires_after(drainPoll);
+    m_drainTimer->async_wait([this, deadline](const boost::system::error_code &failure) {
+        if (!failure) {
+            drainCallers(deadline);
+        }
+    });
+}
+
+void HostDaemon::Impl::drainHomes(TimePoint deadline)
+{
+    auto done = std::make_shared<bool>(false);
+    const auto once = [this, done] {
+        if (!std::exchange(*done, true)) {
+            m_drainTimer->cancel();
+            departAndStop();
+        }
+    };
+    m_drainTimer->expires_at(deadline);
+    m_drainTimer->async_wait([once](const boost::system::error_code &failure) {
+        if (!failure) {
+            log::warning("drain_cut_short", {});
+            once();
+        }
+    });
+    m_homes->drain(once);
+}
+
+void HostDaemon::Impl::departAndStop()
+{
+    m_membership->depart();
+    auto timer = std::make_shared<asio::steady_timer>(m_control, farewell);
+    timer->async_wait([this, timer](const boost::system::error_code &) {
+        log::info("stop_complete", {});
+        stopNow();
+    });
+}
+
+void HostDaemon::Impl::stopNow()
+{
+    const std::lock_guard<std::mutex> lock(m_stopMutex);
+    m_stopped = true;
+    m_stopChanged.notify_all();
+}
+
+void HostDaemon::Impl::wait()
+{
+    {
+        std::unique_lock<std::mutex> lock(m_stopMutex);
+        m_stopChanged.wait(lock, [this] { return m_stopped; });
+    }
+    join();
+}
+
+void HostDaemon::Impl::join()
+{
+    if (m_threads.empty()) {
+        return;
+    }
+    m_front->stop();
+    m_homes->stop();
+    m_guards.clear();
+    m_control.stop();
+    m_link.stop();
+    for (const auto &context : m_traffic) {
+        context->stop();
+    }
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+}
+
+HostDaemon::HostDaemon(Settings settings) : m_impl(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+HostDaemon::~HostDaemon() = default;
+
+tl::expected<HostAddresses, Error> HostDaemon::start()
+{
+    return m_impl->start();
+}
+
+void HostDaemon::beginStop()
+{
+    m_impl->beginStop();
+}
+
+void HostDaemon::stopNow()
+{
+    m_impl->stopNow();
+}
+
+void HostDaemon::wait()
+{
+    m_impl->wait();
+}
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/membershipdriver.cpp
@@ -0,0 +1,137 @@
+// Gives Membership its time and its messages.
+
+#include "runtime/membershipdriver.h"
+
+#include "runtime/log.h"
+
+namespace egrettide
+{
+
+namespace
+{
+
+constexpr milliseconds listInterval{1000};
+constexpr milliseconds listTimeout{2000};
+
+} // namespace
+
+MembershipDriver::MembershipDriver(boost::asio::io_context &control, StoreClient &store, HostRecord self, std::uint64_t seed,
+                                   MembershipDriverHooks hooks)
+    : m_store(store)
+    , m_hooks(std::move(hooks))
+    , m_membership(std::move(self), MembershipOptions{}, seed, Clock::now())
+    , m_tickTimer(control)
+    , m_listTimer(control)
+{
+}
+
+void MembershipDriver::start()
+{
+    publish();
+    scheduleTick();
+    readHostList();
+}
+
+void MembershipDriver::stop()
+{
+    m_stopped = true;
+    m_tickTimer.cancel();
+    m_listTimer.cancel();
+}
+
+std::shared_ptr<const MembershipView> MembershipDriver::view() const
+{
+    return m_membership.view();
+}
+
+void MembershipDriver::scheduleTick()
+{
+    m_tickTimer.expires_at(m_membership.nextTick());
+    m_tickTimer.async_wait([this](const boost::system::error_code &failure) {
+        if (failure || m_stopped) {
+            return;
+        }
+        deliver(m_membership.tick(Clock::now()));
+        scheduleTick();
+    });
+}
+
+void MembershipDriver::readHostList()
+{
+    const auto again = [this] {
+        m_listTimer.expires_after(listInterval);
+        m_listTimer.async_wait([this](const boost::system::error_code &failure) {
+            if (!failure && !m_stopped) {
+                readHostList();
+            }
+        });
+    };
+    // One reader for each zone keeps the platform's load independent of the fleet;
+    // a host that knows nobody else has to read for itself.
+    if (m_membership.liveCount() > 1 && !m_hooks.isWatcher()) {
+        again();
+        return;
+    }
+    m_store.hosts(Clock::now() + listTimeout, [this, again](const tl::expected<std::vector<ListedHost>, StoreError> &answer) {
+        if (m_stopped) {
+            return;
+        }
+        if (answer) {
+            std::vector<HostSeed> seeds;
+            for (const ListedHost &listed : *answer) {
+                seeds.push_back(HostSeed{listed.name, listed.zone, listed.address});
+            }
+            m_membership.onHostList(seeds, Clock::now());
+            publish();
+        }
+        again();
+    });
+}
+
+void MembershipDriver::onGossip(const GossipMessage &message)
+{
+    deliver(m_membership.onMessage(message, Clock::now()));
+    m_hooks.configurationHeard(message.from, message.configurationVersion);
+}
+
+void MembershipDriver::onUnreachable(const std::string &host)
+{
+    deliver(m_membership.onLinkLost(host, Clock::now()));
+}
+
+void MembershipDriver::setConfigurationVersion(std::uint64_t version)
+{
+    m_membership.setConfigurationVersion(version);
+}
+
+void MembershipDriver::leave()
+{
+    deliver(m_membership.leave(Clock::now()));
+}
+
+void MembershipDriver::depart()
+{
+    deliver(m_membership.depart(Clock::now()));
+}
+
+void MembershipDriver::deliver(const std::vector<GossipSend> &sends)
+{
+    for (const GossipSend &send : sends) {
+        m_hooks.send(send.peer, send.address, hop::Gossip{send.message});
+    }
+    publish();
+}
+
+void MembershipDriver::publish()
+{
+    const auto view = m_membership.view();
+    if (view->version == m_published && view->trusted == m_publishedTrusted) {
+        return;
+    }
+    m_published = view->version;
+    m_publishedTrusted = view->trusted;
+    log::info("membership_changed", {{"view", view->version}, {"live", m_membership.liveCount()}, {"trusted", view->trusted}});
+    m_hooks.changed(view);
+}
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/membershipdriver.h
@@ -0,0 +1,67 @@
+// Gives Membership its time and its messages, and the platform's host list.
+
+#pragma once
+
+#include "egrettide/core/membership.h"
+#include "runtime/storeclient.h"
+#include "wire/hopcodec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace egrettide
+{
+
+struct MembershipDriverHooks {
+    std::function<void(const std::string &host, const std::string &address, hop::HopMessage)> send;
+    // The view has a new version.
+    std::function<void(std::shared_ptr<const MembershipView>)> changed;
+    // A heartbeat told of a configuration version.
+    std::function<void(const std::string &host, std::uint64_t version)> configurationHeard;
+    // True when this host reads the platform's list for its zone.
+    std::function<bool()> isWatcher;
+};
+
+// Used from the control thread only.
+class MembershipDriver
+{
+public:
+    MembershipDriver(boost::asio::io_context &control, StoreClient &store, HostRecord self, std::uint64_t seed,
+                     MembershipDriverHooks hooks);
+    MembershipDriver(const MembershipDriver &) = delete;
+    MembershipDriver &operator=(const MembershipDriver &) = delete;
+
+    void start();
+    void stop();
+    void onGossip(const GossipMessage &message);
+    void onUnreachable(const std::string &host);
+    void setConfigurationVersion(std::uint64_t version);
+    // Tells the others that this host takes nothing new from now on.
+    void leave();
+    // Tells the others that this host is gone.
+    void depart();
+
+    std::shared_ptr<const MembershipView> view() const;
+
+private:
+    void scheduleTick();
+    void readHostList();
+    void deliver(const std::vector<GossipSend> &sends);
+    void publish();
+
+    StoreClient &m_store;
+    MembershipDriverHooks m_hooks;
+    Membership m_membership;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_listTimer;
+    // The version last handed to `changed`.
+    std::uint64_t m_published = 0;
+    bool m_publishedTrusted = false;
+    bool m_stopped = false;
+};
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/switchoverdesk.cpp
@@ -0,0 +1,148 @@
+// Brings planned changes of primary to the right home.
+
+#include "runtime/switchoverdesk.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+namespace egrettide
+{
+
+namespace
+{
+
+// Longer than any switchover: it waits for open transactions.
+constexpr std::chrono::seconds replyBound{40};
+constexpr std::chrono::seconds comeBack{1};
+
+OperatorResponse failureResponse(const Error &error)
+{
+    const nlohmann::json body{
+        {"error", nameOf(error.kind)}, {"message", error.message}, {"retryAfterMs", error.retryAfter.count()}};
+    constexpr unsigned conflict = 409;
+    constexpr unsigned badRequest = 400;
+    return OperatorResponse{error.kind == ErrorKind::InvalidInput ? badRequest : conflict, "application/json", body.dump()};
+}
+
+// The asked host is not the primary's home; another one is.
+bool isElsewhere(const Error &error)
+{
+    return error.kind == ErrorKind::Moved || error.kind == ErrorKind::NoPrimary || error.kind == ErrorKind::UnknownDatabase;
+}
+
+} // namespace
+
+struct SwitchoverDesk::Job {
+    explicit Job(boost::asio::io_context &control) : timer(control)
+    {
+    }
+
+    std::string database;
+    std::string to;
+    // Hosts still to be asked.
+    std::vector<std::string> hosts;
+    Error lastError{ErrorKind::NoPrimary, "No home of the database's primary was found; check that its zone has a live host.",
+                    std::chrono::duration_cast<milliseconds>(comeBack)};
+    OperatorResponder respond;
+    boost::asio::steady_timer timer;
+};
+
+SwitchoverDesk::SwitchoverDesk(boost::asio::io_context &control, HomeService &homes, SwitchoverDeskHooks hooks)
+    : m_control(control), m_homes(homes), m_hooks(std::move(hooks))
+{
+}
+
+void SwitchoverDesk::onOperator(const std::string &body, const OperatorResponder &respond)
+{
+    const auto document = nlohmann::json::parse(body, nullptr, false);
+    const bool named = document.is_object() && document.contains("database") && document["database"].is_string();
+    if (!named) {
+        respond(failureResponse(
+            Error{ErrorKind::InvalidInput, "Name the database: {\"database\": \"...\", \"to\": \"...\"}.", milliseconds{0}}));
+        return;
+    }
+    auto job = std::make_shared<Job>(m_control);
+    job->database = document["database"];
+    if (document.contains("to") && document["to"].is_string()) {
+        job->to = document["to"];
+    }
+    job->hosts = m_hooks.otherHomes(job->database);
+    job->respond = respond;
+    m_homes.switchover(job->database, job->to, [this, job](const tl::expected<void, Error> &result) {
+        boost::asio::post(m_control, [this, job, result] { finish(job, result); });
+    });
+}
+
+void SwitchoverDesk::finish(const std::shared_ptr<Job> &job, const tl::expected<void, Error> &result)
+{
+    job->timer.cancel();
+    if (result) {
+        job->respond(
+            OperatorResponse{200, "application/json", nlohmann::json{{"done", true}, {"database", job->database}}.dump()});
+        return;
+    }
+    if (!isElsewhere(result.error())) {
+        job->respond(failureResponse(result.error()));
+        return;
+    }
+    job->lastError = result.error();
+    tryNext(job);
+}
+
+void SwitchoverDesk::tryNext(const std::shared_ptr<Job> &job)
+{
+    if (job->hosts.empty()) {
+        job->respond(failureResponse(job->lastError));
+        return;
+    }
+    const std::string host = job->hosts.back();
+    job->hosts.pop_back();
+    ask(job, host);
+}
+
+void SwitchoverDesk::ask(const std::shared_ptr<Job> &job, const std::string &host)
+{
+    const std::uint64_t id = m_nextId++;
+    m_asked[id] = job;
+    m_hooks.send(host, hop::SwitchoverRequest{id, job->database, job->to});
+    job->timer.expires_after(replyBound);
+    job->timer.async_wait([this, job, id](const boost::system::error_code &failure) {
+        if (failure || m_asked.erase(id) == 0) {
+            return;
+        }
+        job->respond(failureResponse(Error{ErrorKind::UnknownOutcome,
+                                           "The primary's home did not answer; look at the status before you try again.",
+                                           std::chrono::duration_cast<milliseconds>(comeBack)}));
+    });
+}
+
+void SwitchoverDesk::onRequest(const hop::SwitchoverRequest &request, std::function<void(hop::SwitchoverReply)> reply)
+{
+    m_homes.switchover(request.database, request.to,
+                       [id = request.id, reply = std::move(reply)](const tl::expected<void, Error> &result) {
+                           hop::SwitchoverReply answer;
+                           answer.id = id;
+                           if (!result) {
+                               answer.error = result.error();
+                           }
+                           reply(std::move(answer));
+                       });
+}
+
+void SwitchoverDesk::onReply(const hop::SwitchoverReply &reply)
+{
+    const auto found = m_asked.find(reply.id);
+    if (found == m_asked.end()) {
+        return;
+    }
+    const auto job = found->second;
+    m_asked.erase(found);
+    if (reply.error) {
+        finish(job, tl::unexpected(*reply.error));
+    } else {
+        finish(job, {});
+    }
+}
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/switchoverdesk.h
@@ -0,0 +1,55 @@
+// Takes operators' requests for a planned change of primary at any host and
+// brings them to the home of the current primary, which alone can hold writes
+// back while the primary changes.
+
+#pragma once
+
+#include "runtime/homeservice.h"
+#include "runtime/operatorserver.h"
+#include "wire/hopcodec.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace egrettide
+{
+
+struct SwitchoverDeskHooks {
+    std::function<void(const std::string &host, hop::HopMessage)> send;
+    // Homes of the database's upstreams on other hosts.
+    std::function<std::vector<std::string>(const std::string &database)> otherHomes;
+};
+
+// Used from the control thread only.
+class SwitchoverDesk
+{
+public:
+    SwitchoverDesk(boost::asio::io_context &control, HomeService &homes, SwitchoverDeskHooks hooks);
+    SwitchoverDesk(const SwitchoverDesk &) = delete;
+    SwitchoverDesk &operator=(const SwitchoverDesk &) = delete;
+
+    // POST /switchover with {"database", "to"}; answered when the change is over.
+    void onOperator(const std::string &body, const OperatorResponder &respond);
+    // Another host asks this one.
+    void onRequest(const hop::SwitchoverRequest &request, std::function<void(hop::SwitchoverReply)> reply);
+    void onReply(const hop::SwitchoverReply &reply);
+
+private:
+    struct Job;
+    void tryNext(const std::shared_ptr<Job> &job);
+    void ask(const std::shared_ptr<Job> &job, const std::string &host);
+    void finish(const std::shared_ptr<Job> &job, const tl::expected<void, Error> &result);
+
+    boost::asio::io_context &m_control;
+    HomeService &m_homes;
+    SwitchoverDeskHooks m_hooks;
+    std::map<std::uint64_t, std::shared_ptr<Job>> m_asked;
+    std::uint64_t m_nextId = 1;
+};
+
+} // namespace egrettide
--- /dev/null
+++ b/src/tools/egrettided.cpp
@@ -0,0 +1,125 @@
+// egrettided: the daemon of one entry host.
+
+#include "runtime/hostdaemon.h"
+#include "runtime/log.h"
+#include "runtime/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace
+{
+
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;
+constexpr int exitUsage = 2;
+
+tl::expected<egrettide::Settings, int> readSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << "egrettided: cannot read \"" << path << "\"; name a readable settings file\n";
+        return tl::unexpected(exitUsage);
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    auto settings = egrettide::parseSettings(text.str());
+    if (settings) {
+        return std::move(*settings);
+    }
+    for (const egrettide::Error &fault : settings.error()) {
+        std::cerr << "egrettided: " << path << ": " << fault.message << '\n';
+    }
+    return tl::unexpected(exitUsage);
+}
+
+// The first SIGTERM or SIGINT stops gracefully, the second at once.
+void armSignals(boost::asio::signal_set &signals, egrettide::HostDaemon &daemon, bool graceful)
+{
+    signals.async_wait([&signals, &daemon, graceful](const boost::system::error_code &failure, int) {
+        if (failure) {
+            return;
+        }
+        if (graceful) {
+            daemon.beginStop();
+            armSignals(signals, daemon, false);
+        } else {
+            daemon.stopNow();
+        }
+    });
+}
+
+int run(const egrettide::Settings &settings)
+{
+    namespace log = egrettide::log;
+    log::open(settings.host, log::levelNamed(settings.logLevel));
+    // Signals are taken before other threads start, so that none is lost.
+    boost::asio::io_context signalContext(1);
+    boost::asio::signal_set signals(signalContext, SIGTERM, SIGINT);
+    std::signal(SIGPIPE, SIG_IGN);
+    egrettide::HostDaemon daemon(settings);
+    const auto addresses = daemon.start();
+    if (!addresses) {
+        log::error("start_failed", {{"error", addresses.error().message}});
+        std::cerr << "egrettided: " << addresses.error().message << '\n';
+        return exitFailed;
+    }
+    log::info("started",
+              {{"zone", settings.zone},
+               {"caller_address", addresses->caller},
+               {"peer_address", addresses->peer},
+               {"operator_address", addresses->operators},
+               {"version", EGRETTIDE_VERSION}});
+    armSignals(signals, daemon, true);
+    std::thread signalThread([&signalContext] { signalContext.run(); });
+    daemon.wait();
+    signalContext.stop();
+    signalThread.join();
+    return exitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    namespace po = boost::program_options;
+    po::options_description description("egrettided --settings FILE: one entry host of egrettide");
+    description.add_options()("help", "print this text")("version", "print the version")(
+        "settings", po::value<std::string>(), "the JSON settings file")("check", "check the settings file and stop");
+    po::variables_map values;
+    try {
+        po::store(po::parse_command_line(argc, argv, description), values);
+        po::notify(values);
+    } catch (const po::error &fault) {
+        std::cerr << "egrettided: " << fault.what() << "; see --help\n";
+        return exitUsage;
+    }
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return exitOk;
+    }
+    if (values.count("version") != 0) {
+        std::cout << "egrettided " << EGRETTIDE_VERSION << '\n';
+        return exitOk;
+    }
+    if (values.count("settings") == 0) {
+        std::cerr << "egrettided: no settings; name a file with --settings FILE\n";
+        return exitUsage;
+    }
+    const auto settings = readSettings(values["settings"].as<std::string>());
+    if (!settings) {
+        return settings.error();
+    }
+    if (values.count("check") != 0) {
+        std::cout << "settings are valid\n";
+        return exitOk;
+    }
+    return run(*settings);
+}
