--- a/bench/egrettide_bench.cpp
+++ b/bench/egrettide_bench.cpp
@@ -53,6 +53,8 @@
     double stormTo = 0;
     int timeoutMs = 3000;
     std::uint64_t seed = 1;
+    // One statement to run instead of the load.
+    std::string statement;
 };
 
 // What the caller may conclude from an answer.
@@ -652,6 +654,10 @@
     for (std::string target; std::getline(list, target, ',');) {
         options.targets.push_back(target);
     }
+    if (!options.statement.empty()) {
+        executePatiently(options, options.statement, "session");
+        return 0;
+    }
     World world(options);
     setUp(options, world.progress.size());
     world.start = Clock::now();
--- /dev/null
+++ b/scripts/capacity.py
@@ -0,0 +1,153 @@
+"""Measures what one entry host costs per caller, per statement, per database and
+per configuration change, at several sizes each, and fits slopes. Prints JSON;
+docs/CAPACITY.md multiplies the slopes up to the target size.
+
+  python3 scripts/capacity.py build/release
+"""
+
+import json
+import os
+import socket
+import struct
+import sys
+import time
+
+import lab
+
+SETTLE_S = 1.5
+WINDOW_S = 4.0
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def rss_kib(pid):
+    with open(f"/proc/{pid}/status") as file:
+        return next(int(line.split()[1]) for line in file if line.startswith("VmRSS"))
+
+
+def cpu_seconds(pid):
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def control_cpu(host):
+    for line in host.metrics().splitlines():
+        if line.startswith("egrettide_control_cpu_seconds"):
+            return float(line.split()[-1])
+    return 0.0
+
+
+def fit(points):
+    """Least squares: (slope, intercept, largest residual)."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    intercept = mean_y - slope * mean_x
+    residual = max(abs(y - slope * x - intercept) for x, y in points)
+    return {"points": points, "slope": slope, "intercept": intercept, "largest_residual": residual}
+
+
+def open_caller(address):
+    """A session that has started and stays idle."""
+    ip, port = address.rsplit(":", 1)
+    caller = socket.create_connection((ip, int(port)), timeout=10)
+    body = struct.pack("!I", 196608) + b"user\0parent\0database\0booking1\0\0"
+    caller.sendall(struct.pack("!I", len(body) + 4) + body)
+    received = b""
+    while b"Z\x00\x00\x00\x05I" not in received:
+        part = caller.recv(4096)
+        if not part:
+            raise RuntimeError("the host refused a caller")
+        received += part
+    return caller
+
+
+def one_host_site(binaries, databases):
+    site = lab.Lab(binaries)
+    site.start_platform()
+    groups = [site.start_group(f"booking{n}", ["a", "b", "c"], 5, 30, []) for n in range(1, databases + 1)]
+    site.start_host("host-a", "a")
+    site.announce_hosts()
+    site.apply(lab.configuration(groups))
+    return site, groups
+
+
+def idle_callers(binaries):
+    points_rss, points_cpu = [], []
+    site, _ = one_host_site(binaries, 1)
+    with site:
+        host = site.hosts["host-a"]
+        pid = host.process.process.pid
+        callers = []
+        for count in (0, 500, 1000, 2000, 4000):
+            while len(callers) < count:
+                callers.append(open_caller(host.caller))
+            time.sleep(SETTLE_S)
+            before = cpu_seconds(pid)
+            time.sleep(WINDOW_S)
+            points_cpu.append((count, (cpu_seconds(pid) - before) / WINDOW_S))
+            points_rss.append((count, rss_kib(pid)))
+        for caller in callers:
+            caller.close()
+    return {"rss_kib": fit(points_rss), "cpu_cores": fit(points_cpu)}
+
+
+def databases(binaries):
+    points_rss, points_cpu = [], []
+    for count in (1, 4, 8, 16):
+        site, _ = one_host_site(binaries, count)
+        with site:
+            host = site.hosts["host-a"]
+            pid = host.process.process.pid
+            time.sleep(SETTLE_S)
+            before, begin = control_cpu(host), time.monotonic()
+            time.sleep(WINDOW_S)
+            points_cpu.append((count, (control_cpu(host) - before) / (time.monotonic() - begin)))
+            points_rss.append((count, rss_kib(pid)))
+    return {"rss_kib": fit(points_rss), "control_cpu_cores": fit(points_cpu)}
+
+
+def statements(binaries):
+    points_cpu = []
+    site, _ = one_host_site(binaries, 1)
+    with site:
+        pid = site.hosts["host-a"].process.process.pid
+        for number, rate in enumerate((100, 200, 400, 800)):
+            database = site.upstreams["booking1-1"]["name"].rsplit("-", 1)[0]
+            before = cpu_seconds(pid)
+            callers = 20
+            load = site.bench(database=database, seconds=WINDOW_S, desks=0, parents=callers, parent_rate=rate / callers,
+                              seed=number + 1)
+            result = site.result(load, 120)
+            points_cpu.append((result["attempts"] / WINDOW_S, (cpu_seconds(pid) - before) / WINDOW_S))
+            site.fresh_tables(database)
+    return {"cpu_cores_by_statements_per_second": fit(points_cpu)}
+
+
+def configuration_changes(binaries):
+    points = []
+    site, groups = one_host_site(binaries, 1)
+    with site:
+        host = site.hosts["host-a"]
+        for count in (0, 10, 20, 40):
+            before = control_cpu(host)
+            for change in range(count):
+                groups[0]["replicaWaitMs"] = 10 + (change % 7) + count
+                site.apply(lab.configuration(groups))
+            points.append((count, control_cpu(host) - before))
+    return {"control_cpu_seconds_by_changes": fit(points)}
+
+
+def main():
+    binaries = sys.argv[1]
+    wanted = sys.argv[2:] or ["idle_callers", "databases", "statements", "configuration_changes"]
+    out = {}
+    for name in wanted:
+        out[name] = globals()[name](binaries)
+        print(json.dumps({name: out[name]}), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/lab.py
+++ b/scripts/lab.py
@@ -198,6 +198,14 @@
                 total[key] = total.get(key, 0) + int(found.group(2))
         return total
 
+    def fresh_tables(self, database):
+        """Empties what the load tool left, for another run on the same site."""
+        host = next(host for host in self.hosts.values() if host.process.alive())
+        address, port = host.caller.rsplit(":", 1)
+        for table in ("bookings", "charges", "progress"):
+            subprocess.run([self.program("egrettide-bench"), "--targets", f"{address}:{port}", "--database", database,
+                            "--execute", f"DELETE FROM {table}"], check=True, timeout=60)
+
     def bench(self, **options):
         """Starts the load tool; the callers begin once it says so."""
         arguments = [self.program("egrettide-bench"), "--targets", self.targets()]
