--- /dev/null
+++ b/testing/upstream/executor.h
@@ -0,0 +1,44 @@
+// Runs the statements that touch tables: inside one transaction, against the
+// committed tables as they are now and the transaction's own writes.
+
+#pragma once
+
+#include "testing/upstream/groupmember.h"
+#include "testing/upstream/sqlstatement.h"
+#include "testing/upstream/tables.h"
+
+#include <string>
+#include <vector>
+
+namespace egrettide::testing
+{
+
+struct ResultColumn {
+    std::string name;
+    ColumnType type = ColumnType::Text;
+};
+
+struct StatementResult {
+    // Empty for statements that return no rows.
+    std::vector<ResultColumn> columns;
+    std::vector<Row> rows;
+    // As in CommandComplete.
+    std::string tag;
+};
+
+// The value of an expression without columns; throws 42703 when it has some.
+Value evaluateConstant(const Expression &expression, const std::vector<Value> &parameters);
+
+// The columns that a statement returns, empty for none.
+std::vector<ResultColumn> resultColumns(const Statement &statement, const TableSet &tables, const Transaction &transaction);
+
+// The types that a statement's parameters are compared with or stored as; text
+// where nothing tells.
+std::vector<ColumnType> parameterTypes(const Statement &statement, const TableSet &tables, const Transaction &transaction);
+
+// Runs one statement. Its writes go to `transaction` alone. Throws SqlError and
+// then leaves `transaction` in a state that only a rollback may follow.
+StatementResult executeStatement(const Statement &statement, const std::vector<Value> &parameters, GroupMember &member,
+                                 Transaction &transaction);
+
+} // namespace egrettide::testing
--- a/testing/upstream/upstreamstandin.h
+++ b/testing/upstream/upstreamstandin.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -39,6 +40,8 @@
     milliseconds burstLag{0};
     milliseconds burstEvery{0};
     milliseconds burstLength{0};
+    // While set, new connections are refused with SQLSTATE 57P03.
+    bool refusesConnections = false;
     // How long a replica waits before it asks its primary for more.
     milliseconds receiveDelay{0};
     // Seeds the bursts.
@@ -108,6 +111,8 @@
 private:
     class Impl;
 
+    void change(const std::function<void(UpstreamOptions &)> &edit);
+
     UpstreamOptions m_options;
     std::unique_ptr<Impl> m_impl;
 };
