Add the platform stand-in and the store client

Hosts need the store's objects, watches and host list, and tests need a platform whose outages, delays and lost answers can be switched on. The client says for each failed write whether it may have taken effect.

--- /dev/null
+++ b/src/runtime/httpclient.cpp
@@ -0,0 +1,242 @@
+// One Connection per outstanding call, reused through a list of idle ones.
+
+#include "runtime/httpclient.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace egrettide
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace
+{
+
+// Values of the store reach a megabyte; host lists and statuses stay below.
+constexpr std::uint64_t BodyLimit = 8 * 1024 * 1024;
+constexpr std::size_t MaxIdleConnections = 8;
+constexpr unsigned HttpVersion = 11;
+
+} // namespace
+
+namespace detail
+{
+
+// One connection and the call it runs, if any.
+struct HttpConnection {
+    explicit HttpConnection(asio::io_context &context) : stream(context)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    http::request<http::string_body> request;
+    // A parser of its own for every answer.
+    std::optional<http::response_parser<http::string_body>> parser;
+    HttpHandler handler;
+};
+
+} // namespace detail
+
+using ConnectionPtr = std::shared_ptr<detail::HttpConnection>;
+
+struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
+    State(asio::io_context &ioContext, asio::ip::tcp::endpoint endpoint) : context(ioContext), server(std::move(endpoint))
+    {
+    }
+
+    void start(const HttpCall &call, TimePoint deadline, HttpHandler handler);
+    void connect(const ConnectionPtr &connection);
+    void send(const ConnectionPtr &connection);
+    void receive(const ConnectionPtr &connection);
+    void finish(const ConnectionPtr &connection);
+    void fail(const ConnectionPtr &connection, bool mayHaveArrived, const std::string &step, const error_code &error);
+    ConnectionPtr takeIdle();
+    void shutDown();
+
+    asio::io_context &context;
+    const asio::ip::tcp::endpoint server;
+    // Invariant: no call is outstanding on any of them.
+    std::vector<ConnectionPtr> idle;
+    // Invariant: each has a handler that has not run yet.
+    std::vector<ConnectionPtr> busy;
+    // True once the owner has gone: handlers must not run any more.
+    bool closed = false;
+};
+
+namespace
+{
+
+http::request<http::string_body> toRequest(const HttpCall &call, const asio::ip::tcp::endpoint &server)
+{
+    http::request<http::string_body> request{call.verb, call.target, HttpVersion};
+    request.set(http::field::host, server.address().to_string());
+    request.keep_alive(true);
+    if (!call.body.empty()) {
+        request.set(http::field::content_type, "application/json");
+        request.body() = call.body;
+    }
+    request.prepare_payload();
+    return request;
+}
+
+// An idle connection whose server has closed it would swallow the next request:
+// the caller could not tell whether it arrived. One notices it by the end of
+// stream (or stray bytes) that waits to be read; such connections are not reused.
+bool isReusable(beast::tcp_stream &stream)
+{
+    char byte = 0;
+    error_code error;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+} // namespace
+
+void HttpClient::State::start(const HttpCall &call, TimePoint deadline, HttpHandler handler)
+{
+    ConnectionPtr connection = takeIdle();
+    const bool fresh = !connection;
+    if (fresh) {
+        connection = std::make_shared<detail::HttpConnection>(context);
+    }
+    connection->request = toRequest(call, server);
+    connection->handler = std::move(handler);
+    connection->stream.expires_at(deadline);
+    busy.push_back(connection);
+    if (fresh) {
+        connect(connection);
+    } else {
+        send(connection);
+    }
+}
+
+ConnectionPtr HttpClient::State::takeIdle()
+{
+    while (!idle.empty()) {
+        ConnectionPtr connection = std::move(idle.back());
+        idle.pop_back();
+        if (isReusable(connection->stream)) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void HttpClient::State::connect(const ConnectionPtr &connection)
+{
+    connection->stream.async_connect(server, [self = shared_from_this(), connection](const error_code &error) {
+        if (self->closed) {
+            return;
+        }
+        if (error) {
+            self->fail(connection, false, "connect", error);
+            return;
+        }
+        error_code ignored;
+        connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->send(connection);
+    });
+}
+
+void HttpClient::State::send(const ConnectionPtr &connection)
+{
+    http::async_write(connection->stream, connection->request,
+                      [self = shared_from_this(), connection](const error_code &error, std::size_t sent) {
+                          if (self->closed) {
+                              return;
+                          }
+                          if (error) {
+                              self->fail(connection, sent > 0, "send", error);
+                              return;
+                          }
+                          self->receive(connection);
+                      });
+}
+
+void HttpClient::State::receive(const ConnectionPtr &connection)
+{
+    connection->parser.emplace();
+    connection->parser->body_limit(BodyLimit);
+    http::async_read(connection->stream, connection->buffer, *connection->parser,
+                     [self = shared_from_this(), connection](const error_code &error, std::size_t) {
+                         if (self->closed) {
+                             return;
+                         }
+                         if (error) {
+                             self->fail(connection, true, "receive", error);
+                             return;
+                         }
+                         self->finish(connection);
+                     });
+}
+
+void HttpClient::State::finish(const ConnectionPtr &connection)
+{
+    std::erase(busy, connection);
+    connection->stream.expires_never();
+    auto response = connection->parser->release();
+    const HttpHandler handler = std::exchange(connection->handler, nullptr);
+    if (response.keep_alive() && idle.size() < MaxIdleConnections) {
+        idle.push_back(connection);
+    }
+    handler(HttpAnswer{response.result(), std::move(response.body())});
+}
+
+void HttpClient::State::fail(const ConnectionPtr &connection, bool mayHaveArrived, const std::string &step,
+                             const error_code &error)
+{
+    std::erase(busy, connection);
+    connection->stream.close();
+    const HttpHandler handler = std::exchange(connection->handler, nullptr);
+    handler(tl::make_unexpected(HttpFailure{mayHaveArrived, step + " failed: " + error.message()}));
+}
+
+void HttpClient::State::shutDown()
+{
+    closed = true;
+    for (const ConnectionPtr &connection : busy) {
+        connection->handler = nullptr;
+        connection->stream.close();
+    }
+    busy.clear();
+    idle.clear();
+}
+
+HttpClient::HttpClient(asio::io_context &context, asio::ip::tcp::endpoint server)
+    : m_state(std::make_shared<State>(context, std::move(server)))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    m_state->shutDown();
+}
+
+void HttpClient::call(const HttpCall &call, TimePoint deadline, HttpHandler handler)
+{
+    m_state->start(call, deadline, std::move(handler));
+}
+
+std::size_t HttpClient::idleConnections() const
+{
+    return m_state->idle.size();
+}
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/storeclient.cpp
@@ -0,0 +1,207 @@
+// Maps store calls to HTTP and answers back to typed results.
+
+#include "runtime/storeclient.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace egrettide
+{
+
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+namespace
+{
+
+// A watch asks the platform to answer this long before the caller's deadline, so
+// that a quiet watch ends with the platform's own answer.
+constexpr milliseconds WatchMargin{250};
+
+std::string escaped(const std::string &text)
+{
+    static constexpr char Hex[] = "0123456789ABCDEF";
+    std::string result;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        const bool plain = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z') || (byte >= '0' && byte <= '9')
+            || byte == '-' || byte == '_' || byte == '.' || byte == '~' || byte == '/';
+        if (plain) {
+            result += c;
+            continue;
+        }
+        result += '%';
+        result += Hex[byte >> 4];
+        result += Hex[byte & 0xF];
+    }
+    return result;
+}
+
+std::string objectTarget(const std::string &key)
+{
+    return "/objects/" + escaped(key);
+}
+
+tl::unexpected<StoreError> failure(StoreFailure failure, ErrorKind kind, std::string message, std::uint64_t currentVersion = 0)
+{
+    return tl::make_unexpected(StoreError{failure, Error{kind, std::move(message), milliseconds{0}}, currentVersion});
+}
+
+tl::unexpected<StoreError> unavailable(const std::string &reason)
+{
+    return failure(StoreFailure::Unavailable, ErrorKind::StoreUnavailable,
+                   "The platform's store did not answer (" + reason + "); try again, and check the platform if it goes on.");
+}
+
+tl::unexpected<StoreError> outcomeUnknown(const std::string &reason)
+{
+    return failure(StoreFailure::OutcomeUnknown, ErrorKind::UnknownOutcome,
+                   "The answer of the platform's store was lost (" + reason
+                       + "); the change may have taken effect: read the object before you repeat it.");
+}
+
+std::uint64_t versionIn(const json &document)
+{
+    const auto version = document.find("version");
+    return version != document.end() && version->is_number_unsigned() ? version->get<std::uint64_t>() : 0;
+}
+
+// What a finished call's status means, whatever the kind of call; nothing for success.
+std::optional<StoreError> errorOf(const HttpAnswer &answer, const json &document, const std::string &key, bool writes)
+{
+    switch (answer.status) {
+    case http::status::ok:
+        return std::nullopt;
+    case http::status::not_found:
+        return failure(StoreFailure::NotFound, ErrorKind::StoreUnavailable,
+                       "The store has no object '" + key + "'; create it first.")
+            .value();
+    case http::status::not_modified:
+        return failure(StoreFailure::Unchanged, ErrorKind::StoreUnavailable,
+                       "The object '" + key + "' has not changed; watch it again.")
+            .value();
+    case http::status::conflict:
+        return failure(StoreFailure::Conflict, ErrorKind::Conflict,
+                       "The object '" + key + "' is at another version; read it and decide again.", versionIn(document))
+            .value();
+    case http::status::service_unavailable:
+        return unavailable("it refused the call for now").value();
+    default:
+        break;
+    }
+    const std::string status = "HTTP status " + std::to_string(static_cast<int>(answer.status));
+    if (http::to_status_class(answer.status) == http::status_class::client_error) {
+        return failure(StoreFailure::Refused, ErrorKind::InvalidInput,
+                       "The store refuses the call on '" + key + "' (" + status + ": " + answer.body
+                           + "); mend the key or value.")
+            .value();
+    }
+    return (writes ? outcomeUnknown(status) : unavailable(status)).value();
+}
+
+tl::expected<VersionedObject, StoreError> toObject(const tl::expected<HttpAnswer, HttpFailure> &answer, const std::string &key,
+                                                   bool writes)
+{
+    if (!answer) {
+        const bool unknown = writes && answer.error().mayHaveArrived;
+        return unknown ? outcomeUnknown(answer.error().reason) : unavailable(answer.error().reason);
+    }
+    json document = json::parse(answer->body, nullptr, false);
+    if (const auto error = errorOf(*answer, document, key, writes)) {
+        return tl::make_unexpected(*error);
+    }
+    const std::uint64_t version = document.is_object() ? versionIn(document) : 0;
+    if (version == 0) {
+        return writes ? outcomeUnknown("malformed answer") : unavailable("malformed answer");
+    }
+    return VersionedObject{key, version, document.contains("value") ? std::move(document["value"]) : json()};
+}
+
+std::string textIn(const json &document, const char *field)
+{
+    const auto value = document.find(field);
+    return value != document.end() && value->is_string() ? value->get<std::string>() : std::string();
+}
+
+tl::expected<std::vector<ListedHost>, StoreError> toHosts(const tl::expected<HttpAnswer, HttpFailure> &answer)
+{
+    if (!answer) {
+        return unavailable(answer.error().reason);
+    }
+    const json document = json::parse(answer->body, nullptr, false);
+    if (answer->status != http::status::ok || !document.is_array()) {
+        return unavailable("no host list in the answer");
+    }
+    std::vector<ListedHost> hosts;
+    for (const json &entry : document) {
+        if (!entry.is_object()) {
+            return unavailable("malformed host list");
+        }
+        hosts.push_back(
+            {textIn(entry, "name"), textIn(entry, "zone"), textIn(entry, "address"), textIn(entry, "state") == "leaving"});
+    }
+    return hosts;
+}
+
+HttpHandler objectAnswer(std::string key, bool writes, ObjectHandler handler)
+{
+    return [key = std::move(key), writes, handler = std::move(handler)](const tl::expected<HttpAnswer, HttpFailure> &answer) {
+        handler(toObject(answer, key, writes));
+    };
+}
+
+} // namespace
+
+StoreClient::StoreClient(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint platform)
+    : m_http(context, std::move(platform))
+{
+}
+
+void StoreClient::read(const std::string &key, TimePoint deadline, ObjectHandler handler)
+{
+    ++m_counts.reads;
+    m_http.call({http::verb::get, objectTarget(key), {}}, deadline, objectAnswer(key, false, std::move(handler)));
+}
+
+void StoreClient::write(const std::string &key, const json &value, std::optional<std::uint64_t> expectedVersion,
+                        TimePoint deadline, ObjectHandler handler)
+{
+    ++m_counts.writes;
+    json body{{"value", value}};
+    if (expectedVersion) {
+        body["ifVersion"] = *expectedVersion;
+    }
+    ObjectHandler withValue = [value, handler = std::move(handler)](tl::expected<VersionedObject, StoreError> result) {
+        if (result) {
+            result->value = value;
+        }
+        handler(std::move(result));
+    };
+    m_http.call({http::verb::put, objectTarget(key), body.dump()}, deadline, objectAnswer(key, true, std::move(withValue)));
+}
+
+void StoreClient::watch(const std::string &key, std::uint64_t afterVersion, TimePoint deadline, ObjectHandler handler)
+{
+    ++m_counts.watches;
+    const auto remaining = std::chrono::duration_cast<milliseconds>(deadline - Clock::now()) - WatchMargin;
+    const milliseconds wait = std::max(remaining, milliseconds{0});
+    const std::string target =
+        objectTarget(key) + "?watch=" + std::to_string(afterVersion) + "&waitMs=" + std::to_string(wait.count());
+    m_http.call({http::verb::get, target, {}}, deadline, objectAnswer(key, false, std::move(handler)));
+}
+
+void StoreClient::hosts(TimePoint deadline, HostsHandler handler)
+{
+    ++m_counts.hostLists;
+    m_http.call(
+        {http::verb::get, "/hosts", {}}, deadline,
+        [handler = std::move(handler)](const tl::expected<HttpAnswer, HttpFailure> &answer) { handler(toHosts(answer)); });
+}
+
+const StoreCallCounts &StoreClient::callCounts() const
+{
+    return m_counts;
+}
+
+} // namespace egrettide
--- /dev/null
+++ b/testing/platform/platformstandin.h
@@ -0,0 +1,80 @@
+// A small stand-in for the users' platform: the object API with versions,
+// conditional updates and watches, and the host list, over HTTP/JSON, with
+// faults that can be switched on. It runs on a thread of its own, so that tests
+// can have it in process.
+//
+//   GET    /objects/KEY                        {"key","version","value"} or 404
+//   GET    /objects/KEY?watch=VERSION&waitMs=N the same once version > VERSION, or 304
+//   PUT    /objects/KEY                        body {"value",["ifVersion"]}: {"key","version"}, 409 or 413
+//   DELETE /objects/KEY[?ifVersion=N]          {"key","version":0}, 404 or 409
+//   GET    /list?prefix=P                      [{"key","version"}]
+//   GET    /hosts                              [{"name","zone","address","state"}]
+//   PUT    /admin/hosts                        the same list; shows after the lag
+//   PUT    /admin/faults                       {"down","delayMs","loseNextAnswers","failNextCalls","hostListLagMs"}
+//   GET    /admin/calls                        calls received, by kind
+
+#pragma once
+
+#include "egrettide/core/types.h"
+#include "testing/platform/objectstore.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace egrettide::standin
+{
+
+// Calls received, by kind; a waiting watch is one call. Faulty calls count too.
+struct CallCounts {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t deletes = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t lists = 0;
+    std::uint64_t hostLists = 0;
+};
+
+class PlatformStandIn
+{
+public:
+    // Listens at once; port 0 takes a free one. Throws boost::system::system_error
+    // when the address cannot be had.
+    explicit PlatformStandIn(const boost::asio::ip::tcp::endpoint &listen = {boost::asio::ip::address_v4::loopback(), 0});
+    ~PlatformStandIn();
+    PlatformStandIn(const PlatformStandIn &) = delete;
+    PlatformStandIn &operator=(const PlatformStandIn &) = delete;
+
+    boost::asio::ip::tcp::endpoint endpoint() const;
+    // "IP:port", as programs take it.
+    std::string address() const;
+
+    // While down, every call but /admin loses its connection and changes nothing;
+    // waiting watches are cut.
+    void setDown(bool down);
+    // Every call but /admin waits this long before it is looked at, so a change
+    // may take effect after its caller has given up.
+    void setDelay(milliseconds delay);
+    // The next changes take effect, and their connections close without an answer.
+    void loseNextAnswers(int count);
+    // The next calls are refused with 503 and change nothing.
+    void failNextCalls(int count);
+    void setHosts(std::vector<PlatformHost> hosts);
+    // How long later host lists stay invisible.
+    void setHostListLag(milliseconds lag);
+
+    CallCounts calls() const;
+    std::optional<StoredObject> object(const std::string &key) const;
+    // Writes unconditionally, past all faults; returns the new version.
+    std::uint64_t put(const std::string &key, nlohmann::json value);
+
+private:
+    class Server;
+    std::unique_ptr<Server> m_server;
+};
+
+} // namespace egrettide::standin
