--- /dev/null
+++ b/include/egrettide/core/failuredetector.h
@@ -0,0 +1,68 @@
+// Decides whether one upstream has stopped answering, from the probes sent to it.
+// Silence is judged by an adaptive timeout (mean plus a multiple of the deviation
+// of past round trips, between a floor and a ceiling); refused and reset
+// connections count much faster, since only a reachable host sends them.
+
+#pragma once
+
+#include "egrettide/core/types.h"
+
+#include <cstddef>
+#include <optional>
+
+namespace egrettide
+{
+
+// How a probe failed, as far as the driver can tell.
+enum class ProbeFailure { Refused, Reset, Timeout };
+
+struct FailureDetectorOptions {
+    // The shortest silence that raises a suspicion, however steady the link is.
+    milliseconds floor{150};
+    // The longest silence that is borne, however noisy the link is.
+    milliseconds ceiling{1000};
+    // Multiplies the mean deviation of the round trips.
+    double deviations = 6;
+    // Probes in a row that have to stay unanswered before silence counts.
+    std::size_t silentProbes = 2;
+    // Refused or reset probes in a row that raise a suspicion.
+    std::size_t refusals = 2;
+};
+
+// The detector of one upstream at one observer. Feed it every probe sent, every
+// answer and every failure; ask it at any time.
+class FailureDetector
+{
+public:
+    explicit FailureDetector(const FailureDetectorOptions &options = {});
+
+    void onSent(TimePoint sentAt);
+    // An answer to the probe that left at `sentAt`.
+    void onAnswer(TimePoint sentAt, TimePoint now);
+    void onFailure(ProbeFailure failure, TimePoint now);
+    // Forgets everything but the round trip statistics: what went unanswered
+    // while this process itself stood still says nothing about the upstream.
+    void onClockGap();
+
+    // True while the upstream should be treated as failed.
+    bool suspects(TimePoint now) const;
+    // True while the suspicion rests on refusals rather than on silence.
+    bool refused() const;
+    // The silence that raises a suspicion now, and the age at which a single
+    // unanswered probe is given up.
+    milliseconds timeout() const;
+
+private:
+    FailureDetectorOptions m_options;
+    double m_mean = 0; // of round trips, in milliseconds
+    double m_deviation = 0;
+    bool m_measured = false;
+    // When the oldest probe left that nothing has been heard since.
+    std::optional<TimePoint> m_silentSince;
+    std::size_t m_unanswered = 0;
+    std::size_t m_refusals = 0;
+    TimePoint m_lastAnswered;
+    bool m_answered = false;
+};
+
+} // namespace egrettide
--- /dev/null
+++ b/include/egrettide/core/groupmonitor.h
@@ -0,0 +1,189 @@
+// One observer's view of one database group, made from rounds of status probes.
+// A round is the unit of proof: all its probes leave at one moment, so what a
+// majority answers holds for that moment. The monitor says who the confirmed
+// primary is, which watermarks are proven, which members fail, and when to probe
+// next. It sends nothing itself: the driver carries out rounds and reports back.
+
+#pragma once
+
+#include "egrettide/core/failuredetector.h"
+#include "egrettide/core/types.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace egrettide
+{
+
+// Numbers the rounds of one monitor; it only rises.
+using RoundId = std::uint64_t;
+
+struct MemberSpec {
+    std::string upstream;
+    std::string zone;
+    bool leaving = false;
+};
+
+// Switches mechanisms off so that tests can show that each one is needed. All
+// false in production.
+struct GroupMonitorFaults {
+    // Dates a watermark by the arrival of the answers: it then claims too much.
+    bool watermarkAtAnswer = false;
+    // Keeps watermarks and open rounds over a gap in the clock.
+    bool trustAfterClockGap = false;
+    // Confirms a primary on its own word.
+    bool confirmWithoutMajority = false;
+};
+
+struct GroupMonitorOptions {
+    // The spacing of rounds while a commit or a latest read waits for one.
+    milliseconds busyInterval{2};
+    // The spacing of rounds while nobody waits.
+    milliseconds idleInterval{50};
+    // Probes outstanding at one member; beyond that it is left out of rounds, so
+    // a silent member costs a bounded number of requests and delays nobody.
+    std::size_t outstandingLimit = 4;
+    // Older watermarks are dropped.
+    milliseconds watermarkSpan{10'000};
+    // A group without a primary is left to a running promotion for this long.
+    milliseconds noPrimaryPatience{400};
+    FailureDetectorOptions detector;
+    GroupMonitorFaults faults;
+};
+
+// What the driver has to send: one status probe to each of `upstreams`, now.
+struct ProbeRound {
+    RoundId id = 0;
+    std::vector<std::string> upstreams;
+};
+
+enum class SuspicionReason {
+    PrimarySilent,
+    PrimaryRefuses,
+    // No member is a primary that a majority stands by.
+    NoPrimary,
+};
+
+// Why this observer thinks that the group needs a new primary.
+struct Suspicion {
+    SuspicionReason reason = SuspicionReason::NoPrimary;
+    // The primary in question, empty when there is none.
+    std::string primary;
+    // The term in question: opinions about another term say nothing.
+    Term term = 0;
+};
+
+class GroupMonitor
+{
+public:
+    // `members` are all upstreams of the group; the majority counts all of them,
+    // leaving ones included.
+    GroupMonitor(std::string database, std::vector<MemberSpec> members, const GroupMonitorOptions &options = {});
+    GroupMonitor(const GroupMonitor &) = delete;
+    GroupMonitor &operator=(const GroupMonitor &) = delete;
+
+    // Starts a round whose probes all leave at `now`. Every probe has to be
+    // answered by onStatus or onProbeFailed, or it ends by itself in onTimer.
+    ProbeRound beginRound(TimePoint now);
+    // Any answer, however late, doubled or out of order; each is used only for
+    // what it proves.
+    void onStatus(RoundId round, const MemberStatus &status, TimePoint now);
+    void onProbeFailed(RoundId round, const std::string &upstream, ProbeFailure failure, TimePoint now);
+    // Ends probes that have been unanswered for too long. Call it at least
+    // whenever a round begins.
+    void onTimer(TimePoint now);
+    // This process stood still, or its clock did: nothing is confirmed and no age
+    // is known until a new round says so.
+    void onClockGap(TimePoint now);
+    // Takes a new list of members; what is known of the ones that stay is kept,
+    // every proof is not.
+    void setMembers(std::vector<MemberSpec> members);
+
+    // The current view; a new object whenever something changed, never null.
+    std::shared_ptr<const GroupSnapshot> snapshot() const;
+    // The newest proof, if any.
+    std::optional<Watermark> newestWatermark() const;
+    // When the next round should begin; it may lie in the past.
+    TimePoint nextProbeAt(TimePoint now, bool waitersPresent) const;
+    // True while the member answers nothing, or refuses.
+    bool suspects(std::string_view upstream, TimePoint now) const;
+    // Set while this observer holds that the group needs a new primary. It is
+    // also this observer's opinion when another home asks.
+    std::optional<Suspicion> suspicion(TimePoint now) const;
+    // The highest term that any member was seen to promise.
+    Term highestPromised() const;
+    // The newest status of each member that ever answered.
+    std::vector<MemberStatus> statuses() const;
+
+private:
+    struct Probe {
+        RoundId round = 0;
+        TimePoint sentAt;
+    };
+
+    struct Member {
+        MemberSpec spec;
+        FailureDetector detector;
+        // Oldest first; never longer than the limit.
+        std::deque<Probe> outstanding;
+        std::optional<MemberStatus> status;
+        // The round of `status`; an answer of an older round never replaces it.
+        RoundId statusRound = 0;
+        // When that round's probes left.
+        TimePoint observedAt;
+        double replayRate = 0;
+        bool reachable = false;
+    };
+
+    struct Round {
+        TimePoint sentAt;
+        std::size_t unanswered = 0;
+        bool proven = false;
+        // By upstream: the first answer of each member, nothing later.
+        std::map<std::string, MemberStatus> answers;
+        // When its last answer arrived; used by the fault switch only.
+        TimePoint answeredAt;
+    };
+
+    std::size_t majority() const;
+    Member *member(std::string_view upstream);
+    const Member *member(std::string_view upstream) const;
+    bool endProbe(Member &member, RoundId round);
+    void closeRound(RoundId id, TimePoint now);
+    void observe(Member &member, RoundId round, const MemberStatus &status, TimePoint sentAt);
+    void smoothReplayRate(Member &member, const MemberStatus &status, TimePoint sentAt);
+    void learnPrimary(const MemberStatus &status, TimePoint now);
+    void withdrawReplacedPrimary(TimePoint now);
+    void tryProof(RoundId id, Round &round);
+    void addWatermark(const Watermark &watermark);
+    void thinWatermarks();
+    void changed();
+
+    std::string m_database;
+    std::vector<Member> m_members;
+    GroupMonitorOptions m_options;
+    RoundId m_lastRound = 0;
+    std::optional<TimePoint> m_lastRoundAt;
+    // Open rounds: some probe of theirs may still be answered. Bounded by the
+    // outstanding probes of all members.
+    std::map<RoundId, Round> m_rounds;
+    // The newest round that confirmed a primary, 0 for none.
+    RoundId m_provenRound = 0;
+    // The highest term known to have had a primary, and that primary.
+    Term m_term = 0;
+    std::string m_primary;
+    bool m_confirmed = false;
+    // Set while m_primary is empty.
+    std::optional<TimePoint> m_noPrimarySince;
+    // Sorted by sentAt; marks never fall.
+    std::vector<Watermark> m_watermarks;
+    mutable std::shared_ptr<const GroupSnapshot> m_snapshot;
+};
+
+} // namespace egrettide
