--- a/include/egrettide/core/failuredetector.h
+++ b/include/egrettide/core/failuredetector.h
@@ -8,6 +8,7 @@
 #include "egrettide/core/types.h"
 
 #include <cstddef>
+#include <deque>
 #include <optional>
 
 namespace egrettide
@@ -27,6 +28,9 @@
     std::size_t silentProbes = 2;
     // Refused or reset probes in a row that raise a suspicion.
     std::size_t refusals = 2;
+    // The time that these refusals have to span: a listener that is replaced may
+    // be gone for a moment.
+    milliseconds refusalSpan{20};
 };
 
 // The detector of one upstream at one observer. Feed it every probe sent, every
@@ -53,16 +57,19 @@
     milliseconds timeout() const;
 
 private:
+    bool silent(TimePoint now) const;
+    void measure(double roundTrip);
+
     FailureDetectorOptions m_options;
     double m_mean = 0; // of round trips, in milliseconds
     double m_deviation = 0;
     bool m_measured = false;
-    // When the oldest probe left that nothing has been heard since.
-    std::optional<TimePoint> m_silentSince;
-    std::size_t m_unanswered = 0;
-    std::size_t m_refusals = 0;
-    TimePoint m_lastAnswered;
-    bool m_answered = false;
+    // Send times of probes that nothing newer has been heard since, oldest first;
+    // bounded, the oldest is kept.
+    std::deque<TimePoint> m_unanswered;
+    std::size_t m_refusals = 0; // in a row
+    TimePoint m_firstRefusal;
+    TimePoint m_lastRefusal;
 };
 
 } // namespace egrettide
--- a/include/egrettide/core/groupmonitor.h
+++ b/include/egrettide/core/groupmonitor.h
@@ -113,9 +113,11 @@
     TimePoint nextProbeAt(TimePoint now, bool waitersPresent) const;
     // True while the member answers nothing, or refuses.
     bool suspects(std::string_view upstream, TimePoint now) const;
-    // Set while this observer holds that the group needs a new primary. It is
-    // also this observer's opinion when another home asks.
+    // Set while this observer holds that the group needs a new primary.
     std::optional<Suspicion> suspicion(TimePoint now) const;
+    // This observer's opinion when another home asks whether `primary` of `term`
+    // (empty: any primary) has to be replaced. False when it knows a later term.
+    bool agrees(std::string_view primary, Term term, TimePoint now) const;
     // The highest term that any member was seen to promise.
     Term highestPromised() const;
     // The newest status of each member that ever answered.
@@ -135,6 +137,8 @@
         std::optional<MemberStatus> status;
         // The round of `status`; an answer of an older round never replaces it.
         RoundId statusRound = 0;
+        // The highest promise seen, from any round: a promise is never taken back.
+        Term promised = 0;
         // When that round's probes left.
         TimePoint observedAt;
         double replayRate = 0;
@@ -145,22 +149,25 @@
         TimePoint sentAt;
         std::size_t unanswered = 0;
         bool proven = false;
+        // False when it left out too many members to prove anything.
+        bool conclusive = false;
         // By upstream: the first answer of each member, nothing later.
         std::map<std::string, MemberStatus> answers;
-        // When its last answer arrived; used by the fault switch only.
-        TimePoint answeredAt;
     };
 
     std::size_t majority() const;
     Member *member(std::string_view upstream);
     const Member *member(std::string_view upstream) const;
+    bool saturated(const Member &member) const;
     bool endProbe(Member &member, RoundId round);
-    void closeRound(RoundId id, TimePoint now);
-    void observe(Member &member, RoundId round, const MemberStatus &status, TimePoint sentAt);
-    void smoothReplayRate(Member &member, const MemberStatus &status, TimePoint sentAt);
-    void learnPrimary(const MemberStatus &status, TimePoint now);
-    void withdrawReplacedPrimary(TimePoint now);
-    void tryProof(RoundId id, Round &round);
+    void finishProbe(RoundId id);
+    void expire(Member &member, TimePoint now);
+    void observe(Member &member, RoundId id, const MemberStatus &status, TimePoint sentAt);
+    void smoothReplayRate(Member &member, const MemberStatus &status, TimePoint sentAt) const;
+    void learnTerm(const MemberStatus &status, RoundId id, TimePoint now);
+    void withdraw(TimePoint now);
+    bool majorityPromisedAbove(Term term) const;
+    void tryProof(RoundId id, Round &round, TimePoint now);
     void addWatermark(const Watermark &watermark);
     void thinWatermarks();
     void changed();
@@ -179,10 +186,12 @@
     Term m_term = 0;
     std::string m_primary;
     bool m_confirmed = false;
-    // Set while m_primary is empty.
+    // Set while m_primary is empty, from the first round on.
     std::optional<TimePoint> m_noPrimarySince;
+    Term m_highestPromised = 0;
     // Sorted by sentAt; marks never fall.
     std::vector<Watermark> m_watermarks;
+    // Empty when something changed since it was last asked for.
     mutable std::shared_ptr<const GroupSnapshot> m_snapshot;
 };
 
--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -36,6 +36,9 @@
     // The promotion that is under way, if any; the token names the attempt.
     std::string claimToken;
     std::string claimHolder;
+    // The term that the claim wants to end. A claim on an earlier term than the
+    // one in question is over, whether or not its holder could say so.
+    Term claimedOver = 0;
 };
 
 // The record as it stood at one version of the store's object; 0 when absent.
@@ -95,10 +98,10 @@
     std::string primary;
 };
 
-// Write the outcome to the store if the record still has `expectedVersion`. A
-// failure is of no consequence; the next promotion reads the group itself.
+// Write the outcome to the store unless a record of a higher term stands there:
+// read, compare, replace conditionally, again after a conflict. A failure loses
+// no safety; the next promotion reads the group itself.
 struct RecordInStore {
-    std::uint64_t expectedVersion = 0;
     GroupRecord record;
 };
 
@@ -165,8 +168,6 @@
     // Promotes a second candidate under the same term when the first one does
     // not answer.
     bool secondCandidateSameTerm = false;
-    // Acts after a clock gap on promises collected before it.
-    bool trustAfterClockGap = false;
     // Needs nobody else's opinion.
     bool withoutOpinions = false;
 };
@@ -181,6 +182,8 @@
     milliseconds resendInterval{50};
     // How long to wait after the majority for promises that may be more advanced.
     milliseconds fenceGrace{10};
+    // The same for the successor of a planned change.
+    milliseconds successorGrace{100};
     // How long an unchanged claim of another promoter is respected.
     milliseconds claimPatience{1000};
     // Backoff after an attempt that failed; doubles from the one to the other and
@@ -254,7 +257,6 @@
 
     struct Order {
         std::string upstream;
-        Term term = 0;
         TimePoint dueAt;
     };
 
@@ -264,26 +266,33 @@
     };
 
     std::size_t majority() const;
-    bool isMember(const std::string &upstream) const;
     bool isLeaving(const std::string &upstream) const;
     bool current(AttemptId attempt, Phase phase) const;
+    bool planned() const;
     void beginAttempt(Term highestPromised, TimePoint now);
-    PromoterActions readRecord(TimePoint now);
-    PromoterActions claim(const VersionedRecord &current, TimePoint now);
-    PromoterActions respectClaim(const VersionedRecord &current, TimePoint now);
+    void newToken();
+    void endAttempt();
+    PromoterActions enterStore(TimePoint now);
+    PromoterActions judgeRecord(const VersionedRecord &current, TimePoint now);
+    bool foreignClaimStands(const VersionedRecord &current, TimePoint now);
+    PromoterActions claim(std::uint64_t expectedVersion);
     PromoterActions beginFence(TimePoint now);
-    PromoterActions resendFences(TimePoint now);
-    PromoterActions choose(TimePoint now);
-    const MemberStatus *mostAdvanced() const;
+    PromoterActions sendFences() const;
+    PromoterActions judgePromises(TimePoint now);
+    bool settled(TimePoint now) const;
+    const MemberStatus *choose() const;
     bool better(const MemberStatus &candidate, const MemberStatus &best) const;
     PromoterActions sendPromote(TimePoint now);
-    PromoterActions retryAbove(TimePoint now);
+    PromoterActions candidateLost(TimePoint now);
     PromoterActions succeed(TimePoint now);
     PromoterActions giveUp(GiveUpReason reason, TimePoint now);
+    milliseconds backoff(GiveUpReason reason);
+    PromoterActions onPhaseDeadline(TimePoint now);
     PromoterActions onFenceTimer(TimePoint now);
     PromoterActions onPromoteTimer(TimePoint now);
-    PromoterActions tellFollowers(TimePoint now);
-    void endAttempt();
+    std::optional<GiveUpReason> overtaken(const GroupSnapshot &snapshot) const;
+    void orderFollowers(const std::vector<MemberStatus> &statuses, TimePoint now);
+    PromoterActions sendDueOrders(TimePoint now);
 
     PromoterIdentity m_identity;
     std::vector<MemberSpec> m_members;
@@ -300,10 +309,16 @@
     Suspicion m_suspicion;
     Term m_highestPromised = 0;
     std::set<std::string> m_agreeing;
+    std::set<std::string> m_disagreeing;
+    TimePoint m_startedAt;
+    // The record as last read, claimed or found in a conflict.
     std::optional<VersionedRecord> m_record;
     std::optional<ForeignClaim> m_foreignClaim;
     // Promisers of m_term, with their status at the promise or later.
     std::map<std::string, MemberStatus> m_promises;
+    // Members that promised a higher term to somebody else.
+    std::set<std::string> m_refusing;
+    // Members whose connections failed during the running attempt.
     std::set<std::string> m_failed;
     // The member that a promotion was sent to; there is no second one in a term.
     std::string m_candidate;
@@ -312,16 +327,20 @@
     // Set once a majority has promised.
     std::optional<TimePoint> m_graceUntil;
     TimePoint m_backoffUntil;
+    // Attempts in a row that reached the members and failed.
     std::size_t m_failures = 0;
+    // Terms that the running attempt has spent on candidates that fell silent.
+    std::size_t m_retries = 0;
 
-    // The primary that members are told to follow.
+    // The primary that members are told to follow; only the promoter that made it
+    // and the home of the primary itself give such orders.
     Term m_leaderTerm = 0;
     std::string m_leader;
     std::string m_leaderToken;
     // Members that are not known to follow it yet.
     std::vector<Order> m_orders;
     std::optional<TimePoint> m_strandedSince;
-    bool m_needsRenewal = false;
+    bool m_renewal = false;
 };
 
 } // namespace egrettide
