--- a/include/egrettide/core/failuredetector.h
+++ b/include/egrettide/core/failuredetector.h
@@ -52,6 +52,8 @@
     bool suspects(TimePoint now) const;
     // True while the suspicion rests on refusals rather than on silence.
     bool refused() const;
+    // True after the first refusal: worth a closer look.
+    bool refusing() const;
     // The silence that raises a suspicion now, and the age at which a single
     // unanswered probe is given up.
     milliseconds timeout() const;
--- a/include/egrettide/core/groupmonitor.h
+++ b/include/egrettide/core/groupmonitor.h
@@ -141,7 +141,10 @@
         Term promised = 0;
         // When that round's probes left.
         TimePoint observedAt;
-        double replayRate = 0;
+        double replayRate = 0; // entries a second
+        // The sample that the next rate is measured from.
+        TimePoint rateSampleAt;
+        Position rateSample = 0;
         bool reachable = false;
     };
 
--- /dev/null
+++ b/src/core/groupmonitor.cpp
@@ -0,0 +1,452 @@
+// Rounds, the proofs that they give, and what is kept of them.
+
+#include "egrettide/core/groupmonitor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace egrettide
+{
+
+namespace
+{
+
+// The weight of the newest sample in the replay rate.
+constexpr double replayRateGain = 0.25;
+// Samples closer together than this are mostly noise.
+constexpr milliseconds replaySampleSpan{5};
+// A watermark goes when its neighbours lie closer together than this part of
+// their age: ages are then judged at most that much too old.
+constexpr int thinningShare = 8;
+// Always kept apart, so that the newest ones are exact.
+constexpr milliseconds watermarkSpacing{2};
+// The spacing of rounds while the primary refuses but is not yet suspected.
+constexpr milliseconds refusingInterval{10};
+
+// A primary that has promised nothing above its own term.
+bool leads(const MemberStatus &status)
+{
+    return status.role == UpstreamRole::Primary && status.promisedTerm == status.followingTerm;
+}
+
+} // namespace
+
+GroupMonitor::GroupMonitor(std::string database, std::vector<MemberSpec> members, const GroupMonitorOptions &options)
+    : m_database(std::move(database)), m_options(options)
+{
+    setMembers(std::move(members));
+}
+
+void GroupMonitor::setMembers(std::vector<MemberSpec> members)
+{
+    std::vector<Member> next;
+    for (MemberSpec &spec : members) {
+        Member *known = member(spec.upstream);
+        if (known) {
+            next.push_back(std::move(*known));
+        } else {
+            next.emplace_back().detector = FailureDetector(m_options.detector);
+        }
+        next.back().spec = std::move(spec);
+        next.back().outstanding.clear();
+    }
+    m_members = std::move(next);
+    m_rounds.clear();
+    m_confirmed = false;
+    if (!m_primary.empty() && !member(m_primary)) {
+        m_primary.clear();
+        m_noPrimarySince = m_lastRoundAt;
+    }
+    changed();
+}
+
+ProbeRound GroupMonitor::beginRound(TimePoint now)
+{
+    onTimer(now);
+    ProbeRound probes{.id = ++m_lastRound, .upstreams = {}};
+    m_lastRoundAt = now;
+    if (m_primary.empty() && !m_noPrimarySince) {
+        m_noPrimarySince = now;
+    }
+    for (Member &each : m_members) {
+        if (saturated(each)) {
+            continue;
+        }
+        each.outstanding.push_back({probes.id, now});
+        each.detector.onSent(now);
+        probes.upstreams.push_back(each.spec.upstream);
+    }
+    if (!probes.upstreams.empty()) {
+        Round round{.sentAt = now, .unanswered = probes.upstreams.size(), .answers = {}};
+        const bool primaryProbed = std::ranges::find(probes.upstreams, m_primary) != probes.upstreams.end();
+        round.conclusive = primaryProbed && probes.upstreams.size() >= majority();
+        m_rounds.emplace(probes.id, std::move(round));
+    }
+    return probes;
+}
+
+void GroupMonitor::onStatus(RoundId id, const MemberStatus &status, TimePoint now)
+{
+    Member *const answering = member(status.upstream);
+    if (!answering) {
+        return;
+    }
+    // Promises and terms only rise, so even an ancient answer may teach them.
+    answering->promised = std::max(answering->promised, status.promisedTerm);
+    m_highestPromised = std::max(m_highestPromised, status.promisedTerm);
+    const auto found = m_rounds.find(id);
+    const bool open = found != m_rounds.end();
+    if (open && found->second.answers.emplace(status.upstream, status).second) {
+        answering->detector.onAnswer(found->second.sentAt, now);
+        observe(*answering, id, status, found->second.sentAt);
+    }
+    learnTerm(status, id, now);
+    if (open) {
+        tryProof(id, found->second, now);
+    }
+    if (endProbe(*answering, id)) {
+        finishProbe(id);
+    }
+    changed();
+}
+
+void GroupMonitor::onProbeFailed(RoundId id, const std::string &upstream, ProbeFailure failure, TimePoint now)
+{
+    Member *const failing = member(upstream);
+    if (!failing || !endProbe(*failing, id)) {
+        return;
+    }
+    failing->detector.onFailure(failure, now);
+    failing->reachable = !failing->detector.suspects(now);
+    finishProbe(id);
+    changed();
+}
+
+void GroupMonitor::onTimer(TimePoint now)
+{
+    for (Member &each : m_members) {
+        expire(each, now);
+    }
+}
+
+void GroupMonitor::onClockGap(TimePoint now)
+{
+    if (m_options.faults.trustAfterClockGap) {
+        return;
+    }
+    // What goes wrong otherwise: the clock may not have counted the gap, so a
+    // watermark from before it looks younger than it is, and a round that was
+    // open over it dates its proof to a moment long past. A read would be served
+    // data older than it accepts, and nobody would notice.
+    m_watermarks.clear();
+    m_rounds.clear();
+    m_confirmed = false;
+    for (Member &each : m_members) {
+        each.outstanding.clear();
+        each.detector.onClockGap();
+    }
+    if (m_noPrimarySince) {
+        m_noPrimarySince = now;
+    }
+    changed();
+}
+
+std::shared_ptr<const GroupSnapshot> GroupMonitor::snapshot() const
+{
+    if (m_snapshot) {
+        return m_snapshot;
+    }
+    auto built = std::make_shared<GroupSnapshot>();
+    built->database = m_database;
+    built->term = m_term;
+    built->primary = m_primary;
+    built->primaryConfirmed = m_confirmed;
+    built->watermarks = m_watermarks;
+    for (const Member &each : m_members) {
+        MemberView view;
+        view.upstream = each.spec.upstream;
+        view.zone = each.spec.zone;
+        if (each.status) {
+            view.role = each.status->role;
+            view.received = each.status->received;
+            view.replayed = each.status->replayed;
+            view.followingTerm = each.status->followingTerm;
+        }
+        view.observedAt = each.observedAt;
+        view.replayRate = each.replayRate;
+        view.reachable = each.reachable;
+        view.leaving = each.spec.leaving;
+        built->members.push_back(std::move(view));
+    }
+    m_snapshot = std::move(built);
+    return m_snapshot;
+}
+
+std::optional<Watermark> GroupMonitor::newestWatermark() const
+{
+    if (m_watermarks.empty()) {
+        return std::nullopt;
+    }
+    return m_watermarks.back();
+}
+
+TimePoint GroupMonitor::nextProbeAt(TimePoint now, bool waitersPresent) const
+{
+    if (!m_lastRoundAt) {
+        return now;
+    }
+    const Member *const primary = member(m_primary);
+    // A round without the primary proves nothing, so it is not worth hurrying.
+    if (waitersPresent && !(primary && saturated(*primary))) {
+        return *m_lastRoundAt + m_options.busyInterval;
+    }
+    const bool refusing = primary && primary->detector.refusing() && !primary->detector.refused();
+    return *m_lastRoundAt + (refusing ? std::min(refusingInterval, m_options.idleInterval) : m_options.idleInterval);
+}
+
+bool GroupMonitor::suspects(std::string_view upstream, TimePoint now) const
+{
+    const Member *const asked = member(upstream);
+    return asked && asked->detector.suspects(now);
+}
+
+std::optional<Suspicion> GroupMonitor::suspicion(TimePoint now) const
+{
+    if (m_primary.empty()) {
+        if (m_noPrimarySince && now - *m_noPrimarySince >= m_options.noPrimaryPatience) {
+            return Suspicion{.reason = SuspicionReason::NoPrimary, .primary = "", .term = m_term};
+        }
+        return std::nullopt;
+    }
+    const FailureDetector &detector = member(m_primary)->detector;
+    if (!detector.suspects(now)) {
+        return std::nullopt;
+    }
+    const auto reason = detector.refused() ? SuspicionReason::PrimaryRefuses : SuspicionReason::PrimarySilent;
+    return Suspicion{.reason = reason, .primary = m_primary, .term = m_term};
+}
+
+bool GroupMonitor::agrees(std::string_view primary, Term term, TimePoint now) const
+{
+    if (m_term > term) {
+        return false; // the asker does not know of a later primary
+    }
+    if (m_primary.empty()) {
+        return m_noPrimarySince.has_value();
+    }
+    return suspects(primary.empty() ? std::string_view(m_primary) : primary, now);
+}
+
+Term GroupMonitor::highestPromised() const
+{
+    return m_highestPromised;
+}
+
+std::vector<MemberStatus> GroupMonitor::statuses() const
+{
+    std::vector<MemberStatus> known;
+    for (const Member &each : m_members) {
+        if (each.status) {
+            known.push_back(*each.status);
+        }
+    }
+    return known;
+}
+
+std::size_t GroupMonitor::majority() const
+{
+    return m_members.size() / 2 + 1;
+}
+
+GroupMonitor::Member *GroupMonitor::member(std::string_view upstream)
+{
+    const auto found =
+        std::ranges::find(m_members, upstream, [](const Member &each) { return std::string_view(each.spec.upstream); });
+    return found == m_members.end() ? nullptr : &*found;
+}
+
+const GroupMonitor::Member *GroupMonitor::member(std::string_view upstream) const
+{
+    return const_cast<GroupMonitor *>(this)->member(upstream);
+}
+
+bool GroupMonitor::saturated(const Member &member) const
+{
+    return member.outstanding.size() >= m_options.outstandingLimit;
+}
+
+bool GroupMonitor::endProbe(Member &member, RoundId id)
+{
+    const auto found = std::ranges::find(member.outstanding, id, &Probe::round);
+    if (found == member.outstanding.end()) {
+        return false;
+    }
+    member.outstanding.erase(found);
+    return true;
+}
+
+// Counts one ended probe of the round and closes the round after the last one. A
+// closed round that proved nothing means that the primary is not confirmed now.
+void GroupMonitor::finishProbe(RoundId id)
+{
+    const auto found = m_rounds.find(id);
+    if (found == m_rounds.end() || --found->second.unanswered > 0) {
+        return;
+    }
+    if (found->second.conclusive && !found->second.proven && id > m_provenRound) {
+        m_confirmed = false;
+    }
+    m_rounds.erase(found);
+}
+
+void GroupMonitor::expire(Member &member, TimePoint now)
+{
+    const milliseconds timeout = member.detector.timeout();
+    while (!member.outstanding.empty() && now - member.outstanding.front().sentAt >= timeout) {
+        const RoundId id = member.outstanding.front().round;
+        member.outstanding.pop_front();
+        finishProbe(id);
+        changed();
+    }
+    const bool suspected = member.detector.suspects(now);
+    if (suspected && member.reachable) {
+        member.reachable = false;
+        changed();
+    }
+}
+
+void GroupMonitor::observe(Member &member, RoundId id, const MemberStatus &status, TimePoint sentAt)
+{
+    member.reachable = true;
+    if (member.status && id <= member.statusRound) {
+        return;
+    }
+    smoothReplayRate(member, status, sentAt);
+    member.status = status;
+    member.statusRound = id;
+    member.observedAt = sentAt;
+}
+
+void GroupMonitor::smoothReplayRate(Member &member, const MemberStatus &status, TimePoint sentAt) const
+{
+    if (!member.status || member.status->replayed.term != status.replayed.term) {
+        member.rateSampleAt = sentAt;
+        member.rateSample = status.replayed.position;
+        return;
+    }
+    const auto span = sentAt - member.rateSampleAt;
+    if (span < replaySampleSpan || status.replayed.position < member.rateSample) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(span).count();
+    const double rate = static_cast<double>(status.replayed.position - member.rateSample) / seconds;
+    member.replayRate = member.replayRate == 0 ? rate : member.replayRate + replayRateGain * (rate - member.replayRate);
+    member.rateSampleAt = sentAt;
+    member.rateSample = status.replayed.position;
+}
+
+// A primary of a higher term proves that a majority promised that term, so every
+// lower one is replaced, confirmed or not.
+void GroupMonitor::learnTerm(const MemberStatus &status, RoundId id, TimePoint now)
+{
+    const bool newest = member(status.upstream)->statusRound <= id;
+    const bool returned = m_primary.empty() && newest && status.followingTerm == m_term && !majorityPromisedAbove(m_term);
+    if (leads(status) && (status.followingTerm > m_term || returned)) {
+        m_term = status.followingTerm;
+        m_primary = status.upstream;
+        m_confirmed = false;
+        m_noPrimarySince.reset();
+    }
+    if (m_primary.empty()) {
+        return;
+    }
+    const bool steppedDown = status.upstream == m_primary && newest && !leads(status);
+    if (steppedDown || majorityPromisedAbove(m_term)) {
+        withdraw(now);
+    }
+}
+
+void GroupMonitor::withdraw(TimePoint now)
+{
+    m_primary.clear();
+    m_confirmed = false;
+    m_noPrimarySince = now;
+}
+
+bool GroupMonitor::majorityPromisedAbove(Term term) const
+{
+    const auto above = std::ranges::count_if(m_members, [term](const Member &each) { return each.promised > term; });
+    return static_cast<std::size_t>(above) >= majority();
+}
+
+void GroupMonitor::tryProof(RoundId id, Round &round, TimePoint now)
+{
+    if (round.proven) {
+        return;
+    }
+    for (const auto &[upstream, status] : round.answers) {
+        if (!leads(status)) {
+            continue;
+        }
+        const Term term = status.followingTerm;
+        const auto standing =
+            std::ranges::count_if(round.answers, [term](const auto &answer) { return answer.second.promisedTerm == term; });
+        if (static_cast<std::size_t>(standing) < majority() && !m_options.faults.confirmWithoutMajority) {
+            continue;
+        }
+        round.proven = true;
+        addWatermark({m_options.faults.watermarkAtAnswer ? now : round.sentAt, status.received});
+        if (term == m_term && upstream == m_primary && id > m_provenRound) {
+            m_provenRound = id;
+            m_confirmed = true;
+        }
+        return;
+    }
+}
+
+// Keeps the list sorted and free of proofs that another one implies: the same or
+// a lower mark at a later time says all that an earlier time says.
+void GroupMonitor::addWatermark(const Watermark &watermark)
+{
+    const bool implied = std::ranges::any_of(
+        m_watermarks, [&](const Watermark &known) { return known.sentAt >= watermark.sentAt && known.mark <= watermark.mark; });
+    if (implied) {
+        return;
+    }
+    std::erase_if(m_watermarks,
+                  [&](const Watermark &known) { return known.sentAt <= watermark.sentAt && known.mark >= watermark.mark; });
+    const auto place = std::ranges::upper_bound(m_watermarks, watermark.sentAt, {}, &Watermark::sentAt);
+    m_watermarks.insert(place, watermark);
+    thinWatermarks();
+}
+
+// Bounds the list: kept neighbours lie apart by a share of their age, so their
+// number grows with the logarithm of the span only.
+void GroupMonitor::thinWatermarks()
+{
+    const TimePoint newest = m_watermarks.back().sentAt;
+    std::vector<Watermark> kept;
+    for (std::size_t i = 0; i < m_watermarks.size(); ++i) {
+        const Watermark &each = m_watermarks[i];
+        const bool last = i + 1 == m_watermarks.size();
+        if (!last && newest - each.sentAt > m_options.watermarkSpan) {
+            continue;
+        }
+        if (!last && !kept.empty()) {
+            const auto age = newest - kept.back().sentAt;
+            const auto spacing = std::max<Clock::duration>(watermarkSpacing, age / thinningShare);
+            if (m_watermarks[i + 1].sentAt - kept.back().sentAt < spacing) {
+                continue;
+            }
+        }
+        kept.push_back(each);
+    }
+    m_watermarks = std::move(kept);
+}
+
+void GroupMonitor::changed()
+{
+    m_snapshot.reset();
+}
+
+} // namespace egrettide
--- /dev/null
+++ b/src/core/promoter.cpp
@@ -0,0 +1,598 @@
+// The steps of a promotion, each guarded by the attempt it belongs to.
+
+#include "egrettide/core/promoter.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace egrettide
+{
+
+namespace
+{
+
+// A term whose candidate fell silent is followed by the next one at once, without
+// new opinions; after this many the attempt ends and a backoff begins.
+constexpr std::size_t retryLimit = 2;
+// After a success the monitor needs a round or two to see the new primary.
+constexpr milliseconds settleTime{100};
+// Backoffs stop doubling here; the ceiling is reached earlier.
+constexpr std::size_t doublingLimit = 10;
+
+void append(PromoterActions &actions, PromoterActions more)
+{
+    actions.insert(actions.end(), std::make_move_iterator(more.begin()), std::make_move_iterator(more.end()));
+}
+
+} // namespace
+
+Promoter::Promoter(PromoterIdentity identity, std::vector<MemberSpec> members, std::uint64_t seed, const PromoterOptions &options)
+    : m_identity(std::move(identity)), m_members(std::move(members)), m_options(options), m_random(seed)
+{
+}
+
+PromoterActions Promoter::onSuspicion(const Suspicion &suspicion, Term highestPromised, TimePoint now)
+{
+    if (running() || now < m_backoffUntil) {
+        return {};
+    }
+    beginAttempt(highestPromised, now);
+    m_suspicion = suspicion;
+    if (m_agreeing.size() >= majority() || m_options.faults.withoutOpinions) {
+        return enterStore(now);
+    }
+    m_phase = Phase::AskingOpinions;
+    m_phaseDeadline = now + m_options.opinionTimeout;
+    return {AskOpinions{m_attempt, suspicion.primary, suspicion.term}};
+}
+
+PromoterActions Promoter::startPlanned(const std::string &preferred, Term highestPromised, TimePoint now)
+{
+    if (running()) {
+        return {};
+    }
+    beginAttempt(highestPromised, now);
+    m_suspicion = Suspicion{};
+    m_preferred = preferred;
+    // The claim would only cost time while writes are paused: a planned change
+    // that meets another promoter loses to it harmlessly.
+    return beginFence(now);
+}
+
+PromoterActions Promoter::onOpinion(AttemptId attempt, const std::string &fromHome, bool agrees, TimePoint now)
+{
+    const bool known = std::ranges::find(m_members, fromHome, &MemberSpec::upstream) != m_members.end();
+    if (!current(attempt, Phase::AskingOpinions) || !known || fromHome == m_identity.home) {
+        return {};
+    }
+    (agrees ? m_agreeing : m_disagreeing).insert(fromHome);
+    if (m_agreeing.size() >= majority()) {
+        return enterStore(now);
+    }
+    if (m_members.size() - m_disagreeing.size() < majority()) {
+        return giveUp(GiveUpReason::NoAgreement, now);
+    }
+    return {};
+}
+
+PromoterActions Promoter::onRecordRead(AttemptId attempt, const std::optional<VersionedRecord> &record, TimePoint now)
+{
+    if (!current(attempt, Phase::ReadingRecord) && !current(attempt, Phase::ReadingBack)) {
+        return {};
+    }
+    if (!record) {
+        return beginFence(now);
+    }
+    return judgeRecord(*record, now);
+}
+
+PromoterActions Promoter::onClaim(AttemptId attempt, const ClaimAnswer &answer, TimePoint now)
+{
+    if (!current(attempt, Phase::Claiming)) {
+        return {};
+    }
+    switch (answer.result) {
+    case ClaimResult::Claimed:
+        m_record = answer.current;
+        return beginFence(now);
+    case ClaimResult::Conflict:
+        return judgeRecord(answer.current, now);
+    case ClaimResult::LostAnswer:
+        // The claim may stand. Taking it for lost would make this promoter wait
+        // for its own claim; reading it back tells by the token.
+        m_phase = Phase::ReadingBack;
+        return {ReadRecord{m_attempt}};
+    case ClaimResult::Unavailable:
+        break;
+    }
+    m_record.reset();
+    return beginFence(now);
+}
+
+PromoterActions Promoter::onFence(AttemptId attempt, const ControlAnswer &answer, TimePoint now)
+{
+    if (!current(attempt, Phase::Fencing)) {
+        return {};
+    }
+    const MemberStatus &status = answer.status;
+    m_highestPromised = std::max(m_highestPromised, status.promisedTerm);
+    const bool promised =
+        answer.granted && status.promisedTerm == m_term && (status.promisedTo == m_token || m_options.faults.sharedToken);
+    if (promised) {
+        m_failed.erase(status.upstream);
+        m_promises[status.upstream] = status;
+    } else if (status.promisedTerm >= m_term) {
+        m_refusing.insert(status.upstream);
+        m_promises.erase(status.upstream);
+    }
+    return judgePromises(now);
+}
+
+PromoterActions Promoter::onPromote(AttemptId attempt, const ControlAnswer &answer, TimePoint now)
+{
+    if (!current(attempt, Phase::Promoting) || answer.status.upstream != m_candidate) {
+        return {};
+    }
+    const MemberStatus &status = answer.status;
+    m_highestPromised = std::max(m_highestPromised, status.promisedTerm);
+    if (answer.granted && status.promisedTerm == m_term) {
+        return succeed(now);
+    }
+    return giveUp(GiveUpReason::Outbid, now);
+}
+
+PromoterActions Promoter::onFollow(const ControlAnswer &answer, TimePoint now)
+{
+    m_highestPromised = std::max(m_highestPromised, answer.status.promisedTerm);
+    const bool done = answer.granted || answer.status.promisedTerm > m_leaderTerm;
+    std::erase_if(m_orders, [&](const Order &order) { return done && order.upstream == answer.status.upstream; });
+    return sendDueOrders(now);
+}
+
+PromoterActions Promoter::onMemberFailed(AttemptId attempt, const std::string &upstream, TimePoint now)
+{
+    if (current(attempt, Phase::Promoting) && upstream == m_candidate) {
+        return candidateLost(now);
+    }
+    if (!current(attempt, Phase::Fencing)) {
+        return {};
+    }
+    m_failed.insert(upstream);
+    return judgePromises(now);
+}
+
+PromoterActions Promoter::onGroup(const GroupSnapshot &snapshot, const std::vector<MemberStatus> &statuses, TimePoint now)
+{
+    PromoterActions actions;
+    if (const auto reason = running() ? overtaken(snapshot) : std::nullopt) {
+        actions = giveUp(*reason, now);
+    }
+    const bool responsible = snapshot.primary == m_identity.home || snapshot.primary == m_leader;
+    if (!snapshot.primaryConfirmed || !responsible || snapshot.term < m_leaderTerm) {
+        return actions;
+    }
+    m_leader = snapshot.primary;
+    m_leaderTerm = snapshot.term;
+    for (const MemberStatus &status : statuses) {
+        if (status.upstream == m_leader && status.promisedTerm == m_leaderTerm) {
+            m_leaderToken = status.promisedTo;
+        }
+    }
+    orderFollowers(statuses, now);
+    append(actions, sendDueOrders(now));
+    return actions;
+}
+
+PromoterActions Promoter::onTimer(TimePoint now)
+{
+    PromoterActions actions = sendDueOrders(now);
+    if (m_phase == Phase::Fencing) {
+        append(actions, onFenceTimer(now));
+    } else if (m_phase == Phase::Promoting) {
+        append(actions, onPromoteTimer(now));
+    } else if (m_phaseDeadline && now >= *m_phaseDeadline) {
+        append(actions, onPhaseDeadline(now));
+    }
+    return actions;
+}
+
+PromoterActions Promoter::onClockGap(TimePoint now)
+{
+    // A promoter that was paused would go on where it stood. The members would
+    // refuse it, but it would still disturb: claims and announcements of a past
+    // promotion, orders to follow a past primary.
+    m_record.reset();
+    m_foreignClaim.reset();
+    m_orders.clear();
+    m_leader.clear();
+    m_strandedSince.reset();
+    m_renewal = false;
+    return running() ? giveUp(GiveUpReason::ClockGap, now) : PromoterActions{};
+}
+
+PromoterActions Promoter::setMembers(std::vector<MemberSpec> members, TimePoint now)
+{
+    m_members = std::move(members);
+    m_orders.clear();
+    return running() ? giveUp(GiveUpReason::NoMajority, now) : PromoterActions{};
+}
+
+std::optional<TimePoint> Promoter::nextTimerAt() const
+{
+    std::optional<TimePoint> next = m_phaseDeadline;
+    const auto consider = [&next](const std::optional<TimePoint> &at) {
+        if (at && (!next || *at < *next)) {
+            next = at;
+        }
+    };
+    consider(m_resendAt);
+    consider(m_graceUntil);
+    for (const Order &order : m_orders) {
+        consider(order.dueAt);
+    }
+    return next;
+}
+
+bool Promoter::running() const
+{
+    return m_phase != Phase::Idle;
+}
+
+bool Promoter::needsRenewal() const
+{
+    return m_renewal;
+}
+
+std::size_t Promoter::majority() const
+{
+    return m_members.size() / 2 + 1;
+}
+
+bool Promoter::isLeaving(const std::string &upstream) const
+{
+    const auto found = std::ranges::find(m_members, upstream, &MemberSpec::upstream);
+    return found == m_members.end() || found->leaving;
+}
+
+bool Promoter::current(AttemptId attempt, Phase phase) const
+{
+    return attempt == m_attempt && phase == m_phase;
+}
+
+bool Promoter::planned() const
+{
+    return !m_preferred.empty();
+}
+
+void Promoter::beginAttempt(Term highestPromised, TimePoint now)
+{
+    m_highestPromised = std::max(m_highestPromised, highestPromised);
+    m_startedAt = now;
+    m_retries = 0;
+    m_preferred.clear();
+    m_agreeing = {m_identity.home};
+    m_disagreeing.clear();
+    newToken();
+}
+
+// Numbers the next attempt and names it. A token names one attempt of one start of
+// one host: were it shared, a member's promise to one promoter would count for
+// another, and one term could get two primaries.
+void Promoter::newToken()
+{
+    ++m_attempt;
+    m_token = m_options.faults.sharedToken ? "shared"
+                                           : m_identity.incarnation + "/" + m_identity.home + "/" + std::to_string(m_attempt);
+}
+
+void Promoter::endAttempt()
+{
+    m_phase = Phase::Idle;
+    m_phaseDeadline.reset();
+    m_resendAt.reset();
+    m_graceUntil.reset();
+    m_promises.clear();
+    m_refusing.clear();
+    m_failed.clear();
+    m_candidate.clear();
+}
+
+PromoterActions Promoter::enterStore(TimePoint now)
+{
+    m_phaseDeadline = now + m_options.claimTimeout;
+    if (m_record) {
+        return judgeRecord(*m_record, now);
+    }
+    m_phase = Phase::ReadingRecord;
+    return {ReadRecord{m_attempt}};
+}
+
+PromoterActions Promoter::judgeRecord(const VersionedRecord &current, TimePoint now)
+{
+    m_record = current;
+    if (m_phase == Phase::ReadingBack && current.record.claimToken == m_token) {
+        return beginFence(now);
+    }
+    if (foreignClaimStands(current, now)) {
+        m_record.reset(); // read it anew at the next attempt
+        return giveUp(GiveUpReason::ClaimedElsewhere, now);
+    }
+    return claim(current.version);
+}
+
+// A claim has no expiry date, since clocks are not compared: it is respected until
+// it has stood unchanged for a while on this host's own clock.
+bool Promoter::foreignClaimStands(const VersionedRecord &current, TimePoint now)
+{
+    const GroupRecord &record = current.record;
+    const bool over = record.claimToken.empty() || record.claimedOver < m_suspicion.term;
+    if (over || record.claimHolder == m_identity.incarnation) {
+        return false;
+    }
+    if (!m_foreignClaim || m_foreignClaim->version != current.version) {
+        m_foreignClaim = ForeignClaim{current.version, now};
+    }
+    return now - m_foreignClaim->firstSeenAt < m_options.claimPatience;
+}
+
+PromoterActions Promoter::claim(std::uint64_t expectedVersion)
+{
+    m_phase = Phase::Claiming;
+    GroupRecord record = m_record->record;
+    record.claimToken = m_token;
+    record.claimHolder = m_identity.incarnation;
+    record.claimedOver = m_suspicion.term;
+    return {ClaimInStore{m_attempt, expectedVersion, std::move(record)}};
+}
+
+PromoterActions Promoter::beginFence(TimePoint now)
+{
+    m_phase = Phase::Fencing;
+    m_term = m_highestPromised + 1;
+    m_promises.clear();
+    m_refusing.clear();
+    m_failed.clear();
+    m_graceUntil.reset();
+    m_phaseDeadline = now + m_options.fenceTimeout;
+    m_resendAt = now + m_options.resendInterval;
+    return sendFences();
+}
+
+PromoterActions Promoter::sendFences() const
+{
+    PromoterActions actions;
+    for (const MemberSpec &member : m_members) {
+        if (!m_promises.contains(member.upstream) && !m_refusing.contains(member.upstream)) {
+            actions.push_back(SendFence{m_attempt, member.upstream, m_term, m_token});
+        }
+    }
+    return actions;
+}
+
+PromoterActions Promoter::judgePromises(TimePoint now)
+{
+    if (m_members.size() - m_refusing.size() < majority()) {
+        return giveUp(GiveUpReason::Outbid, now);
+    }
+    if (m_promises.size() < (m_options.faults.withoutMajority ? 1 : majority())) {
+        return {};
+    }
+    if (!m_graceUntil) {
+        m_graceUntil = now + (planned() ? m_options.successorGrace : m_options.fenceGrace);
+    }
+    return settled(now) ? sendPromote(now) : PromoterActions{};
+}
+
+// Whether waiting for more promises is over. The majority is enough for every
+// acknowledged write; a member that is still missing may hold later ones.
+bool Promoter::settled(TimePoint now) const
+{
+    if (now >= *m_graceUntil || m_options.faults.withoutMajority) {
+        return true;
+    }
+    return std::ranges::all_of(m_members, [this](const MemberSpec &member) {
+        const std::string &upstream = member.upstream;
+        return m_promises.contains(upstream) || m_refusing.contains(upstream) || m_failed.contains(upstream);
+    });
+}
+
+const MemberStatus *Promoter::choose() const
+{
+    const MemberStatus *best = nullptr;
+    for (const MemberSpec &member : m_members) {
+        const auto promise = m_promises.find(member.upstream);
+        if (promise == m_promises.end()) {
+            continue;
+        }
+        if (!best || better(promise->second, *best)) {
+            best = &promise->second;
+        }
+    }
+    return best;
+}
+
+bool Promoter::better(const MemberStatus &candidate, const MemberStatus &best) const
+{
+    if (m_options.faults.ignoreMarks) {
+        return false;
+    }
+    const auto rank = [this](const MemberStatus &status) {
+        const bool preferred = status.upstream == m_preferred;
+        const bool staying = !isLeaving(status.upstream);
+        // On a tie the former primary keeps its connections and callers.
+        const bool incumbent = status.upstream == m_suspicion.primary || status.role != UpstreamRole::Replica;
+        return std::tuple(status.received, preferred, staying, incumbent, status.replayed);
+    };
+    return rank(candidate) > rank(best);
+}
+
+PromoterActions Promoter::sendPromote(TimePoint now)
+{
+    const MemberStatus *const chosen = choose();
+    if (!chosen) {
+        return giveUp(GiveUpReason::PromotionUnanswered, now);
+    }
+    m_phase = Phase::Promoting;
+    m_candidate = chosen->upstream;
+    m_graceUntil.reset();
+    m_phaseDeadline = now + m_options.promoteTimeout;
+    m_resendAt = now + m_options.resendInterval;
+    return {SendPromote{m_attempt, m_candidate, m_term, m_token}};
+}
+
+// What goes wrong with a second candidate in the same term: the first one may have
+// been promoted and only its answer lost, or the order may still be under way. Both
+// would lead the same term, and their writes could not be told apart. A new term
+// costs one round of fences and makes the first one's promotion void.
+PromoterActions Promoter::candidateLost(TimePoint now)
+{
+    if (m_options.faults.secondCandidateSameTerm) {
+        m_promises.erase(m_candidate);
+        return sendPromote(now);
+    }
+    if (m_retries >= retryLimit) {
+        return giveUp(GiveUpReason::PromotionUnanswered, now);
+    }
+    ++m_retries;
+    m_highestPromised = std::max(m_highestPromised, m_term);
+    newToken();
+    return beginFence(now);
+}
+
+PromoterActions Promoter::succeed(TimePoint now)
+{
+    m_leader = m_candidate;
+    m_leaderTerm = m_term;
+    m_leaderToken = m_token;
+    m_failures = 0;
+    m_backoffUntil = now + settleTime;
+    m_record.reset();
+    m_orders.clear();
+    for (const MemberSpec &member : m_members) {
+        if (member.upstream != m_leader) {
+            m_orders.push_back({member.upstream, now});
+        }
+    }
+    endAttempt();
+    PromoterActions actions{Announce{m_leaderTerm, m_leader}};
+    append(actions, sendDueOrders(now));
+    GroupRecord outcome;
+    outcome.term = m_leaderTerm;
+    outcome.primary = m_leader;
+    actions.push_back(RecordInStore{std::move(outcome)});
+    return actions;
+}
+
+PromoterActions Promoter::giveUp(GiveUpReason reason, TimePoint now)
+{
+    m_backoffUntil = now + backoff(reason);
+    endAttempt();
+    return {GiveUp{m_attempt, reason, m_backoffUntil}};
+}
+
+// Drawn from the upper half of a span that doubles with every attempt that touched
+// the members: two promoters that fenced each other out differ soon enough for one
+// to finish undisturbed. Attempts that touched nobody disturb nobody.
+milliseconds Promoter::backoff(GiveUpReason reason)
+{
+    const bool disturbed =
+        reason == GiveUpReason::Outbid || reason == GiveUpReason::NoMajority || reason == GiveUpReason::PromotionUnanswered;
+    m_failures = disturbed ? std::min(m_failures + 1, doublingLimit) : 0;
+    const milliseconds span = std::min(m_options.backoffCeiling, m_options.backoffFloor * (1 << m_failures));
+    std::uniform_int_distribution<milliseconds::rep> draw(span.count() / 2, span.count());
+    return milliseconds(draw(m_random));
+}
+
+// The homes' answers are needed; the store's are not.
+PromoterActions Promoter::onPhaseDeadline(TimePoint now)
+{
+    if (m_phase == Phase::AskingOpinions) {
+        return giveUp(GiveUpReason::NoAgreement, now);
+    }
+    m_record.reset();
+    return beginFence(now);
+}
+
+PromoterActions Promoter::onFenceTimer(TimePoint now)
+{
+    if (m_graceUntil && now >= *m_graceUntil) {
+        return sendPromote(now);
+    }
+    if (now >= *m_phaseDeadline) {
+        return giveUp(GiveUpReason::NoMajority, now);
+    }
+    if (now < *m_resendAt) {
+        return {};
+    }
+    m_resendAt = now + m_options.resendInterval;
+    return sendFences();
+}
+
+PromoterActions Promoter::onPromoteTimer(TimePoint now)
+{
+    if (now >= *m_phaseDeadline) {
+        return candidateLost(now);
+    }
+    if (now < *m_resendAt) {
+        return {};
+    }
+    m_resendAt = now + m_options.resendInterval;
+    return {SendPromote{m_attempt, m_candidate, m_term, m_token}};
+}
+
+// Whether the view makes the running attempt pointless.
+std::optional<GiveUpReason> Promoter::overtaken(const GroupSnapshot &snapshot) const
+{
+    if (m_phase == Phase::Fencing || m_phase == Phase::Promoting) {
+        const bool outbid =
+            snapshot.term > m_term || (snapshot.term == m_term && !snapshot.primary.empty() && m_candidate != snapshot.primary);
+        return outbid ? std::optional(GiveUpReason::Outbid) : std::nullopt;
+    }
+    if (snapshot.primary.empty()) {
+        return std::nullopt;
+    }
+    const bool proven = !snapshot.watermarks.empty() && snapshot.watermarks.back().sentAt > m_startedAt;
+    const bool returned = snapshot.primaryConfirmed && proven;
+    return returned || snapshot.term > m_suspicion.term ? std::optional(GiveUpReason::PrimaryReturned) : std::nullopt;
+}
+
+void Promoter::orderFollowers(const std::vector<MemberStatus> &statuses, TimePoint now)
+{
+    bool stranded = false;
+    for (const MemberStatus &status : statuses) {
+        if (status.upstream == m_leader) {
+            continue;
+        }
+        stranded = stranded || status.promisedTerm > m_leaderTerm;
+        const bool follows = status.role == UpstreamRole::Replica && status.followingTerm == m_leaderTerm;
+        const bool refuses = status.promisedTerm > m_leaderTerm;
+        const auto order = std::ranges::find(m_orders, status.upstream, &Order::upstream);
+        if ((follows || refuses) && order != m_orders.end()) {
+            m_orders.erase(order);
+        } else if (!follows && !refuses && order == m_orders.end()) {
+            m_orders.push_back({status.upstream, now});
+        }
+    }
+    if (!stranded) {
+        m_strandedSince.reset();
+    } else if (!m_strandedSince) {
+        m_strandedSince = now;
+    }
+    m_renewal = m_strandedSince && now - *m_strandedSince >= m_options.strandedPatience;
+}
+
+PromoterActions Promoter::sendDueOrders(TimePoint now)
+{
+    PromoterActions actions;
+    for (Order &order : m_orders) {
+        if (now >= order.dueAt) {
+            order.dueAt = now + m_options.followInterval;
+            actions.push_back(SendFollow{order.upstream, m_leaderTerm, m_leaderToken, m_leader});
+        }
+    }
+    return actions;
+}
+
+} // namespace egrettide
