Declare the session, freshness and routing decisions

The front and the homes need the interfaces of the statement classifier, the session token and state, the freshness gate and the router before their code.

Headers only; nothing is built or measured yet.

--- /dev/null
+++ b/include/egrettide/core/router.h
@@ -0,0 +1,211 @@
+// Chooses, at a front, the upstream for each request from the newest hints that
+// homes sent, and the next one after a refusal. It guesses; homes decide. It
+// counts where reads went and why.
+
+#pragma once
+
+#include "egrettide/core/configuration.h"
+#include "egrettide/core/error.h"
+#include "egrettide/core/request.h"
+#include "egrettide/core/types.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <tl/expected.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace egrettide
+{
+
+// Why a request went to the primary.
+enum class PrimaryReason {
+    // Not proven to read.
+    NotRead,
+    // BEGIN without READ ONLY, or inside such a transaction.
+    Transaction,
+    // No replica had replayed the floor, or was predicted to in time.
+    Floor,
+    // No replica could show a state within the accepted age.
+    Age,
+    // No replica could show a state confirmed since the receipt.
+    Latest,
+    // The replicas had no slot in time.
+    Capacity,
+    // The replicas do not answer, are leaving, or follow another term.
+    Health,
+    // The database has no replica.
+    NoReplica,
+};
+constexpr std::size_t primaryReasonCount = 8;
+
+std::string_view nameOf(PrimaryReason reason);
+std::ostream &operator<<(std::ostream &out, PrimaryReason reason);
+
+enum class RoutingPolicy {
+    // Replicas serve whatever they can prove, waiting briefly if that pays.
+    Replicas,
+    // The naive policy to measure against: reads that ask for `latest` (unknown
+    // sessions among them), and reads whose floor or age no hint already proves,
+    // go to the primary at once.
+    Baseline,
+};
+
+struct RouterOptions {
+    // The availability zone of this host.
+    std::string zone;
+    RoutingPolicy policy = RoutingPolicy::Replicas;
+    // The cost of another zone, added to its upstreams' expected waits.
+    std::chrono::microseconds crossZoneCost{2000};
+    // An upstream of the own zone with a longer wait competes with other zones.
+    milliseconds localWaitLimit{2};
+    // The most upstreams that one request is sent to.
+    int maxAttempts = 6;
+};
+
+// Reads by where they went. Each read counts once, for its first answer that was
+// not a refusal or for its last refusal.
+struct RoutingCounters {
+    std::uint64_t readsByReplica = 0;
+    // By PrimaryReason.
+    std::array<std::uint64_t, primaryReasonCount> readsByPrimary{};
+    std::uint64_t writes = 0;
+    std::uint64_t retries = 0;
+
+    std::uint64_t readsByPrimaryTotal() const;
+    // Between 0 and 1; 0 before the first read.
+    double replicaShare() const;
+};
+
+// Where to send a request.
+struct Route {
+    std::string upstream;
+    bool primary = false;
+    // Set for reads that go to the primary.
+    std::optional<PrimaryReason> reason;
+};
+
+// The last reply goes to the caller: nothing is left to try, or trying again
+// could run the request twice.
+struct Finish {
+};
+
+using RouteDecision = std::variant<Route, Finish>;
+
+// What one request has tried so far; the front keeps it beside the request and
+// hands it back.
+class RouteAttempts
+{
+public:
+    struct Try {
+        std::string upstream;
+        // The group's term as known when it was tried: after a change of primary an
+        // upstream may be tried once more.
+        Term term = 0;
+        bool primary = false;
+    };
+
+    // The upstream that holds the request now; empty before the first.
+    std::string_view current() const;
+    bool tried(std::string_view upstream, Term term) const;
+
+private:
+    friend class Router;
+
+    std::vector<Try> m_tries;
+    // Why replicas refused it, the last reason.
+    std::optional<PrimaryReason> m_reason;
+    std::optional<PrimaryReason> m_routeReason;
+};
+
+// Takes one retry from the budget; false when it is used up.
+using SpendRetryHook = std::function<bool(TimePoint now)>;
+
+class Router
+{
+public:
+    // Without a hook every retry is allowed.
+    explicit Router(RouterOptions options, SpendRetryHook spendRetry = {});
+    Router(const Router &) = delete;
+    Router &operator=(const Router &) = delete;
+
+    // Takes zones, upstreams and leaving flags; forgets what left.
+    void configure(const Configuration &configuration);
+
+    // Takes a hint that came with an answer of the home of `upstream`; only that
+    // home knows the upstream's queue, so `expectedWait` of others is not taken.
+    // A hint of a lower term is dropped: it would send writes to a replaced primary.
+    void learn(const GroupHint &hint, std::string_view upstream, TimePoint now);
+
+    // The first upstream for a request. Inside a transaction the front does not
+    // ask: the request stays where the transaction is. NoPrimary or UnknownDatabase
+    // when there is nobody to send to.
+    tl::expected<Route, Error> choose(const StatementRequest &request, RouteAttempts &attempts, TimePoint now,
+                                      std::mt19937_64 &random);
+
+    // What to do with a reply: learns its hint, and after a refusal names the next
+    // upstream if the request may run again. A request that left for an upstream is
+    // never sent again unless it is proven to read or idempotent, and a request of
+    // an open transaction never.
+    RouteDecision afterReply(const StatementRequest &request, const StatementReply &reply, RouteAttempts &attempts, TimePoint now,
+                             std::mt19937_64 &random);
+
+    // The primary as last heard of; empty when unknown.
+    std::string primary(std::string_view database) const;
+    Term term(std::string_view database) const;
+    const RoutingCounters &counters() const;
+
+private:
+    struct Member {
+        std::string zone;
+        // As the configuration says.
+        bool leaving = false;
+        MemberHint hint;
+        TimePoint learnedAt;
+        bool known = false;
+        // Entries replayed a second, smoothed over hints; 0 when unknown.
+        double replayRate = 0;
+    };
+    struct Group {
+        // Never falls.
+        Term term = 0;
+        std::string primary;
+        milliseconds replicaWait{0};
+        // By name of the upstream.
+        absl::flat_hash_map<std::string, Member> members;
+        // Names in the order of the configuration, so that choices are reproducible.
+        std::vector<std::string> order;
+    };
+    struct Candidate {
+        std::string upstream;
+        std::chrono::microseconds wait{0};
+        bool local = false;
+    };
+
+    const Group *group(std::string_view database) const;
+    static void learnMember(Member &member, const MemberHint &hint, bool fromOwnHome, TimePoint now);
+    tl::expected<Route, Error> chooseReplica(const Group &group, const StatementRequest &request, RouteAttempts &attempts,
+                                             TimePoint now, std::mt19937_64 &random) const;
+    tl::expected<Route, Error> choosePrimary(const Group &group, const RouteAttempts &attempts) const;
+    std::vector<Candidate> candidates(const Group &group, const StatementRequest &request, const RouteAttempts &attempts,
+                                      TimePoint now, PrimaryReason &reason) const;
+    std::optional<PrimaryReason> unfit(const Group &group, const Member &member, const StatementRequest &request,
+                                       TimePoint now) const;
+    const Candidate &pick(const std::vector<Candidate> &all, std::mt19937_64 &random) const;
+    bool mayRunAgain(const StatementRequest &request, const StatementReply &reply) const;
+    void count(const StatementRequest &request, const RouteAttempts &attempts);
+
+    RouterOptions m_options;
+    SpendRetryHook m_spendRetry;
+    absl::flat_hash_map<std::string, Group> m_groups;
+    RoutingCounters m_counters;
+};
+
+} // namespace egrettide
