--- /dev/null
+++ b/include/egrettide/core/histogram.h
@@ -0,0 +1,103 @@
+// A latency histogram with fixed buckets: an accumulator of Boost.Accumulators
+// beside its own count, sum and max. The library's density and P-square features
+// place their buckets by the first samples they see, so two threads could not be
+// merged and a Prometheus series would change its buckets; a feature of our own
+// in the same framework has neither fault.
+
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+namespace egrettide
+{
+
+namespace detail
+{
+
+// Four buckets for each doubling, so a quantile is off by at most 19 %.
+constexpr int bucketsPerDoubling = 4;
+constexpr int doublings = 20;
+constexpr int bucketCount = bucketsPerDoubling * doublings + 1;
+// The upper bound of the first bucket, in seconds; the last finite one is 104 s.
+constexpr double smallestBound = 0.0001;
+
+// The upper bound of a bucket in seconds; infinity for the last.
+double bucketBound(int bucket);
+int bucketOf(double seconds);
+
+using BucketCounts = std::array<std::uint64_t, bucketCount>;
+
+// The accumulator behind tag::latencyBuckets.
+struct LatencyBucketsImpl : boost::accumulators::accumulator_base {
+    using result_type = const BucketCounts &;
+
+    explicit LatencyBucketsImpl(boost::accumulators::dont_care)
+    {
+    }
+
+    template <typename Args> void operator()(const Args &args)
+    {
+        ++m_counts[static_cast<std::size_t>(bucketOf(args[boost::accumulators::sample]))];
+    }
+
+    result_type result(boost::accumulators::dont_care) const
+    {
+        return m_counts;
+    }
+
+    BucketCounts m_counts{};
+};
+
+namespace tag
+{
+struct latencyBuckets : boost::accumulators::depends_on<> {
+    using impl = boost::mpl::always<LatencyBucketsImpl>;
+};
+} // namespace tag
+
+} // namespace detail
+
+// One distribution of latencies. Copyable: a scrape reads a copy.
+class Histogram
+{
+public:
+    // Records one latency; negative ones count as zero.
+    void record(std::chrono::nanoseconds latency);
+    // Adds all that another histogram has recorded.
+    void merge(const Histogram &other);
+
+    std::uint64_t count() const;
+    std::chrono::nanoseconds sum() const;
+    std::chrono::nanoseconds max() const;
+    // The latency below which this part of the samples lies, 0 to 1, interpolated
+    // within its bucket; zero without samples.
+    std::chrono::nanoseconds quantile(double part) const;
+    // Samples of at most this many seconds, exact at bucket bounds.
+    std::uint64_t countUpTo(int bucket) const;
+
+private:
+    using Accumulator = boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, boost::accumulators::tag::max,
+                                   detail::tag::latencyBuckets>>;
+
+    Accumulator m_accumulator;
+    // What was merged in from other histograms; the accumulators of the library
+    // can't be added up.
+    std::uint64_t m_mergedCount = 0;
+    double m_mergedSum = 0;
+    double m_mergedMax = 0;
+    detail::BucketCounts m_mergedCounts{};
+};
+
+} // namespace egrettide
