--- /dev/null
+++ b/src/wire/hopcodec.h
@@ -0,0 +1,164 @@
+// The messages between hosts as plain structs, and their codec. Frames are
+// FlatBuffers (schema/hop.fbs) behind a 4-byte big-endian length; every frame is
+// verified before a single field is read.
+
+#pragma once
+
+#include "egrettide/core/error.h"
+#include "egrettide/core/membership.h"
+#include "egrettide/core/request.h"
+
+#include <tl/expected.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace egrettide::hop
+{
+
+// Raised when an older host would misread a newer frame; a link between hosts
+// of different versions is refused in Hello.
+constexpr std::uint32_t protocolVersion = 1;
+
+// Larger frames are refused on both sides. Above the largest PostgreSQL message
+// so that a batch of one message always fits.
+constexpr std::size_t maxFrameBytes = 24U * 1024U * 1024U;
+
+// Bytes of the length in front of each frame.
+constexpr std::size_t frameHeaderBytes = 4;
+
+// The first message on a link, from both sides.
+struct Hello {
+    std::uint32_t version = protocolVersion;
+    std::string host;
+    std::string zone;
+    std::uint64_t incarnation = 0;
+};
+
+// A request for the home of an upstream. The deadline travels as the time that
+// remains, rounded down, since clocks of hosts are never compared.
+struct ExecuteRequest {
+    StatementRequest request;
+};
+
+struct ExecuteReply {
+    StatementReply reply;
+};
+
+// The caller gave up on the request; an answer is no longer needed.
+struct Cancel {
+    std::uint64_t id = 0;
+};
+
+// The caller of an open transaction went away: the home rolls it back. A
+// transaction of 0 means every transaction that came over this link.
+struct FrontGone {
+    std::string upstream;
+    std::uint64_t transaction = 0;
+};
+
+// The receiver may have this many more bytes of requests outstanding.
+struct Credit {
+    std::uint64_t bytes = 0;
+};
+
+struct Gossip {
+    GossipMessage message;
+};
+
+// Asks another home of the group whether it, too, has lost the upstream.
+struct Opinion {
+    std::uint64_t id = 0;
+    std::string database;
+    std::string upstream;
+};
+
+struct OpinionReply {
+    std::uint64_t id = 0;
+    bool suspects = false;
+    // True when the answering home saw the upstream alive a moment ago.
+    bool alive = false;
+};
+
+// Tells the other homes of a group who leads in which term.
+struct Announce {
+    std::string database;
+    Term term = 0;
+    std::string primary;
+};
+
+struct ConfigOffer {
+    std::uint64_t version = 0;
+};
+
+struct ConfigPull {
+    std::uint64_t version = 0;
+};
+
+struct ConfigPush {
+    std::uint64_t version = 0;
+    std::string json;
+};
+
+struct SwitchoverRequest {
+    std::uint64_t id = 0;
+    std::string database;
+    std::string to;
+};
+
+struct SwitchoverReply {
+    std::uint64_t id = 0;
+    // Unset when the planned change succeeded.
+    std::optional<Error> error;
+};
+
+// A former home has closed its last connection to the upstream; the new home
+// may now use the whole budget.
+struct Release {
+    std::string upstream;
+};
+
+// Keeps a quiet link honest; answered with the same number.
+struct Ping {
+    std::uint64_t number = 0;
+    bool answer = false;
+};
+
+using HopMessage = std::variant<Hello, ExecuteRequest, ExecuteReply, Cancel, FrontGone, Credit, Gossip, Opinion, OpinionReply,
+                                Announce, ConfigOffer, ConfigPull, ConfigPush, SwitchoverRequest, SwitchoverReply, Release, Ping>;
+
+// The whole frame, length included, as it goes onto the socket. `now` turns
+// deadlines into remaining time. Frames above maxFrameBytes are encoded too; the
+// sender has to check the size, as the receiver will refuse them.
+std::string encodeFrame(const HopMessage &message, TimePoint now);
+
+// Decodes one frame without its length. `now` is the local time of receipt: it
+// becomes receivedAt, and remaining times become deadlines counted from it.
+// Malformed bytes give InvalidInput, after which the link has to be closed.
+tl::expected<HopMessage, Error> decodeFrame(std::string_view frame, TimePoint now);
+
+// Splits a byte stream into frames. After an error the stream cannot be
+// resynchronised and the link has to be closed.
+class FrameSplitter
+{
+public:
+    // Appends bytes from the socket.
+    void feed(std::string_view bytes);
+    // The next whole frame without its length, valid until the next call of
+    // feed; nothing when more bytes are needed; InvalidInput when the length is
+    // out of bounds.
+    tl::expected<std::optional<std::string_view>, Error> next();
+    // Bytes fed and not yet handed out.
+    std::size_t buffered() const;
+
+private:
+    std::string m_buffer;
+    // Invariant: m_consumed <= m_buffer.size(); bytes before it were handed out.
+    std::size_t m_consumed = 0;
+};
+
+} // namespace egrettide::hop
