--- /dev/null
+++ b/src/runtime/front.h
@@ -0,0 +1,122 @@
+// The callers' side of an entry host: accepts PostgreSQL v3 connections, spreads
+// them over the traffic threads and lets them end in good order when the host
+// leaves.
+
+#pragma once
+
+#include "egrettide/core/configuration.h"
+#include "egrettide/core/error.h"
+#include "egrettide/core/request.h"
+#include "egrettide/core/types.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <tl/expected.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace egrettide
+{
+
+// What one request was and how it ended, for metrics.
+struct RequestObservation {
+    std::string className;
+    std::string tenant;
+    std::string database;
+    StatementKind kind = StatementKind::Write;
+    // Nothing when the upstream answered, be it with an error of its own.
+    std::optional<ErrorKind> error;
+    // From receipt to the answer, waits and retries included.
+    std::chrono::microseconds latency{0};
+    // The upstream that answered; empty when none did.
+    std::string upstream;
+    // True when the primary answered.
+    bool byPrimary = false;
+    // Why a read went to the primary, or empty.
+    std::string primaryReason;
+    // How many times it was handed to a home.
+    int attempts = 0;
+};
+
+// What the daemon lends to its front. Hooks are called on traffic threads and
+// must be thread-safe; none may block.
+struct FrontHooks {
+    // The configuration in force, or null while none is known.
+    std::function<std::shared_ptr<const Configuration>()> configuration;
+    // Runs a request at its home. The reply may come on any thread.
+    ExecuteHook execute;
+    // Asks the home to stop the request of that id. Its reply still comes.
+    std::function<void(std::uint64_t requestId)> cancel;
+    std::function<TimePoint()> now = [] { return Clock::now(); };
+    // Takes one retry from the budget, or says that there is none left. Without
+    // a budget a failover turns into a storm of retries.
+    std::function<bool()> takeRetry = [] { return true; };
+    std::function<void(const RequestObservation &)> observe = [](const RequestObservation &) {};
+};
+
+struct FrontOptions {
+    // The zone of this host; upstreams there are preferred.
+    std::string zone;
+    std::size_t maxConnections = 5000;
+    // The largest batch; see FrontOptions::maxQueuedBatches for what waits behind it.
+    std::size_t maxBatchBytes = std::size_t{16} * 1024 * 1024;
+    // Batches that wait behind the one under way before the front stops reading.
+    std::size_t maxQueuedBatches = 64;
+    // A connection that has not sent its startup and password by then is closed:
+    // half-open connections would otherwise use up maxConnections.
+    std::chrono::milliseconds startupTimeout{10000};
+    // How long a write that found no primary waits before it looks again.
+    std::chrono::milliseconds primaryPoll{20};
+    // How long past its deadline a request may stay unanswered by its home before
+    // the front answers the caller itself with an unknown outcome.
+    std::chrono::milliseconds answerGrace{1000};
+    // Signs session tokens; all hosts of a deployment share it. Empty: unsigned,
+    // with bounded effect.
+    std::string tokenKey;
+    // The first request id; hosts that share a home need no distinct ranges.
+    std::uint64_t firstRequestId = 1;
+};
+
+namespace detail
+{
+class FrontState;
+}
+
+// Accepts callers on one io_context and serves each on one of several others.
+// Its functions may be called from any thread, the destructor only after the
+// io_contexts have stopped running.
+class Front
+{
+public:
+    // `trafficContexts` must not be empty; each is run by one thread.
+    Front(boost::asio::io_context &acceptContext, std::vector<boost::asio::io_context *> trafficContexts, FrontOptions options,
+          FrontHooks hooks);
+    ~Front();
+    Front(const Front &) = delete;
+    Front &operator=(const Front &) = delete;
+
+    // Starts to accept on an IP address; port 0 picks a free one.
+    tl::expected<void, Error> listen(const std::string &address, std::uint16_t port);
+    std::uint16_t port() const;
+    // Stops accepting and tells each connection to go as soon as it is idle
+    // outside a transaction: what is under way is finished first.
+    void beginDrain();
+    // Caller connections that are open now; zero means that a drain is complete.
+    std::size_t openConnections() const;
+    // Closes everything at once.
+    void stop();
+    // Takes in what a home or another host says of a group, so that routing knows
+    // it before the first answer comes.
+    void learn(const GroupHint &hint);
+
+private:
+    std::shared_ptr<detail::FrontState> m_state;
+};
+
+} // namespace egrettide
