--- /dev/null
+++ b/src/runtime/callerconnection.cpp
@@ -0,0 +1,564 @@
+// One caller's connection.
+
+#include "runtime/callerconnection.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+
+#include <algorithm>
+
+#include <netinet/tcp.h>
+
+namespace egrettide::detail
+{
+
+namespace
+{
+
+constexpr int maxEncryptionRequests = 2;
+constexpr std::uint32_t protocolMajor = 3;
+constexpr std::uint32_t protocolMinorMask = 0xffffU;
+// Answers that the caller has not read yet; beyond it no further batch starts.
+constexpr std::size_t maxUnsentBytes = std::size_t{1024} * 1024;
+// How long the caller gets to read the last words.
+constexpr milliseconds lingerTime{1000};
+// Seconds without traffic after which the peer is probed, so that connections
+// whose host vanished do not stay for ever.
+constexpr int keepAliveIdleSeconds = 60;
+
+using KeepAliveIdle = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+
+std::array<unsigned char, EVP_MAX_MD_SIZE> digestOf(std::string_view text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+    EVP_Digest(text.data(), text.size(), digest.data(), nullptr, EVP_sha256(), nullptr);
+    return digest;
+}
+
+// Takes the same time wherever the two differ, and whatever their lengths are:
+// otherwise a caller could find a password out byte by byte.
+bool isSamePassword(std::string_view given, std::string_view expected)
+{
+    const auto left = digestOf(given);
+    const auto right = digestOf(expected);
+    return CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::string parameter(const pg::StartupMessage &startup, std::string_view name)
+{
+    for (const auto &[key, value] : startup.parameters) {
+        if (key == name) {
+            return value;
+        }
+    }
+    return {};
+}
+
+Error leavingError()
+{
+    return Error{ErrorKind::Leaving, "Nothing unanswered has run; connect again; egrettide host leaving.", milliseconds{1}};
+}
+
+// A caller may take any class that has no more rights than its tenant's own.
+std::vector<std::string> allowedClasses(const Configuration &configuration, const std::string &own)
+{
+    std::vector<std::string> allowed{own};
+    const ClassSpec *ownClass = configuration.classNamed(own);
+    for (const ClassSpec &other : configuration.classes) {
+        const int priority = ownClass != nullptr ? ownClass->priority : 0;
+        const double share = ownClass != nullptr ? ownClass->reservedShare : 0;
+        if (other.name != own && other.priority <= priority && other.reservedShare <= share) {
+            allowed.push_back(other.name);
+        }
+    }
+    return allowed;
+}
+
+SessionDefaults defaultsFor(const Configuration &configuration, const DatabaseSpec &database, const std::string &tenantName)
+{
+    SessionDefaults defaults;
+    defaults.database = database.name;
+    defaults.tenant = tenantName;
+    defaults.maxAge = database.maxAge;
+    if (const TenantSpec *tenant = configuration.tenant(tenantName)) {
+        defaults.className = tenant->className;
+    }
+    if (const ClassSpec *ownClass = configuration.classNamed(defaults.className)) {
+        defaults.timeout = ownClass->timeout;
+    }
+    defaults.allowedClasses = allowedClasses(configuration, defaults.className);
+    return defaults;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(std::shared_ptr<TrafficShard> shard, boost::asio::ip::tcp::socket socket,
+                                   std::optional<Error> refusal, std::function<void()> closed)
+    : m_shard(std::move(shard))
+    , m_socket(std::move(socket))
+    , m_refusal(std::move(refusal))
+    , m_closed(std::move(closed))
+    , m_timer(m_shard->context)
+    , m_assembler(m_shard->common->options.maxBatchBytes)
+{
+}
+
+void CallerConnection::post(std::function<void()> action)
+{
+    boost::asio::post(m_shard->context, std::move(action));
+}
+
+void CallerConnection::start()
+{
+    setSocketOptions();
+    m_draining = m_shard->common->draining.load();
+    armTimer(m_shard->common->options.startupTimeout);
+    read();
+}
+
+void CallerConnection::setSocketOptions()
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    m_socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    m_socket.non_blocking(true, ignored);
+    m_socket.set_option(KeepAliveIdle(keepAliveIdleSeconds), ignored);
+}
+
+void CallerConnection::armTimer(milliseconds timeout)
+{
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error) {
+            self->close();
+        }
+    });
+}
+
+bool CallerConnection::mayRead() const
+{
+    if (m_phase == Phase::Closed || m_isReading || m_inputEnded) {
+        return false;
+    }
+    if (m_phase == Phase::Farewell) {
+        return true;
+    }
+    const FrontOptions &options = m_shard->common->options;
+    return !m_streamError && m_queue.size() < options.maxQueuedBatches && m_queuedBytes < options.maxBatchBytes;
+}
+
+void CallerConnection::read()
+{
+    if (!mayRead()) {
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code &) { self->onReadable(); });
+}
+
+// Waits first and reads into the shard's buffer then, so that a connection that is
+// idle holds no buffer of its own.
+void CallerConnection::onReadable()
+{
+    m_isReading = false;
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    boost::system::error_code error;
+    const std::size_t count = m_socket.read_some(boost::asio::buffer(m_shard->inbox), error);
+    if (error == boost::asio::error::would_block) {
+        read();
+        return;
+    }
+    if (error == boost::asio::error::eof) {
+        onInputEnd();
+        return;
+    }
+    if (error) {
+        end(true);
+        return;
+    }
+    if (m_phase != Phase::Farewell) {
+        m_assembler.feed(std::string_view(m_shard->inbox.data(), count));
+        process();
+    }
+    read();
+}
+
+// Batches that came whole still run: a caller may send and close its side.
+void CallerConnection::onInputEnd()
+{
+    m_inputEnded = true;
+    if (m_phase != Phase::Ready) {
+        end(true);
+        return;
+    }
+    pump();
+}
+
+void CallerConnection::process()
+{
+    bool goesOn = true;
+    while (goesOn && m_phase == Phase::Startup) {
+        goesOn = processStartup();
+    }
+    if (m_phase == Phase::Password) {
+        goesOn = processPassword();
+    }
+    if (m_phase == Phase::Ready) {
+        pump();
+    }
+}
+
+bool CallerConnection::processStartup()
+{
+    auto startup = m_assembler.nextStartup();
+    if (!startup) {
+        sayFarewell(sqlStateOf(startup.error().kind), startup.error());
+        return false;
+    }
+    return *startup && onStartup(**startup);
+}
+
+// Returns whether to look for a further startup message.
+bool CallerConnection::onStartup(const pg::StartupMessage &startup)
+{
+    if (startup.code == pg::sslRequestCode || startup.code == pg::gssRequestCode) {
+        if (++m_encryptionRequests > maxEncryptionRequests) {
+            end(false);
+            return false;
+        }
+        write("N");
+        return true;
+    }
+    if (startup.code == pg::cancelRequestCode) {
+        m_shard->common->cancels.cancel({startup.processId, startup.secretKey});
+        end(false);
+        return false;
+    }
+    if (startup.code >> 16U != protocolMajor) {
+        sayFarewell(
+            "0A000",
+            Error{ErrorKind::Unsupported, "Only PostgreSQL protocol version 3 is spoken; use a newer driver.", milliseconds{0}});
+        return false;
+    }
+    return beginSession(startup);
+}
+
+bool CallerConnection::beginSession(pg::StartupMessage startup)
+{
+    m_startup = std::move(startup);
+    if (m_refusal) {
+        sayFarewell(sqlStateOf(m_refusal->kind), *m_refusal);
+        return false;
+    }
+    if (m_draining) {
+        sayFarewell(sqlStateOf(ErrorKind::Leaving), leavingError());
+        return false;
+    }
+    negotiateVersion(m_startup);
+    m_configuration = m_shard->configuration();
+    if (!m_configuration) {
+        const Error error{ErrorKind::NoConfiguration, "This host has learnt no configuration yet; connect again later.",
+                          m_shard->common->options.noConfigurationRetry};
+        sayFarewell(sqlStateOf(error.kind), error);
+        return false;
+    }
+    if (parameter(m_startup, "user").empty()) {
+        sayFarewell("28000", Error{ErrorKind::AuthenticationFailed, "No user is named; connect as a tenant.", milliseconds{0}});
+        return false;
+    }
+    if (!parameter(m_startup, "replication").empty()) {
+        sayFarewell(
+            "0A000",
+            Error{ErrorKind::Unsupported, "Replication connections are not carried; connect to the upstream.", milliseconds{0}});
+        return false;
+    }
+    authenticate();
+    return false;
+}
+
+// A driver that asks for a newer minor version, or for protocol options, is told
+// what is spoken here and goes on with that.
+void CallerConnection::negotiateVersion(const pg::StartupMessage &startup)
+{
+    std::vector<std::string_view> unknown;
+    for (const auto &[name, value] : startup.parameters) {
+        if (name.starts_with("_pq_.")) {
+            unknown.push_back(name);
+        }
+    }
+    if ((startup.code & protocolMinorMask) == 0 && unknown.empty()) {
+        return;
+    }
+    std::string payload;
+    pg::appendUint32(payload, pg::protocolVersion3);
+    pg::appendUint32(payload, static_cast<std::uint32_t>(unknown.size()));
+    for (const std::string_view name : unknown) {
+        pg::appendCString(payload, name);
+    }
+    write(pg::Message{'v', payload}.bytes());
+}
+
+void CallerConnection::authenticate()
+{
+    const TenantSpec *tenant = m_configuration->tenant(parameter(m_startup, "user"));
+    if (tenant == nullptr || tenant->password.empty()) {
+        openSession();
+        return;
+    }
+    m_phase = Phase::Password;
+    std::string request;
+    pg::appendAuthenticationCleartext(request);
+    write(request);
+}
+
+bool CallerConnection::processPassword()
+{
+    auto message = m_assembler.nextMessage();
+    if (!message) {
+        sayFarewell(sqlStateOf(message.error().kind), message.error());
+        return false;
+    }
+    if (!*message) {
+        return false;
+    }
+    if ((*message)->type != 'p') {
+        sayFarewell("08P01", Error{ErrorKind::InvalidInput, "A password was expected; send it first.", milliseconds{0}});
+        return false;
+    }
+    pg::PayloadReader reader((*message)->payload);
+    const auto given = reader.cString();
+    const TenantSpec *tenant = m_configuration->tenant(parameter(m_startup, "user"));
+    if (!given || !isSamePassword(*given, tenant->password)) {
+        sayFarewell(
+            "28P01",
+            Error{ErrorKind::AuthenticationFailed, "The password of this tenant is wrong; give the right one.", milliseconds{0}});
+        return false;
+    }
+    openSession();
+    return true;
+}
+
+void CallerConnection::openSession()
+{
+    const std::string tenant = parameter(m_startup, "user");
+    const std::string named = parameter(m_startup, "database");
+    const std::string &databaseName = named.empty() ? tenant : named;
+    const DatabaseSpec *database = m_configuration->database(databaseName);
+    if (database == nullptr) {
+        sayFarewell("3D000",
+                    Error{ErrorKind::UnknownDatabase,
+                          "There is no database service \"" + databaseName + "\"; check the name or apply a file that has it.",
+                          milliseconds{0}});
+        return;
+    }
+    SessionState state(defaultsFor(*m_configuration, *database, tenant), m_shard->common->tokens, m_shard->now());
+    auto session = std::make_shared<CallerSession>(m_shard, std::move(state));
+    if (auto applied = session->applyStartup(m_startup.parameters); !applied) {
+        sayFarewell(sqlStateOf(applied.error().kind), applied.error());
+        return;
+    }
+    m_session = std::move(session);
+    m_configuration.reset();
+    m_startup = {};
+    const std::weak_ptr<CallerConnection> weakSelf = weak_from_this();
+    boost::asio::io_context &context = m_shard->context;
+    m_cancelKey = m_shard->common->cancels.add([weakSelf, &context] {
+        boost::asio::dispatch(context, [weakSelf] {
+            const auto self = weakSelf.lock();
+            if (self && self->m_phase == Phase::Ready) {
+                self->m_session->cancel();
+            }
+        });
+    });
+    std::string greeting;
+    pg::appendAuthenticationOk(greeting);
+    greeting.append(m_session->startupStatus());
+    pg::appendBackendKeyData(greeting, m_cancelKey.processId, m_cancelKey.secretKey);
+    pg::appendReadyForQuery(greeting, 'I');
+    m_phase = Phase::Ready;
+    m_timer.cancel();
+    write(greeting);
+}
+
+void CallerConnection::takeBatches()
+{
+    const FrontOptions &options = m_shard->common->options;
+    while (!m_streamError && m_queue.size() < options.maxQueuedBatches && m_queuedBytes < options.maxBatchBytes) {
+        auto batch = m_assembler.next();
+        if (!batch) {
+            m_streamError = batch.error();
+            return;
+        }
+        if (!*batch) {
+            return;
+        }
+        m_queuedBytes += (*batch)->bytes;
+        m_queue.push_back({std::move(**batch), m_shard->now()});
+    }
+}
+
+// Runs what can run now. Answers may come while it runs, so it guards against
+// being entered twice.
+void CallerConnection::pump()
+{
+    if (m_isPumping) {
+        return;
+    }
+    m_isPumping = true;
+    takeBatches();
+    while (m_phase == Phase::Ready && !m_isBusy && !m_queue.empty() && m_outgoing.size() < maxUnsentBytes) {
+        runNext();
+        takeBatches();
+    }
+    m_isPumping = false;
+    if (m_phase == Phase::Ready && !m_isBusy && m_queue.empty()) {
+        onIdle();
+    }
+    read();
+}
+
+void CallerConnection::runNext()
+{
+    const QueuedBatch next = std::move(m_queue.front());
+    m_queue.pop_front();
+    m_queuedBytes -= next.batch.bytes;
+    if (next.batch.end == pg::BatchEnd::Terminate) {
+        end(false);
+        return;
+    }
+    m_isBusy = true;
+    m_session->run(next.batch, next.receivedAt,
+                   [self = shared_from_this()](std::string answer) { self->onAnswer(std::move(answer)); });
+}
+
+void CallerConnection::onAnswer(std::string answer)
+{
+    m_isBusy = false;
+    if (m_phase != Phase::Ready) {
+        return;
+    }
+    write(answer);
+    pump();
+}
+
+void CallerConnection::onIdle()
+{
+    if (m_streamError) {
+        sayFarewell(sqlStateOf(m_streamError->kind), *m_streamError);
+        return;
+    }
+    if (m_inputEnded) {
+        end(false);
+        return;
+    }
+    if (m_draining && m_session->isIdle() && !m_assembler.isMidBatch()) {
+        sayFarewell(sqlStateOf(ErrorKind::Leaving), leavingError());
+    }
+}
+
+void CallerConnection::drain()
+{
+    m_draining = true;
+    if (m_phase == Phase::Ready) {
+        pump();
+    }
+}
+
+void CallerConnection::write(std::string_view bytes)
+{
+    m_outgoing.append(bytes);
+    flush();
+}
+
+void CallerConnection::flush()
+{
+    if (!m_writing.empty() || m_outgoing.empty() || m_phase == Phase::Closed) {
+        return;
+    }
+    m_writing.swap(m_outgoing);
+    boost::asio::async_write(
+        m_socket, boost::asio::buffer(m_writing),
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->onWritten(error); });
+}
+
+void CallerConnection::onWritten(const boost::system::error_code &error)
+{
+    m_writing.clear();
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    if (error) {
+        end(true);
+        return;
+    }
+    flush();
+    if (m_phase == Phase::Farewell && m_writing.empty()) {
+        linger();
+        return;
+    }
+    if (m_phase == Phase::Ready) {
+        pump();
+    }
+}
+
+void CallerConnection::sayFarewell(std::string_view sqlState, const Error &error)
+{
+    if (m_phase == Phase::Farewell || m_phase == Phase::Closed) {
+        return;
+    }
+    m_phase = Phase::Farewell;
+    armTimer(m_shard->common->options.startupTimeout);
+    if (m_session) {
+        m_session->abandon(false);
+    }
+    write(errorResponse(sqlState, error, true));
+    read();
+}
+
+// What goes wrong: closing a socket with unread input makes the kernel reset the
+// connection, and the caller sees the reset in place of the last words. So the
+// caller's input is read and dropped until it closes too, for a bounded time.
+void CallerConnection::linger()
+{
+    if (m_inputEnded) {
+        end(false);
+        return;
+    }
+    boost::system::error_code ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    armTimer(lingerTime);
+}
+
+void CallerConnection::close()
+{
+    end(true);
+}
+
+void CallerConnection::end(bool stopRequest)
+{
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    m_phase = Phase::Closed;
+    m_queue.clear();
+    m_timer.cancel();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    if (m_cancelKey.processId != 0) {
+        m_shard->common->cancels.remove(m_cancelKey.processId);
+    }
+    if (m_session) {
+        m_session->abandon(stopRequest);
+    }
+    const auto closed = std::move(m_closed);
+    m_closed = nullptr;
+    closed();
+}
+
+} // namespace egrettide::detail
--- /dev/null
+++ b/src/runtime/callerconnection.h
@@ -0,0 +1,121 @@
+// One caller's connection: startup, authentication, reading batches and writing
+// answers, leaving in good order. What the batches do is the session's part.
+
+#pragma once
+
+#include "runtime/callersession.h"
+#include "runtime/trafficshard.h"
+#include "wire/batchassembler.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace egrettide::detail
+{
+
+// Lives on the thread of its shard; all functions but `post` are called there.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+{
+public:
+    // `refusal`, when set, is what the caller is told instead of being served.
+    // `closed` is called once.
+    CallerConnection(std::shared_ptr<TrafficShard> shard, boost::asio::ip::tcp::socket socket, std::optional<Error> refusal,
+                     std::function<void()> closed);
+    CallerConnection(const CallerConnection &) = delete;
+    CallerConnection &operator=(const CallerConnection &) = delete;
+
+    // Runs `action` on the connection's thread.
+    void post(std::function<void()> action);
+
+    void start();
+    // Ends the connection at the next moment at which nothing is under way.
+    void drain();
+    // Ends it now.
+    void close();
+
+private:
+    enum class Phase {
+        Startup,
+        Password,
+        Ready,
+        // Only the last words are still to be written and read by the caller.
+        Farewell,
+        Closed,
+    };
+    struct QueuedBatch {
+        pg::CallerBatch batch;
+        TimePoint receivedAt;
+    };
+
+    void setSocketOptions();
+    void armTimer(milliseconds timeout);
+
+    void read();
+    void onReadable();
+    void onInputEnd();
+    void process();
+    bool processStartup();
+    bool onStartup(const pg::StartupMessage &startup);
+    bool beginSession(pg::StartupMessage startup);
+    void negotiateVersion(const pg::StartupMessage &startup);
+    bool processPassword();
+    void authenticate();
+    void openSession();
+    bool mayRead() const;
+
+    void takeBatches();
+    void pump();
+    void runNext();
+    void onAnswer(std::string answer);
+    void onIdle();
+
+    void write(std::string_view bytes);
+    void flush();
+    void onWritten(const boost::system::error_code &error);
+    // Says the last words and closes once the caller had the time to read them.
+    void sayFarewell(std::string_view sqlState, const Error &error);
+    void linger();
+    void end(bool stopRequest);
+
+    std::shared_ptr<TrafficShard> m_shard;
+    boost::asio::ip::tcp::socket m_socket;
+    std::optional<Error> m_refusal;
+    std::function<void()> m_closed;
+    // Bounds the startup, and later the farewell.
+    boost::asio::steady_timer m_timer;
+
+    Phase m_phase = Phase::Startup;
+    pg::BatchAssembler m_assembler;
+    pg::StartupMessage m_startup;
+    int m_encryptionRequests = 0;
+    std::shared_ptr<const Configuration> m_configuration;
+    std::shared_ptr<CallerSession> m_session;
+    CancelKey m_cancelKey;
+
+    // Whole batches that wait for their turn.
+    std::deque<QueuedBatch> m_queue;
+    std::size_t m_queuedBytes = 0;
+    // True while the session works on a batch. Invariant: at most one batch is
+    // under way, so answers leave in the order of the batches.
+    bool m_isBusy = false;
+    bool m_isPumping = false;
+    // What made the stream unreadable; the connection ends after the batches before it.
+    std::optional<Error> m_streamError;
+    // True when the caller sends nothing any more.
+    bool m_inputEnded = false;
+    bool m_draining = false;
+
+    bool m_isReading = false;
+    std::string m_outgoing;
+    // Invariant: not empty exactly while a write is under way.
+    std::string m_writing;
+};
+
+} // namespace egrettide::detail
--- /dev/null
+++ b/src/runtime/callersettings.cpp
@@ -0,0 +1,223 @@
+// Answers SET, SHOW, RESET, DISCARD and DEALLOCATE for one caller.
+
+#include "runtime/callersettings.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+
+#include <algorithm>
+#include <array>
+
+namespace egrettide::detail
+{
+
+namespace
+{
+
+struct ReportedSetting {
+    std::string_view name;
+    std::string_view value;
+};
+
+// What libpq and JDBC read at startup. These state how upstream connections are
+// set up, so callers cannot change them.
+constexpr std::array<ReportedSetting, 9> reportedSettings{{
+    {"server_version", "15.0 (egrettide)"},
+    {"server_encoding", "UTF8"},
+    {"client_encoding", "UTF8"},
+    {"DateStyle", "ISO, MDY"},
+    {"IntervalStyle", "postgres"},
+    {"TimeZone", "UTC"},
+    {"integer_datetimes", "on"},
+    {"standard_conforming_strings", "on"},
+    {"is_superuser", "off"},
+}};
+
+constexpr std::string_view applicationName = "application_name";
+constexpr std::string_view clientEncoding = "client_encoding";
+
+bool isOwn(std::string_view name)
+{
+    return name.starts_with(settingnames::prefix);
+}
+
+bool isUtf8(std::string_view encoding)
+{
+    const std::string lower = absl::AsciiStrToLower(absl::string_view(encoding.data(), encoding.size()));
+    return lower == "utf8" || lower == "utf-8" || lower == "unicode";
+}
+
+Error unsupportedEncoding()
+{
+    return Error{ErrorKind::Unsupported, "Only the client encoding UTF8 is carried; set client_encoding to UTF8.",
+                 milliseconds{0}};
+}
+
+std::string commandComplete(std::string_view tag)
+{
+    std::string out;
+    pg::appendCommandComplete(out, tag);
+    return out;
+}
+
+} // namespace
+
+CallerSettings::CallerSettings(SessionState &session, pg::SessionStatements &statements)
+    : m_session(session), m_statements(statements)
+{
+    for (const ReportedSetting &setting : reportedSettings) {
+        m_harmless[absl::AsciiStrToLower(absl::string_view(setting.name.data(), setting.name.size()))] = setting.value;
+    }
+    m_harmless[std::string(applicationName)] = "";
+}
+
+tl::expected<void, Error> CallerSettings::applyStartup(const SessionState::Parameters &parameters)
+{
+    for (const auto &[name, value] : parameters) {
+        if (name == clientEncoding && !isUtf8(value)) {
+            return tl::unexpected(unsupportedEncoding());
+        }
+        if (name == applicationName) {
+            m_harmless[name] = value;
+        }
+    }
+    return {};
+}
+
+std::string CallerSettings::startupStatus() const
+{
+    std::string out;
+    for (const ReportedSetting &setting : reportedSettings) {
+        pg::appendParameterStatus(out, setting.name, setting.value);
+    }
+    pg::appendParameterStatus(out, applicationName, valueOf(std::string(applicationName)));
+    pg::appendParameterStatus(out, "session_authorization", m_session.tenant());
+    return out;
+}
+
+tl::expected<pg::LocalStatement, Error> CallerSettings::prepare(const Setting &setting)
+{
+    if (auto checked = check(setting); !checked) {
+        return tl::unexpected(checked.error());
+    }
+    pg::LocalStatement statement;
+    if (setting.action == SettingAction::Show) {
+        statement.columns.push_back(setting.name);
+    }
+    statement.execute = [this, setting] { return apply(setting); };
+    return statement;
+}
+
+tl::expected<std::string, Error> CallerSettings::run(const std::vector<Setting> &settings)
+{
+    for (const Setting &setting : settings) {
+        if (auto checked = check(setting); !checked) {
+            return tl::unexpected(checked.error());
+        }
+    }
+    std::string out;
+    for (const Setting &setting : settings) {
+        if (setting.action == SettingAction::Show) {
+            pg::appendRowDescription(out, {setting.name});
+        }
+        out.append(apply(setting));
+    }
+    return out;
+}
+
+// Tries the setting on a copy: a later statement of the batch must not find it
+// half applied.
+tl::expected<void, Error> CallerSettings::check(const Setting &setting) const
+{
+    if (setting.action == SettingAction::Set && setting.name == clientEncoding && !isUtf8(setting.value)) {
+        return tl::unexpected(unsupportedEncoding());
+    }
+    if (!isOwn(setting.name)) {
+        return {};
+    }
+    SessionState trial(m_session);
+    switch (setting.action) {
+    case SettingAction::Set:
+        return trial.set(setting.name, setting.value);
+    case SettingAction::Show:
+        return trial.show(setting.name).map([](const std::string &) {});
+    case SettingAction::Reset:
+        return trial.reset(setting.name);
+    case SettingAction::Discard:
+    case SettingAction::Deallocate:
+        break;
+    }
+    return {};
+}
+
+std::string CallerSettings::apply(const Setting &setting)
+{
+    switch (setting.action) {
+    case SettingAction::Set:
+        return applySet(setting);
+    case SettingAction::Show:
+        return applyShow(setting);
+    case SettingAction::Reset:
+        return applyReset(setting);
+    case SettingAction::Discard:
+        m_session.resetAll();
+        m_statements.clear();
+        return commandComplete("DISCARD ALL");
+    case SettingAction::Deallocate:
+        break;
+    }
+    if (setting.name.empty()) {
+        m_statements.clear();
+        return commandComplete("DEALLOCATE ALL");
+    }
+    m_statements.forget(setting.name);
+    return commandComplete("DEALLOCATE");
+}
+
+std::string CallerSettings::applySet(const Setting &setting)
+{
+    std::string out = commandComplete("SET");
+    if (isOwn(setting.name)) {
+        static_cast<void>(m_session.set(setting.name, setting.value)); // checked before
+        return out;
+    }
+    const bool isFixed = std::any_of(reportedSettings.begin(), reportedSettings.end(), [&](const ReportedSetting &reported) {
+        return absl::EqualsIgnoreCase(absl::string_view(reported.name.data(), reported.name.size()), setting.name);
+    });
+    if (!isFixed) {
+        m_harmless[setting.name] = setting.value;
+    }
+    if (setting.name == applicationName) {
+        pg::appendParameterStatus(out, applicationName, setting.value);
+    }
+    return out;
+}
+
+std::string CallerSettings::applyShow(const Setting &setting) const
+{
+    std::string out;
+    pg::appendDataRow(out, {valueOf(setting.name)});
+    pg::appendCommandComplete(out, "SHOW");
+    return out;
+}
+
+std::string CallerSettings::applyReset(const Setting &setting)
+{
+    if (setting.name.empty()) {
+        m_session.resetAll();
+    } else if (isOwn(setting.name)) {
+        static_cast<void>(m_session.reset(setting.name)); // checked before
+    }
+    return commandComplete("RESET");
+}
+
+std::string CallerSettings::valueOf(const std::string &name) const
+{
+    if (isOwn(name)) {
+        return m_session.show(name).value_or("");
+    }
+    const auto it = m_harmless.find(name);
+    return it == m_harmless.end() ? std::string() : it->second;
+}
+
+} // namespace egrettide::detail
--- a/src/runtime/front.h
+++ b/src/runtime/front.h
@@ -7,6 +7,7 @@
 #include "egrettide/core/configuration.h"
 #include "egrettide/core/error.h"
 #include "egrettide/core/request.h"
+#include "egrettide/core/router.h"
 #include "egrettide/core/types.h"
 
 #include <boost/asio/io_context.hpp>
@@ -38,8 +39,8 @@
     std::string upstream;
     // True when the primary answered.
     bool byPrimary = false;
-    // Why a read went to the primary, or empty.
-    std::string primaryReason;
+    // Why a read went to the primary; set only then.
+    std::optional<PrimaryReason> primaryReason;
     // How many times it was handed to a home.
     int attempts = 0;
 };
@@ -56,7 +57,7 @@
     std::function<TimePoint()> now = [] { return Clock::now(); };
     // Takes one retry from the budget, or says that there is none left. Without
     // a budget a failover turns into a storm of retries.
-    std::function<bool()> takeRetry = [] { return true; };
+    SpendRetryHook spendRetry = [](TimePoint) { return true; };
     std::function<void(const RequestObservation &)> observe = [](const RequestObservation &) {};
 };
 
@@ -64,23 +65,27 @@
     // The zone of this host; upstreams there are preferred.
     std::string zone;
     std::size_t maxConnections = 5000;
-    // The largest batch; see FrontOptions::maxQueuedBatches for what waits behind it.
+    // The largest batch that is taken from a caller.
     std::size_t maxBatchBytes = std::size_t{16} * 1024 * 1024;
     // Batches that wait behind the one under way before the front stops reading.
     std::size_t maxQueuedBatches = 64;
     // A connection that has not sent its startup and password by then is closed:
     // half-open connections would otherwise use up maxConnections.
-    std::chrono::milliseconds startupTimeout{10000};
+    milliseconds startupTimeout{10000};
     // How long a write that found no primary waits before it looks again.
-    std::chrono::milliseconds primaryPoll{20};
+    milliseconds primaryPoll{20};
     // How long past its deadline a request may stay unanswered by its home before
     // the front answers the caller itself with an unknown outcome.
-    std::chrono::milliseconds answerGrace{1000};
-    // Signs session tokens; all hosts of a deployment share it. Empty: unsigned,
-    // with bounded effect.
-    std::string tokenKey;
-    // The first request id; hosts that share a home need no distinct ranges.
-    std::uint64_t firstRequestId = 1;
+    milliseconds answerGrace{1000};
+    // Sign session tokens, see SessionTokenCodec; all hosts share them.
+    std::vector<std::string> tokenKeys;
+    // True to report egrettide.session after each answer that moves the floor.
+    bool reportSession = true;
+    RoutingPolicy routing = RoutingPolicy::Replicas;
+    // Seeds the choice among equal upstreams.
+    std::uint64_t seed = 1;
+    // What a caller that came before any configuration is told to wait.
+    milliseconds noConfigurationRetry{1000};
 };
 
 namespace detail
@@ -111,9 +116,9 @@
     std::size_t openConnections() const;
     // Closes everything at once.
     void stop();
-    // Takes in what a home or another host says of a group, so that routing knows
-    // it before the first answer comes.
-    void learn(const GroupHint &hint);
+    // Takes in what the home of `upstream` says of a group, so that routing knows it
+    // before the next answer comes.
+    void learn(const GroupHint &hint, const std::string &upstream);
 
 private:
     std::shared_ptr<detail::FrontState> m_state;
--- /dev/null
+++ b/src/runtime/requestrunner.cpp
@@ -0,0 +1,228 @@
+// Takes one request of a caller to its one answer.
+
+#include "runtime/requestrunner.h"
+
+#include "wire/pgwire.h"
+
+#include <boost/asio/dispatch.hpp>
+
+#include <variant>
+
+namespace egrettide::detail
+{
+
+RequestRunner::RequestRunner(std::shared_ptr<TrafficShard> shard, StatementRequest request, DoneHandler done)
+    : m_shard(std::move(shard))
+    , m_request(std::move(request))
+    , m_done(std::move(done))
+    , m_startedAt(m_shard->now())
+    , m_timer(m_shard->context)
+{
+}
+
+bool RequestRunner::isPinned() const
+{
+    return m_request.transaction != 0;
+}
+
+void RequestRunner::start()
+{
+    if (isPinned()) {
+        send();
+        return;
+    }
+    choose();
+}
+
+void RequestRunner::choose()
+{
+    auto route = m_shard->router.choose(m_request, m_attempts, m_shard->now(), m_shard->random);
+    if (route) {
+        m_route = std::move(*route);
+        m_request.upstream = m_route.upstream;
+        send();
+        return;
+    }
+    StatementReply refusal;
+    refusal.error = std::move(route.error());
+    if (mayWaitForPrimary(*refusal.error, false)) {
+        waitForPrimary(std::move(refusal));
+        return;
+    }
+    finish(std::move(refusal));
+}
+
+void RequestRunner::send()
+{
+    // Each execution has an id of its own, so that a late answer of an earlier one
+    // is not taken for this one's.
+    const std::uint64_t id = m_shard->common->nextRequestId.fetch_add(1);
+    m_request.id = id;
+    m_outstanding = id;
+    ++m_sends;
+    auto self = shared_from_this();
+    m_timer.expires_at(m_request.deadline + m_shard->common->options.answerGrace);
+    m_timer.async_wait([self, id](const boost::system::error_code &error) {
+        if (!error) {
+            self->onOverdue(id);
+        }
+    });
+    auto handler = [self, id](StatementReply reply) {
+        boost::asio::dispatch(self->m_shard->context,
+                              [self, id, reply = std::move(reply)]() mutable { self->onReply(id, std::move(reply)); });
+    };
+    m_shard->common->hooks.execute(m_request, std::move(handler));
+}
+
+void RequestRunner::onReply(std::uint64_t id, StatementReply reply)
+{
+    if (id != m_outstanding) {
+        onLateReply(std::move(reply));
+        return;
+    }
+    m_outstanding = 0;
+    m_timer.cancel();
+    if (isPinned()) {
+        m_shard->router.learn(reply.hint, m_request.upstream, m_shard->now());
+        finish(std::move(reply));
+        return;
+    }
+    const TimePoint now = m_shard->now();
+    RouteDecision decision = m_shard->router.afterReply(m_request, reply, m_attempts, now, m_shard->random);
+    auto *next = std::get_if<Route>(&decision);
+    if (next != nullptr && now < m_request.deadline && !m_canceled) {
+        m_route = std::move(*next);
+        m_request.upstream = m_route.upstream;
+        send();
+        return;
+    }
+    if (reply.error && mayWaitForPrimary(*reply.error, reply.sent)) {
+        waitForPrimary(std::move(reply));
+        return;
+    }
+    finish(std::move(reply));
+}
+
+// What goes wrong: the caller was told that the outcome is unknown, and then the
+// home reports a transaction that it opened. Nobody will ever end it; it shows as
+// a connection that stays in a transaction. So it is rolled back here.
+void RequestRunner::onLateReply(StatementReply reply)
+{
+    if (reply.transaction == 0) {
+        return;
+    }
+    StatementRequest request = m_request;
+    request.transaction = reply.transaction;
+    rollBackAtHome(*m_shard, std::move(request));
+}
+
+// The home answers every request by its deadline. If it does not, it or the link to
+// it is gone in a way that nothing reported, and the caller would wait for ever.
+void RequestRunner::onOverdue(std::uint64_t id)
+{
+    if (id != m_outstanding) {
+        return;
+    }
+    m_outstanding = 0;
+    m_shard->common->hooks.cancel(id);
+    StatementReply reply;
+    reply.sent = true;
+    reply.error = Error{ErrorKind::UnknownOutcome, "The upstream's home did not answer in time; check whether the request ran.",
+                        milliseconds{0}};
+    finish(std::move(reply));
+}
+
+bool RequestRunner::mayWaitForPrimary(const Error &error, bool sent) const
+{
+    const bool lacksPrimary = error.kind == ErrorKind::NoPrimary || error.kind == ErrorKind::Moved;
+    if (sent || m_canceled || !lacksPrimary) {
+        return false;
+    }
+    return m_shard->now() + m_shard->common->options.primaryPoll < m_request.deadline;
+}
+
+void RequestRunner::waitForPrimary(StatementReply refusal)
+{
+    auto self = shared_from_this();
+    m_timer.expires_after(m_shard->common->options.primaryPoll);
+    m_timer.async_wait([self, refusal = std::move(refusal)](const boost::system::error_code &error) mutable {
+        if (self->m_finished) {
+            return;
+        }
+        if (error) {
+            self->finish(std::move(refusal));
+            return;
+        }
+        self->m_attempts = RouteAttempts();
+        self->choose();
+    });
+}
+
+void RequestRunner::cancel()
+{
+    m_canceled = true;
+    if (m_outstanding != 0) {
+        m_shard->common->hooks.cancel(m_outstanding);
+        return;
+    }
+    finishWith(Error{ErrorKind::DeadlineExceeded, "The caller canceled the request before it was sent; send it again if wanted.",
+                     milliseconds{0}});
+}
+
+void RequestRunner::finishWith(Error error)
+{
+    StatementReply reply;
+    reply.error = std::move(error);
+    finish(std::move(reply));
+}
+
+void RequestRunner::finish(StatementReply reply)
+{
+    if (m_finished) {
+        return;
+    }
+    m_finished = true;
+    m_timer.cancel();
+    // "Not run" may be said only of what never left.
+    if (reply.error && reply.sent && outcomeOf(reply.error->kind) == Outcome::NotRun) {
+        reply.error->kind = ErrorKind::UnknownOutcome;
+    }
+    observe(reply);
+    const DoneHandler done = std::move(m_done);
+    m_done = nullptr;
+    done(std::move(reply), m_request.upstream);
+}
+
+void RequestRunner::observe(const StatementReply &reply) const
+{
+    RequestObservation observation;
+    observation.className = m_request.className;
+    observation.tenant = m_request.tenant;
+    observation.database = m_request.database;
+    observation.kind = m_request.kind;
+    if (reply.error) {
+        observation.error = reply.error->kind;
+    } else {
+        observation.upstream = m_request.upstream;
+    }
+    observation.latency = std::chrono::duration_cast<std::chrono::microseconds>(m_shard->now() - m_startedAt);
+    observation.byPrimary = isPinned() ? m_shard->router.primary(m_request.database) == m_request.upstream : m_route.primary;
+    if (m_request.kind == StatementKind::Read && observation.byPrimary) {
+        observation.primaryReason = isPinned() ? PrimaryReason::Transaction : m_route.reason;
+    }
+    observation.attempts = m_sends;
+    m_shard->common->hooks.observe(observation);
+}
+
+void rollBackAtHome(TrafficShard &shard, StatementRequest request)
+{
+    request.id = shard.common->nextRequestId.fetch_add(1);
+    request.kind = StatementKind::Rollback;
+    request.deadline = shard.now() + std::chrono::seconds(5);
+    request.prepared.clear();
+    request.batch.clear();
+    pg::appendQuery(request.batch, "ROLLBACK");
+    shard.common->hooks.execute(std::move(request), [](const StatementReply &) {});
+}
+
+} // namespace egrettide::detail
--- /dev/null
+++ b/src/runtime/trafficshard.h
@@ -0,0 +1,84 @@
+// What the callers' connections of one traffic thread share: the parser's memory,
+// the router and the random generator. Each thread has its own, so that the path
+// of a request takes no lock.
+
+#pragma once
+
+#include "egrettide/core/classifier.h"
+#include "egrettide/core/router.h"
+#include "egrettide/core/sessiontoken.h"
+#include "runtime/cancelregistry.h"
+#include "runtime/front.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <random>
+
+namespace egrettide::detail
+{
+
+// What all shards of one front share. Everything in it may be used from any thread.
+struct FrontCommon {
+    FrontCommon(FrontOptions frontOptions, FrontHooks frontHooks)
+        : options(std::move(frontOptions))
+        , hooks(std::move(frontHooks))
+        , tokens(std::make_shared<const SessionTokenCodec>(options.tokenKeys))
+    {
+    }
+
+    const FrontOptions options;
+    const FrontHooks hooks;
+    const std::shared_ptr<const SessionTokenCodec> tokens;
+    CancelRegistry cancels;
+    std::atomic<std::uint64_t> nextRequestId{1};
+    std::atomic<bool> draining{false};
+};
+
+// Used on the thread of `context` alone.
+class TrafficShard
+{
+public:
+    TrafficShard(boost::asio::io_context &shardContext, std::shared_ptr<FrontCommon> frontCommon, std::uint64_t seed)
+        : context(shardContext)
+        , common(std::move(frontCommon))
+        , router(RouterOptions{.zone = common->options.zone, .policy = common->options.routing}, common->hooks.spendRetry)
+        , random(seed)
+    {
+    }
+    TrafficShard(const TrafficShard &) = delete;
+    TrafficShard &operator=(const TrafficShard &) = delete;
+
+    TimePoint now() const
+    {
+        return common->hooks.now();
+    }
+
+    // The configuration in force; tells the router about a new one. Null while
+    // none is known.
+    std::shared_ptr<const Configuration> configuration()
+    {
+        auto current = common->hooks.configuration();
+        if (current && current != m_configuration) {
+            router.configure(*current);
+            m_configuration = current;
+        }
+        return current;
+    }
+
+    boost::asio::io_context &context;
+    const std::shared_ptr<FrontCommon> common;
+    Classifier classifier;
+    Router router;
+    std::mt19937_64 random;
+    // What a connection reads goes through here at once, so that idle ones need no buffer.
+    std::array<char, 65536> inbox{};
+
+private:
+    std::shared_ptr<const Configuration> m_configuration;
+};
+
+} // namespace egrettide::detail
--- a/src/wire/batchassembler.h
+++ b/src/wire/batchassembler.h
@@ -98,11 +98,12 @@
 };
 
 // Says how the front answers a statement itself: nothing when it is the
-// upstream's, an error when the whole batch has to be refused.
+// upstream's, an error when the whole batch has to be refused. Asked when a
+// statement is prepared and again when it is bound.
 using LocalHook = std::function<tl::expected<std::optional<LocalStatement>, Error>(const std::string &sql)>;
 
-// What a portal or a prepared name stands for. Invariant: one of the two is set,
-// or none for a name that is not in use.
+// What a portal or a prepared name stands for; neither is set for a name that is
+// not in use. `local` goes first: the front answers the statement itself then.
 struct BoundStatement {
     std::shared_ptr<const CallerStatement> statement;
     std::shared_ptr<const LocalStatement> local;
@@ -165,6 +166,8 @@
     // Takes over the names that the answered steps define. Portals last as long
     // as the transaction, so they are dropped when none is open any more.
     void commit(const BatchPlan &plan, std::size_t answeredSteps, bool transactionOpen);
+    // Forgets one prepared statement, as DEALLOCATE does.
+    void forget(std::string_view name);
     // Forgets all prepared statements, as DISCARD ALL and DEALLOCATE ALL do.
     void clear();
     std::size_t size() const;
@@ -177,9 +180,11 @@
 };
 
 // Puts the front's own answers among the upstream's. `answer` is the upstream's
-// whole answer, or empty when the batch never left. Returns InvalidInput when the
-// answer does not fit the batch, which would leave the caller waiting for ever or
-// hand it another answer's rows.
-tl::expected<ComposedAnswer, Error> composeAnswer(const BatchPlan &plan, std::string_view answer, char transactionState);
+// whole answer, or empty when the batch never left; `transactionState` is then
+// asked for the state to report, after the steps have been applied. Returns
+// InvalidInput when the answer does not fit the batch, which would leave the caller
+// waiting for ever or hand it another answer's rows.
+tl::expected<ComposedAnswer, Error> composeAnswer(const BatchPlan &plan, std::string_view answer,
+                                                  const std::function<char()> &transactionState);
 
 } // namespace egrettide::pg
--- a/src/wire/pgwire.cpp
+++ b/src/wire/pgwire.cpp
@@ -82,7 +82,8 @@
         startup.secretKey = *secretKey;
         return startup;
     }
-    if (startup.code != protocolVersion3) {
+    // Any minor version carries its parameters in the same form.
+    if (startup.code >> 16U != protocolVersion3 >> 16U) {
         return startup;
     }
     while (!reader.rest().empty()) {
