--- /dev/null
+++ b/src/runtime/upstreamconnection.cpp
@@ -0,0 +1,474 @@
+// One connection to an upstream.
+
+#include "runtime/upstreamconnection.h"
+
+#include "runtime/groupcontrol.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace egrettide
+{
+
+namespace asio = boost::asio;
+using boost::asio::ip::tcp;
+
+namespace
+{
+
+constexpr std::string_view statusQuery = "SELECT * FROM group_status()";
+// After this many prepared statements a connection is replaced: upstreams keep
+// each one in memory for as long as the connection lives.
+constexpr std::size_t maxPreparedStatements = 2000;
+constexpr std::string_view unknownStatementState = "26000";
+// A cancel request that has not left by then is of no use.
+constexpr milliseconds cancelTimeout{1000};
+
+tl::expected<tcp::endpoint, Error> endpointOf(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    const std::string_view portText = colon == std::string::npos ? std::string_view{} : std::string_view(address).substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto parsed = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    boost::system::error_code failed;
+    const auto ip = asio::ip::make_address(address.substr(0, colon == std::string::npos ? 0 : colon), failed);
+    if (failed || portText.empty() || parsed.ec != std::errc{}) {
+        return tl::unexpected(
+            Error{ErrorKind::InvalidInput, "The upstream address '" + address + "' is not IP:port; correct it in the configuration."});
+    }
+    return tcp::endpoint(ip, port);
+}
+
+// A cancel request on its way; it lives until it is written or too late.
+struct CancelAttempt {
+    explicit CancelAttempt(asio::io_context &context) : socket(context), timer(context)
+    {
+    }
+    tcp::socket socket;
+    asio::steady_timer timer;
+    std::string bytes;
+};
+
+void closeAttempt(const std::shared_ptr<CancelAttempt> &attempt)
+{
+    boost::system::error_code ignored;
+    attempt->socket.close(ignored);
+    attempt->timer.cancel();
+}
+
+std::vector<std::string> columnsOf(std::string_view rowDescription)
+{
+    constexpr std::size_t fieldTailBytes = 18;
+    std::vector<std::string> columns;
+    pg::PayloadReader reader(rowDescription);
+    const auto count = reader.uint16();
+    for (int i = 0; count && i < *count; ++i) {
+        const auto name = reader.cString();
+        if (!name || !reader.bytes(fieldTailBytes)) {
+            break;
+        }
+        columns.emplace_back(*name);
+    }
+    return columns;
+}
+
+} // namespace
+
+std::shared_ptr<UpstreamConnection> UpstreamConnection::create(asio::io_context &context, ConnectionSettings settings)
+{
+    return std::shared_ptr<UpstreamConnection>(new UpstreamConnection(context, std::move(settings)));
+}
+
+UpstreamConnection::UpstreamConnection(asio::io_context &context, ConnectionSettings settings)
+    : m_context(context), m_settings(std::move(settings)), m_socket(context), m_timer(context)
+{
+}
+
+UpstreamConnection::~UpstreamConnection() = default;
+
+void UpstreamConnection::open(TimePoint deadline, OpenHandler handler)
+{
+    m_state = State::Opening;
+    m_openHandler = std::move(handler);
+    armTimer(deadline);
+    const auto endpoint = endpointOf(m_settings.address);
+    if (!endpoint) {
+        asio::post(m_context, [self = shared_from_this(), error = endpoint.error()] { self->finishOpen(tl::unexpected(error)); });
+        return;
+    }
+    m_socket.async_connect(*endpoint, [self = shared_from_this()](const boost::system::error_code &failed) {
+        if (self->m_state != State::Opening) {
+            return;
+        }
+        if (failed) {
+            self->fail(BatchFailure::Reason::Lost, "cannot connect: " + failed.message());
+            return;
+        }
+        self->startLogin();
+    });
+}
+
+void UpstreamConnection::startLogin()
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    std::string startup;
+    pg::appendStartup(
+        startup, {{"user", m_settings.user}, {"database", m_settings.database}, {"application_name", "egrettide"}});
+    enqueueWrite(std::move(startup));
+    readSome();
+}
+
+void UpstreamConnection::armTimer(TimePoint deadline)
+{
+    m_deadline = deadline;
+    m_timer.expires_at(deadline);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &cancelled) {
+        const auto self = weak.lock();
+        if (!cancelled && self) {
+            self->onTimer();
+        }
+    });
+}
+
+void UpstreamConnection::onTimer()
+{
+    const bool waits = m_state == State::Opening || m_state == State::Busy;
+    if (!waits || Clock::now() < m_deadline) {
+        return;
+    }
+    if (m_state == State::Busy) {
+        sendCancel();
+    }
+    fail(BatchFailure::Reason::DeadlineExceeded, "the upstream did not answer in time");
+}
+
+void UpstreamConnection::readSome()
+{
+    m_socket.async_read_some(asio::buffer(m_input),
+                             [self = shared_from_this()](const boost::system::error_code &failed, std::size_t count) {
+                                 if (self->m_state == State::Closed) {
+                                     return;
+                                 }
+                                 if (failed) {
+                                     self->fail(BatchFailure::Reason::Lost, "connection lost: " + failed.message());
+                                     return;
+                                 }
+                                 self->onBytes(count);
+                             });
+}
+
+void UpstreamConnection::onBytes(std::size_t count)
+{
+    m_reader.feed(std::string_view(m_input.data(), count));
+    while (m_state != State::Closed) {
+        auto next = m_reader.next();
+        if (!next) {
+            fail(BatchFailure::Reason::Protocol, next.error().message);
+            return;
+        }
+        if (!next->has_value()) {
+            break;
+        }
+        takeMessage(**next);
+    }
+    if (m_state == State::Closed) {
+        return;
+    }
+    // Only after every buffered message is taken, so that none of them can fall
+    // into the answer of the next batch.
+    if (m_work && m_work->complete) {
+        finishBatch();
+    }
+    if (m_state != State::Closed) {
+        readSome();
+    }
+}
+
+void UpstreamConnection::takeMessage(const pg::Message &message)
+{
+    if (m_state == State::Opening) {
+        takeLoginMessage(message);
+    } else if (m_work && !m_work->answered) {
+        takeBatchMessage(message);
+    } else if (m_work && !m_work->complete) {
+        takeStatusMessage(message);
+    } else {
+        takeIdleMessage(message);
+    }
+}
+
+void UpstreamConnection::takeLoginMessage(const pg::Message &message)
+{
+    pg::PayloadReader reader(message.payload);
+    switch (message.type) {
+    case 'R':
+        if (reader.uint32().value_or(1) != 0) {
+            fail(BatchFailure::Reason::Protocol, "the upstream asks for a password; let egrettide in without one");
+        }
+        break;
+    case 'K':
+        m_processId = reader.uint32().value_or(0);
+        m_secretKey = reader.uint32().value_or(0);
+        break;
+    case 'E': {
+        const auto fields = pg::parseErrorFields(message.payload);
+        fail(BatchFailure::Reason::Lost, "the upstream refused the connection: " + fields.sqlState + " " + fields.text);
+        break;
+    }
+    case 'Z':
+        finishOpen({});
+        break;
+    default:
+        break;
+    }
+}
+
+void UpstreamConnection::takeIdleMessage(const pg::Message &message)
+{
+    const bool harmless = message.type == 'N' || message.type == 'S' || message.type == 'A';
+    if (!harmless) {
+        fail(BatchFailure::Reason::Protocol, "the upstream ended the connection or sent what nobody asked for");
+    }
+}
+
+void UpstreamConnection::takeBatchMessage(const pg::Message &message)
+{
+    Work &work = *m_work;
+    if (message.type == 'A') {
+        return;
+    }
+    if (message.type == 'G' || message.type == 'W') {
+        fail(BatchFailure::Reason::Protocol, "COPY FROM STDIN is not carried; use INSERT");
+        return;
+    }
+    if (message.type == '1' && !work.injectedNames.empty()) {
+        m_prepared.insert(work.injectedNames.front());
+        work.injectedNames.pop_front();
+        return;
+    }
+    const std::string bytes = message.bytes();
+    if (work.answer.bytes.size() + bytes.size() > m_settings.maxAnswerBytes) {
+        sendCancel();
+        fail(BatchFailure::Reason::TooLarge, "the answer is larger than this host buffers; ask for fewer rows at a time");
+        return;
+    }
+    work.answer.bytes += bytes;
+    noteBatchMessage(message);
+}
+
+void UpstreamConnection::noteBatchMessage(const pg::Message &message)
+{
+    Work &work = *m_work;
+    if (message.type == 'E') {
+        // After an error the upstream skips the rest up to the Sync, injected
+        // Parses included.
+        work.injectedNames.clear();
+        if (work.answer.sqlState.empty()) {
+            work.answer.sqlState = pg::parseErrorFields(message.payload).sqlState;
+        }
+        if (work.answer.sqlState == unknownStatementState) {
+            m_prepared.clear();
+        }
+    } else if (message.type == 'C' && work.answer.sqlState.empty()) {
+        ++work.answer.completedStatements;
+    } else if (message.type == 'Z') {
+        m_transactionState = message.payload.empty() ? 'I' : message.payload.front();
+        work.answer.state = m_transactionState;
+        work.answered = true;
+        work.complete = !work.order.askStatus;
+    }
+}
+
+void UpstreamConnection::takeStatusMessage(const pg::Message &message)
+{
+    Work &work = *m_work;
+    if (message.type == 'T') {
+        work.statusColumns = columnsOf(message.payload);
+    } else if (message.type == 'D') {
+        const auto values = pg::parseDataRow(message.payload);
+        work.answer.status = values ? memberStatusFromRow(work.statusColumns, *values) : std::nullopt;
+    } else if (message.type == 'Z') {
+        m_transactionState = message.payload.empty() ? 'I' : message.payload.front();
+        work.complete = true;
+    }
+}
+
+void UpstreamConnection::finishOpen(tl::expected<void, Error> result)
+{
+    m_timer.cancel();
+    if (result) {
+        m_state = State::Idle;
+    }
+    const OpenHandler handler = std::exchange(m_openHandler, nullptr);
+    if (!result) {
+        close();
+    }
+    if (handler) {
+        handler(std::move(result));
+    }
+}
+
+void UpstreamConnection::run(BatchOrder order, BatchHandler handler)
+{
+    if (!usable()) {
+        asio::post(m_context, [handler = std::move(handler)] {
+            handler(tl::unexpected(BatchFailure{BatchFailure::Reason::Lost, false, "the connection is closed"}));
+        });
+        return;
+    }
+    m_state = State::Busy;
+    m_work = std::make_unique<Work>();
+    m_work->order = std::move(order);
+    m_work->handler = std::move(handler);
+    std::string out;
+    for (const PreparedStatement &statement : m_work->order.prepared) {
+        if (!m_prepared.contains(statement.name)) {
+            out += statement.parseMessage;
+            m_work->injectedNames.push_back(statement.name);
+        }
+    }
+    out += m_work->order.batch;
+    if (m_work->order.askStatus) {
+        pg::appendQuery(out, statusQuery);
+    }
+    armTimer(m_work->order.deadline);
+    enqueueWrite(std::move(out));
+}
+
+void UpstreamConnection::finishBatch()
+{
+    m_timer.cancel();
+    m_state = State::Idle;
+    const std::unique_ptr<Work> work = std::move(m_work);
+    work->handler(std::move(work->answer));
+}
+
+void UpstreamConnection::fail(BatchFailure::Reason reason, const std::string &message)
+{
+    if (m_state == State::Closed) {
+        return;
+    }
+    const bool wasIdle = m_state == State::Idle;
+    const OpenHandler openHandler = std::exchange(m_openHandler, nullptr);
+    const std::unique_ptr<Work> work = std::move(m_work);
+    const auto keepAlive = shared_from_this();
+    close();
+    if (openHandler) {
+        openHandler(tl::unexpected(Error{ErrorKind::NoPrimary, "The upstream at " + m_settings.address + " " + message + "; retry."}));
+    }
+    if (work) {
+        work->handler(tl::unexpected(BatchFailure{reason, true, message}));
+    }
+    if (wasIdle && m_idleLoss) {
+        std::exchange(m_idleLoss, nullptr)();
+    }
+}
+
+void UpstreamConnection::giveUp()
+{
+    if (m_state == State::Busy) {
+        sendCancel();
+    }
+    fail(BatchFailure::Reason::GivenUp, "the request was given up");
+}
+
+void UpstreamConnection::close()
+{
+    if (m_state == State::Closed) {
+        return;
+    }
+    // A batch may not lose its handler: whoever closes a busy connection gives
+    // the batch up.
+    if (m_work) {
+        giveUp();
+        return;
+    }
+    m_state = State::Closed;
+    m_timer.cancel();
+    boost::system::error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+}
+
+void UpstreamConnection::enqueueWrite(std::string bytes)
+{
+    m_output.push_back(std::move(bytes));
+    if (m_output.size() == 1) {
+        writeNext();
+    }
+}
+
+void UpstreamConnection::writeNext()
+{
+    asio::async_write(m_socket, asio::buffer(m_output.front()),
+                      [self = shared_from_this()](const boost::system::error_code &failed, std::size_t) {
+                          if (self->m_state == State::Closed) {
+                              return;
+                          }
+                          if (failed) {
+                              self->fail(BatchFailure::Reason::Lost, "connection lost: " + failed.message());
+                              return;
+                          }
+                          self->m_output.pop_front();
+                          if (!self->m_output.empty()) {
+                              self->writeNext();
+                          }
+                      });
+}
+
+void UpstreamConnection::sendCancel()
+{
+    const auto endpoint = endpointOf(m_settings.address);
+    if (m_processId == 0 || !endpoint) {
+        return;
+    }
+    const auto attempt = std::make_shared<CancelAttempt>(m_context);
+    pg::appendCancelRequest(attempt->bytes, m_processId, m_secretKey);
+    attempt->timer.expires_after(cancelTimeout);
+    attempt->timer.async_wait([weak = std::weak_ptr<CancelAttempt>(attempt)](const boost::system::error_code &cancelled) {
+        const auto late = weak.lock();
+        if (!cancelled && late) {
+            closeAttempt(late);
+        }
+    });
+    attempt->socket.async_connect(*endpoint, [attempt](const boost::system::error_code &failed) {
+        if (failed) {
+            closeAttempt(attempt);
+            return;
+        }
+        asio::async_write(attempt->socket, asio::buffer(attempt->bytes),
+                          [attempt](const boost::system::error_code &, std::size_t) { closeAttempt(attempt); });
+    });
+}
+
+bool UpstreamConnection::usable() const
+{
+    return m_state == State::Idle && m_prepared.size() < maxPreparedStatements;
+}
+
+bool UpstreamConnection::busy() const
+{
+    return m_state == State::Busy;
+}
+
+bool UpstreamConnection::isOpen() const
+{
+    return m_state != State::Closed && m_state != State::New;
+}
+
+char UpstreamConnection::transactionState() const
+{
+    return m_transactionState;
+}
+
+void UpstreamConnection::onIdleLoss(std::function<void()> handler)
+{
+    m_idleLoss = std::move(handler);
+}
+
+} // namespace egrettide
--- a/src/runtime/upstreamconnection.h
+++ b/src/runtime/upstreamconnection.h
@@ -16,6 +16,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -115,13 +116,13 @@
         BatchOrder order;
         BatchHandler handler;
         BatchAnswer answer;
-        // ParseComplete messages still to be dropped from the front of the answer.
-        std::size_t injectedParses = 0;
-        std::vector<std::string> injectedNames;
+        // Injected Parses whose ParseComplete is still to be dropped, in order.
+        std::deque<std::string> injectedNames;
         // True once the batch's own ReadyForQuery is in.
         bool answered = false;
         std::vector<std::string> statusColumns;
-        std::size_t received = 0;
+        // True once everything that was asked for is in.
+        bool complete = false;
     };
 
     UpstreamConnection(boost::asio::io_context &context, ConnectionSettings settings);
@@ -130,15 +131,17 @@
     void startLogin();
     void readSome();
     void onBytes(std::size_t count);
-    // True while further messages may be read.
-    bool takeMessage(const pg::Message &message);
-    bool takeLoginMessage(const pg::Message &message);
-    bool takeBatchMessage(const pg::Message &message);
-    bool takeStatusMessage(const pg::Message &message);
+    void takeMessage(const pg::Message &message);
+    void takeLoginMessage(const pg::Message &message);
+    void takeBatchMessage(const pg::Message &message);
+    void noteBatchMessage(const pg::Message &message);
+    void takeStatusMessage(const pg::Message &message);
+    void takeIdleMessage(const pg::Message &message);
     void finishOpen(tl::expected<void, Error> result);
     void finishBatch();
     void fail(BatchFailure::Reason reason, const std::string &message);
-    void writeBytes(std::shared_ptr<std::string> bytes);
+    void enqueueWrite(std::string bytes);
+    void writeNext();
     void sendCancel();
 
     boost::asio::io_context &m_context;
@@ -146,8 +149,12 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     State m_state = State::New;
+    // When the opening or the batch in progress is given up.
+    TimePoint m_deadline;
     pg::FrameReader m_reader;
     std::array<char, 16384> m_input{};
+    // Invariant: the front one is being written.
+    std::deque<std::string> m_output;
     OpenHandler m_openHandler;
     std::function<void()> m_idleLoss;
     // Invariant: set exactly while m_state is Busy.
