--- a/src/runtime/groupcontrol.h
+++ b/src/runtime/groupcontrol.h
@@ -7,40 +7,43 @@
 
 #include "egrettide/core/configuration.h"
 #include "egrettide/core/error.h"
+#include "egrettide/core/failuredetector.h"
+#include "egrettide/core/promoter.h"
 #include "egrettide/core/types.h"
 #include "runtime/upstreamconnection.h"
 
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace egrettide
 {
 
-// The answer to fence, promote or follow.
-struct ControlAnswer {
-    bool granted = false;
-    MemberStatus status;
+// Why a control call has no answer. It says nothing about whether the upstream
+// acted: the functions are idempotent for one token, so the caller may repeat.
+struct ControlFailure {
+    ProbeFailure failure = ProbeFailure::Timeout;
+    std::string message;
 };
 
-using StatusHandler = std::function<void(tl::expected<MemberStatus, Error>)>;
-using ControlHandler = std::function<void(tl::expected<ControlAnswer, Error>)>;
+using StatusHandler = std::function<void(tl::expected<MemberStatus, ControlFailure>)>;
+using ControlHandler = std::function<void(tl::expected<ControlAnswer, ControlFailure>)>;
 
 // The four control functions. Each handler is called exactly once, at the latest
-// at the deadline. An error says nothing about whether the upstream acted: the
-// functions are idempotent for one token, so the caller may repeat them.
+// at the deadline, and never from within the call.
 struct GroupControlHooks {
     std::function<void(const std::string &upstream, TimePoint deadline, StatusHandler)> status;
     std::function<void(const std::string &upstream, Term term, const std::string &token, TimePoint deadline, ControlHandler)>
         fence;
     std::function<void(const std::string &upstream, Term term, const std::string &token, TimePoint deadline, ControlHandler)>
         promote;
-    std::function<void(const std::string &upstream, Term term, const std::string &token, const std::string &primaryAddress,
+    // `primary` names the upstream to follow.
+    std::function<void(const std::string &upstream, Term term, const std::string &token, const std::string &primary,
                        TimePoint deadline, ControlHandler)>
         follow;
 };
@@ -55,28 +58,31 @@
 class GroupControl
 {
 public:
-    GroupControl(boost::asio::io_context &context, DatabaseSpec database);
+    GroupControl(boost::asio::io_context &context, const DatabaseSpec &database, const std::string &user);
     ~GroupControl();
     GroupControl(const GroupControl &) = delete;
     GroupControl &operator=(const GroupControl &) = delete;
 
     // Connections of upstreams that are gone or have moved are closed.
     void update(const DatabaseSpec &database);
+    // Ends every call with a failure.
+    void close();
+    // Valid for as long as this object.
     GroupControlHooks hooks();
 
-    void status(const std::string &upstream, TimePoint deadline, StatusHandler handler);
-    void fence(const std::string &upstream, Term term, const std::string &token, TimePoint deadline, ControlHandler handler);
-    void promote(const std::string &upstream, Term term, const std::string &token, TimePoint deadline, ControlHandler handler);
-    void follow(const std::string &upstream, Term term, const std::string &token, const std::string &primaryAddress,
-                TimePoint deadline, ControlHandler handler);
-
 private:
-    struct Channel;
+    class Channel;
     void call(const std::string &upstream, const std::string &sql, TimePoint deadline, ControlHandler handler);
+    void status(const std::string &upstream, TimePoint deadline, StatusHandler handler);
+    void follow(const std::string &upstream, Term term, const std::string &token, const std::string &primary, TimePoint deadline,
+                ControlHandler handler);
 
     boost::asio::io_context &m_context;
+    const std::string m_user;
     std::string m_database;
-    // One for each upstream of the database.
+    // "IP:port" by upstream.
+    std::map<std::string, std::string> m_addresses;
+    // One for each upstream of m_addresses.
     std::map<std::string, std::shared_ptr<Channel>> m_channels;
 };
 
--- a/src/runtime/upstreamconnection.cpp
+++ b/src/runtime/upstreamconnection.cpp
@@ -25,20 +25,22 @@
 // each one in memory for as long as the connection lives.
 constexpr std::size_t maxPreparedStatements = 2000;
 constexpr std::string_view unknownStatementState = "26000";
+constexpr std::string_view tooManyConnectionsState = "53300";
 // A cancel request that has not left by then is of no use.
 constexpr milliseconds cancelTimeout{1000};
 
 tl::expected<tcp::endpoint, Error> endpointOf(const std::string &address)
 {
     const auto colon = address.rfind(':');
-    const std::string_view portText = colon == std::string::npos ? std::string_view{} : std::string_view(address).substr(colon + 1);
+    const std::string_view portText =
+        colon == std::string::npos ? std::string_view{} : std::string_view(address).substr(colon + 1);
     std::uint16_t port = 0;
     const auto parsed = std::from_chars(portText.data(), portText.data() + portText.size(), port);
     boost::system::error_code failed;
     const auto ip = asio::ip::make_address(address.substr(0, colon == std::string::npos ? 0 : colon), failed);
     if (failed || portText.empty() || parsed.ec != std::errc{}) {
-        return tl::unexpected(
-            Error{ErrorKind::InvalidInput, "The upstream address '" + address + "' is not IP:port; correct it in the configuration."});
+        return tl::unexpected(Error{ErrorKind::InvalidInput,
+                                    "The upstream address '" + address + "' is not IP:port; correct it in the configuration."});
     }
     return tcp::endpoint(ip, port);
 }
@@ -105,7 +107,8 @@
             return;
         }
         if (failed) {
-            self->fail(BatchFailure::Reason::Lost, "cannot connect: " + failed.message());
+            self->m_lossKind = ProbeFailure::Refused;
+            self->fail(BatchFailure::Reason::Lost, "cannot be connected to (" + failed.message() + ")");
             return;
         }
         self->startLogin();
@@ -117,8 +120,7 @@
     boost::system::error_code ignored;
     m_socket.set_option(tcp::no_delay(true), ignored);
     std::string startup;
-    pg::appendStartup(
-        startup, {{"user", m_settings.user}, {"database", m_settings.database}, {"application_name", "egrettide"}});
+    pg::appendStartup(startup, {{"user", m_settings.user}, {"database", m_settings.database}, {"application_name", "egrettide"}});
     enqueueWrite(std::move(startup));
     readSome();
 }
@@ -144,7 +146,9 @@
     if (m_state == State::Busy) {
         sendCancel();
     }
-    fail(BatchFailure::Reason::DeadlineExceeded, "the upstream did not answer in time");
+    m_lossKind = ProbeFailure::Timeout;
+    m_refusalKind = ErrorKind::DeadlineExceeded;
+    fail(BatchFailure::Reason::DeadlineExceeded, "did not answer in time");
 }
 
 void UpstreamConnection::readSome()
@@ -155,7 +159,7 @@
                                      return;
                                  }
                                  if (failed) {
-                                     self->fail(BatchFailure::Reason::Lost, "connection lost: " + failed.message());
+                                     self->fail(BatchFailure::Reason::Lost, "closed the connection (" + failed.message() + ")");
                                      return;
                                  }
                                  self->onBytes(count);
@@ -208,7 +212,7 @@
     switch (message.type) {
     case 'R':
         if (reader.uint32().value_or(1) != 0) {
-            fail(BatchFailure::Reason::Protocol, "the upstream asks for a password; let egrettide in without one");
+            fail(BatchFailure::Reason::Protocol, "asks for a password; let egrettide in without one");
         }
         break;
     case 'K':
@@ -217,7 +221,10 @@
         break;
     case 'E': {
         const auto fields = pg::parseErrorFields(message.payload);
-        fail(BatchFailure::Reason::Lost, "the upstream refused the connection: " + fields.sqlState + " " + fields.text);
+        const bool full = fields.sqlState == tooManyConnectionsState;
+        m_refusalKind = full ? ErrorKind::ConnectionLimit : ErrorKind::NoPrimary;
+        m_lossKind = ProbeFailure::Refused;
+        fail(BatchFailure::Reason::Lost, "refused the connection: " + fields.sqlState + " " + fields.text);
         break;
     }
     case 'Z':
@@ -232,7 +239,7 @@
 {
     const bool harmless = message.type == 'N' || message.type == 'S' || message.type == 'A';
     if (!harmless) {
-        fail(BatchFailure::Reason::Protocol, "the upstream ended the connection or sent what nobody asked for");
+        fail(BatchFailure::Reason::Protocol, "ended the connection or sent what nobody asked for");
     }
 }
 
@@ -243,7 +250,7 @@
         return;
     }
     if (message.type == 'G' || message.type == 'W') {
-        fail(BatchFailure::Reason::Protocol, "COPY FROM STDIN is not carried; use INSERT");
+        fail(BatchFailure::Reason::Protocol, "started COPY FROM STDIN, which is not carried; use INSERT");
         return;
     }
     if (message.type == '1' && !work.injectedNames.empty()) {
@@ -251,16 +258,29 @@
         work.injectedNames.pop_front();
         return;
     }
+    if (work.order.keepRow) {
+        keepRow(message);
+    }
     const std::string bytes = message.bytes();
     if (work.answer.bytes.size() + bytes.size() > m_settings.maxAnswerBytes) {
         sendCancel();
-        fail(BatchFailure::Reason::TooLarge, "the answer is larger than this host buffers; ask for fewer rows at a time");
+        fail(BatchFailure::Reason::TooLarge, "sent an answer larger than this host buffers; ask for fewer rows at a time");
         return;
     }
     work.answer.bytes += bytes;
     noteBatchMessage(message);
 }
 
+void UpstreamConnection::keepRow(const pg::Message &message)
+{
+    BatchAnswer &answer = m_work->answer;
+    if (message.type == 'T') {
+        answer.columns = columnsOf(message.payload);
+    } else if (message.type == 'D') {
+        answer.row = pg::parseDataRow(message.payload).value_or(std::vector<std::optional<std::string>>{});
+    }
+}
+
 void UpstreamConnection::noteBatchMessage(const pg::Message &message)
 {
     Work &work = *m_work;
@@ -317,7 +337,7 @@
 {
     if (!usable()) {
         asio::post(m_context, [handler = std::move(handler)] {
-            handler(tl::unexpected(BatchFailure{BatchFailure::Reason::Lost, false, "the connection is closed"}));
+            handler(tl::unexpected(BatchFailure{BatchFailure::Reason::Lost, false, "has its connection closed"}));
         });
         return;
     }
@@ -333,6 +353,7 @@
         }
     }
     out += m_work->order.batch;
+    m_work->answered = m_work->order.batch.empty();
     if (m_work->order.askStatus) {
         pg::appendQuery(out, statusQuery);
     }
@@ -354,18 +375,20 @@
         return;
     }
     const bool wasIdle = m_state == State::Idle;
+    const auto idleLoss = std::exchange(m_idleLoss, nullptr);
     const OpenHandler openHandler = std::exchange(m_openHandler, nullptr);
     const std::unique_ptr<Work> work = std::move(m_work);
     const auto keepAlive = shared_from_this();
     close();
     if (openHandler) {
-        openHandler(tl::unexpected(Error{ErrorKind::NoPrimary, "The upstream at " + m_settings.address + " " + message + "; retry."}));
+        openHandler(tl::unexpected(
+            Error{m_refusalKind, "The upstream at " + m_settings.address + " " + message + "; retry once it is well."}));
     }
     if (work) {
         work->handler(tl::unexpected(BatchFailure{reason, true, message}));
     }
-    if (wasIdle && m_idleLoss) {
-        std::exchange(m_idleLoss, nullptr)();
+    if (wasIdle && idleLoss) {
+        idleLoss();
     }
 }
 
@@ -374,7 +397,7 @@
     if (m_state == State::Busy) {
         sendCancel();
     }
-    fail(BatchFailure::Reason::GivenUp, "the request was given up");
+    fail(BatchFailure::Reason::GivenUp, "was given up");
 }
 
 void UpstreamConnection::close()
@@ -389,6 +412,8 @@
         return;
     }
     m_state = State::Closed;
+    m_openHandler = nullptr;
+    m_idleLoss = nullptr;
     m_timer.cancel();
     boost::system::error_code ignored;
     m_socket.shutdown(tcp::socket::shutdown_both, ignored);
@@ -411,7 +436,7 @@
                               return;
                           }
                           if (failed) {
-                              self->fail(BatchFailure::Reason::Lost, "connection lost: " + failed.message());
+                              self->fail(BatchFailure::Reason::Lost, "closed the connection (" + failed.message() + ")");
                               return;
                           }
                           self->m_output.pop_front();
@@ -451,6 +476,11 @@
     return m_state == State::Idle && m_prepared.size() < maxPreparedStatements;
 }
 
+ProbeFailure UpstreamConnection::lossKind() const
+{
+    return m_lossKind;
+}
+
 bool UpstreamConnection::busy() const
 {
     return m_state == State::Busy;
--- a/src/runtime/upstreamconnection.h
+++ b/src/runtime/upstreamconnection.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "egrettide/core/error.h"
+#include "egrettide/core/failuredetector.h"
 #include "egrettide/core/request.h"
 #include "egrettide/core/types.h"
 #include "wire/pgwire.h"
@@ -40,13 +41,15 @@
 
 // What a connection is asked to run.
 struct BatchOrder {
-    // Ends in exactly one Query or Sync.
+    // Ends in exactly one Query or Sync. Empty to ask for the status alone.
     std::string batch;
     // Parsed first where this connection does not have them yet.
     std::vector<PreparedStatement> prepared;
     // True to ask for the upstream's status right behind the batch, in the same
     // round trip.
     bool askStatus = false;
+    // True to hand out the last row as values, too.
+    bool keepRow = false;
     // When the batch is given up and the connection is closed.
     TimePoint deadline;
 };
@@ -61,6 +64,10 @@
     std::string sqlState;
     // Statements that completed before the first error.
     std::size_t completedStatements = 0;
+    // The columns and the last row of the batch's last result, kept for control
+    // calls alone (BatchOrder::keepRow).
+    std::vector<std::string> columns;
+    std::vector<std::optional<std::string>> row;
     // The upstream's own status taken after the batch, when it was asked for and
     // could be read.
     std::optional<MemberStatus> status;
@@ -107,6 +114,8 @@
     bool isOpen() const;
     // State of the last ReadyForQuery.
     char transactionState() const;
+    // How a lost connection was lost, for the failure detector.
+    ProbeFailure lossKind() const;
     // Called once when the connection is lost while nothing runs on it.
     void onIdleLoss(std::function<void()> handler);
 
@@ -134,6 +143,7 @@
     void takeMessage(const pg::Message &message);
     void takeLoginMessage(const pg::Message &message);
     void takeBatchMessage(const pg::Message &message);
+    void keepRow(const pg::Message &message);
     void noteBatchMessage(const pg::Message &message);
     void takeStatusMessage(const pg::Message &message);
     void takeIdleMessage(const pg::Message &message);
@@ -162,6 +172,9 @@
     // Names of prepared statements that the upstream confirmed on this connection.
     std::set<std::string, std::less<>> m_prepared;
     char m_transactionState = 'I';
+    ProbeFailure m_lossKind = ProbeFailure::Reset;
+    // What a failed opening is reported as.
+    ErrorKind m_refusalKind = ErrorKind::NoPrimary;
     std::uint32_t m_processId = 0;
     std::uint32_t m_secretKey = 0;
 };
--- a/src/runtime/upstreamhome.h
+++ b/src/runtime/upstreamhome.h
@@ -5,11 +5,13 @@
 
 #pragma once
 
+#include "egrettide/core/commitgate.h"
 #include "egrettide/core/configuration.h"
+#include "egrettide/core/connectionbudget.h"
+#include "egrettide/core/freshnessgate.h"
 #include "egrettide/core/request.h"
+#include "egrettide/core/slotscheduler.h"
 #include "egrettide/core/types.h"
-#include "runtime/groupobserver.h"
-#include "runtime/upstreamconnection.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,26 +23,44 @@
 namespace egrettide
 {
 
+// Switches mechanisms off so that tests can show that each one is needed. All
+// false in production.
+struct UpstreamHomeFaults {
+    // Acknowledges a write on the upstream's own word.
+    bool skipConfirmation = false;
+    // Runs reads without asking whether the upstream is fresh enough.
+    bool skipFreshness = false;
+};
+
 // Bounds of a home.
 struct UpstreamHomeSettings {
     std::string upstreamUser = "egrettide";
-    // Names the run of this host: transaction ids of an earlier run never match.
+    // Transaction ids of one run of a host must not match those of another: start
+    // from a random number.
     std::uint64_t firstTransaction = 1;
     // A transaction that sends nothing for this long is rolled back: it holds
     // locks and one of few connections.
     milliseconds idleTransactionTimeout{60000};
     milliseconds openTimeout{2000};
-    // Connections of the upstream left free for control calls of all hosts.
-    int controlConnections = 6;
-    // Idle connections kept open.
-    int warmConnections = 2;
+    // How long a write that a replaced primary has not answered is still waited for.
+    milliseconds replacedPrimaryPatience{300};
+    ConnectionBudgetOptions budget;
+    SlotSchedulerOptions scheduler;
+    GateOptions gate;
+    UpstreamHomeFaults faults;
 };
 
+using CommitHandler = std::function<void(CommitOutcome)>;
+
 struct UpstreamHomeHooks {
-    // Confirms a commit; the handler may be called from any thread.
-    std::function<void(LogMark mark, TimePoint deadline, GroupObserver::CommitHandler)> awaitCommit;
-    // Somebody waits for a newer snapshot until `deadline`.
-    std::function<void(TimePoint deadline)> hurry;
+    // Confirms a commit that was sent under a term and after which the upstream
+    // gave this status; the handler may be called from any thread.
+    std::function<void(Term sentUnder, const MemberStatus &after, TimePoint deadline, CommitHandler handler)> awaitCommit;
+    // Somebody waits for a newer snapshot until then.
+    std::function<void(TimePoint until)> hurry;
+    // A drained home holds no data connection any more: its successor may take
+    // the whole share.
+    std::function<void(const HandBack &handBack)> handedBack;
 };
 
 // Counters since the start, and what is in use now.
@@ -60,13 +80,11 @@
 };
 
 // Used from the thread of its io_context alone.
-class UpstreamHome : public std::enable_shared_from_this<UpstreamHome>
+class UpstreamHome
 {
 public:
-    static std::shared_ptr<UpstreamHome> create(boost::asio::io_context &context,
-                                                std::shared_ptr<const Configuration> configuration, const std::string &database,
-                                                const std::string &upstream, UpstreamHomeSettings settings,
-                                                UpstreamHomeHooks hooks);
+    UpstreamHome(boost::asio::io_context &context, std::shared_ptr<const Configuration> configuration, const std::string &database,
+                 const std::string &upstream, const UpstreamHomeSettings &settings, UpstreamHomeHooks hooks);
     ~UpstreamHome();
     UpstreamHome(const UpstreamHome &) = delete;
     UpstreamHome &operator=(const UpstreamHome &) = delete;
@@ -76,32 +94,38 @@
     // cancel and abandonFront.
     void execute(StatementRequest request, const std::string &frontKey, ReplyHandler handler);
     // Gives a request up: not run when it was not sent yet, else the upstream is
-    // asked to cancel and the outcome is unknown (reads: not run).
+    // asked to cancel it and the outcome is unknown (reads: not run).
     void cancel(const std::string &frontKey, std::uint64_t id);
     // The front is gone: its requests are given up, its transactions rolled back.
     void abandonFront(const std::string &frontKey);
 
-    void onSnapshot(std::shared_ptr<const GroupSnapshot> snapshot);
+    void onSnapshot(const std::shared_ptr<const GroupSnapshot> &snapshot);
+    // Ends the home's work when the upstream is no longer configured.
     void update(std::shared_ptr<const Configuration> configuration);
 
-    // New writes queue from now on; `quiet` is called once no write and no
-    // transaction is in progress.
-    void pauseWrites(std::function<void()> quiet);
+    // New writes queue from now on; `progress` gets the number of writes and
+    // transactions still in progress, now and whenever it changes.
+    void pauseWrites(std::function<void(std::size_t open)> progress);
     // Queued writes run, or are answered Moved when the primary changed.
     void resumeWrites();
 
     // Takes nothing new but batches of open transactions; `drained` is called
     // once nothing is in progress and the connections are closed.
     void drain(std::function<void()> drained);
+    // Ends a drain: this host is home again.
+    void takeBack();
     // Gives everything up at once.
     void close();
 
+    // What other hosts say about the place of home; see ConnectionBudget.
+    void confirmedHome();
+    void handedBack(const HandBack &handBack);
+    void onClockGap();
+
     UpstreamHomeStats stats() const;
 
 private:
     class Impl;
-    explicit UpstreamHome(std::shared_ptr<Impl> impl);
-
     std::shared_ptr<Impl> m_impl;
 };
 
