--- a/src/runtime/groupobserver.h
+++ b/src/runtime/groupobserver.h
@@ -6,9 +6,12 @@
 
 #pragma once
 
+#include "egrettide/core/commitgate.h"
 #include "egrettide/core/configuration.h"
 #include "egrettide/core/error.h"
-#include "egrettide/core/request.h"
+#include "egrettide/core/groupmonitor.h"
+#include "egrettide/core/promoter.h"
+#include "egrettide/core/switchover.h"
 #include "egrettide/core/types.h"
 #include "runtime/groupcontrol.h"
 
@@ -19,115 +22,115 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
-#include <vector>
 
 namespace egrettide
 {
 
-// What became of a commit that waits for its confirmation.
-enum class CommitResult {
-    // A majority holds it under its own term: it survives any promotion.
-    Confirmed,
-    // The group moved to a higher term first; the commit may or may not survive.
-    LostPrimary,
-    // No majority was heard of in time.
-    Expired,
-};
-
-// The store's record of a group: a hint that lasts, never the proof.
-struct GroupRecord {
-    Term term = 0;
+// What one home asks another one before it promotes: do you, too, hold that the
+// group needs a new primary?
+struct OpinionQuestion {
+    std::string database;
+    // The upstream whose home is asked.
+    std::string home;
+    // The suspected primary, empty when there is none, and its term.
     std::string primary;
-    // Who holds or held the claim to promote at `term`.
-    std::string token;
+    Term term = 0;
 };
 
 // What the observer needs from the rest of the daemon. All hooks are called on
 // the control thread and must not block; their handlers may be called from any
-// thread, once each. Unset hooks count as "no answer".
+// thread. An unset hook counts as one that never answers.
 struct GroupObserverHooks {
-    // A new snapshot; called on the control thread.
+    // A new snapshot.
     std::function<void(std::shared_ptr<const GroupSnapshot>)> published;
-    // Asks the other homes of the group whether they suspect `upstream` too. The
-    // handler gets how many of the `asked` others agree; `asked` includes homes
-    // that did not answer.
-    std::function<void(const std::string &database, const std::string &upstream, TimePoint deadline,
-                       std::function<void(std::size_t agreeing, std::size_t asked)>)>
-        askOpinions;
-    // Writes the claim to promote at `claim.term` by compare-and-set. The handler
-    // gets the record now in force (the claim itself when it won), or an error
-    // when the store did not answer.
-    std::function<void(const std::string &database, const GroupRecord &claim, TimePoint deadline,
-                       std::function<void(tl::expected<GroupRecord, Error>)>)>
-        claim;
-    // Writes down a finished promotion, best effort.
-    std::function<void(const std::string &database, const GroupRecord &record)> record;
+    // Asks the home of `question.home` on another host. The handler need not be
+    // called when no answer comes by `deadline`.
+    std::function<void(const OpinionQuestion &question, TimePoint deadline, std::function<void(bool agrees)> handler)> askOpinion;
+    // Reads the group's record; nothing when the store did not answer by
+    // `deadline`, an empty record of version 0 when there is none.
+    std::function<void(const std::string &database, TimePoint deadline,
+                       std::function<void(const std::optional<VersionedRecord> &)> handler)>
+        readRecord;
+    // Writes the record if it still has `expectedVersion`.
+    std::function<void(const std::string &database, std::uint64_t expectedVersion, const GroupRecord &record, TimePoint deadline,
+                       std::function<void(const ClaimAnswer &)> handler)>
+        claimRecord;
+    // Writes down a finished promotion if the record still has `expectedVersion`,
+    // best effort.
+    std::function<void(const std::string &database, std::uint64_t expectedVersion, const GroupRecord &record)> writeRecord;
     // Tells the other hosts of a finished promotion, best effort.
     std::function<void(const std::string &database, Term term, const std::string &primary)> announce;
-    // Pauses or resumes new writes at the home of the group's primary; `paused`
-    // is followed by a call of the handler once no write is in progress.
-    std::function<void(const std::string &upstream, std::function<void()> quiet)> pauseWrites;
+    // Holds back new writes at the home of `upstream` on this host. `progress`
+    // gets the number of writes and transactions in progress, now and whenever it
+    // changes, until writes are resumed.
+    std::function<void(const std::string &upstream, std::function<void(std::size_t open)> progress)> pauseWrites;
     std::function<void(const std::string &upstream)> resumeWrites;
+    // The clock of this process had a gap.
+    std::function<void()> clockGap;
 };
 
-// Rhythm of an observer.
 struct GroupObserverSettings {
-    // Names this host in promises; must be unique among running hosts.
-    std::string hostName;
-    // Between rounds while nobody waits for one.
-    milliseconds idleInterval{100};
-    // Between rounds while commits or reads wait.
-    milliseconds busyInterval{2};
-    // After which a probe counts as lost.
+    // Unique among hosts and among starts of one host; see PromoterIdentity.
+    std::string incarnation;
+    // The user of control connections.
+    std::string upstreamUser = "egrettide";
+    // After which a probe counts as lost, whatever the monitor says.
     milliseconds probeTimeout{1000};
-    // A timer that fires this much later than asked means that the host slept.
+    // The bound on one fence, promote or follow call.
+    milliseconds controlTimeout{500};
+    // The bounds on answers of the store and of other homes.
+    milliseconds storeTimeout{200};
+    milliseconds opinionTimeout{300};
+    // A timer that fires this much late means that the process stood still.
     milliseconds clockGap{500};
-    std::uint32_t seed = 1;
+    std::uint64_t seed = 1;
+    GroupMonitorOptions monitor;
+    PromoterOptions promoter;
+    SwitchoverOptions switchover;
+    CommitGateFaults commitFaults;
 };
 
 // Used from the control thread, but for the calls that say otherwise.
-class GroupObserver : public std::enable_shared_from_this<GroupObserver>
+class GroupObserver
 {
 public:
-    using CommitHandler = std::function<void(CommitResult)>;
+    using CommitHandler = std::function<void(CommitOutcome)>;
+    using DoneHandler = std::function<void(tl::expected<void, Error>)>;
 
-    static std::shared_ptr<GroupObserver> create(boost::asio::io_context &control, DatabaseSpec database,
-                                                 GroupObserverSettings settings, GroupObserverHooks hooks);
+    // `homes` are the upstreams of the group whose home this host is; not empty.
+    GroupObserver(boost::asio::io_context &control, const DatabaseSpec &database, const std::set<std::string> &homes,
+                  const GroupObserverSettings &settings, GroupObserverHooks hooks);
     ~GroupObserver();
     GroupObserver(const GroupObserver &) = delete;
     GroupObserver &operator=(const GroupObserver &) = delete;
 
     void start();
-    // Ends all rounds; commits that wait are answered Expired.
+    // Ends all rounds; commits that wait are answered LostPrimary, as unknown.
     void stop();
-    void update(const DatabaseSpec &database);
-
-    // From any thread: `handler` is called once on the control thread, at the
-    // latest shortly after `deadline`.
-    void awaitCommit(LogMark mark, TimePoint deadline, CommitHandler handler);
-    // From any thread: somebody waits for a newer view until `deadline`.
-    void hurry(TimePoint deadline);
+    void update(const DatabaseSpec &database, const std::set<std::string> &homes);
+
+    // From any thread: holds an answer, see CommitGate::add. `handler` is called
+    // once on the control thread, at the latest shortly after `deadline`.
+    void awaitCommit(Term sentUnder, const MemberStatus &after, TimePoint deadline, CommitHandler handler);
+    // From any thread: somebody waits for a newer view until then.
+    void hurry(TimePoint until);
+    // From any thread: the newest snapshot, never null.
+    std::shared_ptr<const GroupSnapshot> snapshot() const;
 
     // This host's own opinion, for other homes that ask.
-    bool suspects(const std::string &upstream) const;
-    // Another host finished a promotion: a round starts at once.
+    bool agrees(const OpinionQuestion &question) const;
+    // Another host finished a promotion: writes go there at once, and a round
+    // starts that proves it or not.
     void onAnnounce(Term term, const std::string &primary);
-    // Moves the primary to `to` with no failed write; only the primary's home may
-    // be asked, since it alone can hold its writes back.
-    void switchover(const std::string &to, std::function<void(tl::expected<void, Error>)> handler);
-
-    // The newest snapshot; from any thread.
-    std::shared_ptr<const GroupSnapshot> snapshot() const;
+    // Moves the primary to `to` without a failed write; refused with Moved unless
+    // this host is the primary's home, which alone can hold its writes back.
+    void switchover(const std::string &to, DoneHandler handler);
 
 private:
     class Impl;
-    explicit GroupObserver(std::unique_ptr<Impl> impl);
-
-    std::unique_ptr<Impl> m_impl;
+    std::shared_ptr<Impl> m_impl;
 };
 
-// The hint that fronts get with every answer.
-GroupHint hintOf(const GroupSnapshot &snapshot, TimePoint now);
-
 } // namespace egrettide
--- a/src/runtime/upstreamhome.cpp
+++ b/src/runtime/upstreamhome.cpp
@@ -169,6 +169,8 @@
     std::optional<Error> refusalOf(const StatementRequest &request) const;
     std::optional<Error> transactionRefusal(const StatementRequest &request, const std::string &frontKey) const;
     std::optional<Error> primaryRefusal() const;
+    Error movedError() const;
+    Error leavingError() const;
     bool isPrimary() const;
     void decideFreshness(Ticket ticket);
     GateDecision gateDecision(const Pending &pending, TimePoint now) const;
@@ -294,8 +296,8 @@
     , m_settings(settings)
     , m_hooks(std::move(hooks))
     , m_gate(settings.gate)
-    , m_pool(context, connectionSettings(settings, database.name, upstream), budgetOptions(settings, upstream), settings.openTimeout,
-             UpstreamPool::Hooks{[this] { settle(); }, [this](const Error &) { settle(); }})
+    , m_pool(context, connectionSettings(settings, database.name, upstream), budgetOptions(settings, upstream),
+             settings.openTimeout, UpstreamPool::Hooks{[this] { settle(); }, [this](const Error &) { settle(); }})
     , m_scheduler(schedulerOptions())
     , m_nextTransaction(std::max<std::uint64_t>(1, settings.firstTransaction))
     , m_timer(context)
@@ -367,7 +369,7 @@
 std::optional<Error> UpstreamHome::Impl::refusalOf(const StatementRequest &request) const
 {
     if (m_closed || (m_draining && request.transaction == 0)) {
-        return Error{ErrorKind::Moved, "This host is no longer the home of '" + m_upstream.name + "'; ask its new home.", retrySoon};
+        return movedError();
     }
     if (request.deadline <= Clock::now()) {
         return Error{ErrorKind::DeadlineExceeded, "The deadline passed before anything was sent; ask again with more time."};
@@ -376,7 +378,7 @@
         return std::nullopt;
     }
     if (m_upstream.leaving && !isPrimary()) {
-        return Error{ErrorKind::Leaving, "The upstream '" + m_upstream.name + "' is leaving; use another one.", retrySoon};
+        return leavingError();
     }
     return runsOnReplicas(request) ? std::nullopt : primaryRefusal();
 }
@@ -393,6 +395,16 @@
     return std::nullopt;
 }
 
+Error UpstreamHome::Impl::movedError() const
+{
+    return Error{ErrorKind::Moved, "This host is no longer the home of '" + m_upstream.name + "'; ask its new home.", retrySoon};
+}
+
+Error UpstreamHome::Impl::leavingError() const
+{
+    return Error{ErrorKind::Leaving, "The upstream '" + m_upstream.name + "' is leaving; use another one.", retrySoon};
+}
+
 bool UpstreamHome::Impl::isPrimary() const
 {
     return m_view.primary == m_upstream.name;
@@ -439,10 +451,11 @@
         awaitFreshness(ticket, wait->until);
     } else {
         const FreshnessReason reason = std::get<GoElsewhere>(decision).reason;
-        refuse(ticket, Error{ErrorKind::NotFresh,
-                             "The upstream '" + m_upstream.name + "' is not fresh enough in time (" + std::string(nameOf(reason))
-                                 + "); read from another one or accept an older state.",
-                             retrySoon});
+        refuse(ticket,
+               Error{ErrorKind::NotFresh,
+                     "The upstream '" + m_upstream.name + "' is not fresh enough in time (" + std::string(nameOf(reason))
+                         + "); read from another one or accept an older state.",
+                     retrySoon});
     }
 }
 
@@ -473,7 +486,8 @@
     if (admission.state == AdmissionState::Admitted) {
         apply(SlotActions{{ticket}, {}});
     } else if (admission.state == AdmissionState::Refused) {
-        refuse(ticket, admission.error.value_or(Error{ErrorKind::Overloaded, "No slot is free in time; retry later.", retrySoon}));
+        refuse(ticket,
+               admission.error.value_or(Error{ErrorKind::Overloaded, "No slot is free in time; retry later.", retrySoon}));
     }
 }
 
@@ -571,12 +585,11 @@
     pending.sentUnder = m_view.term;
     pending.sent = true;
     ++m_sent;
-    connection->run(orderFor(pending.request),
-                    [weak = weak_from_this(), ticket](tl::expected<BatchAnswer, BatchFailure> answer) {
-                        if (const auto self = weak.lock()) {
-                            self->onAnswer(ticket, std::move(answer));
-                        }
-                    });
+    connection->run(orderFor(pending.request), [weak = weak_from_this(), ticket](tl::expected<BatchAnswer, BatchFailure> answer) {
+        if (const auto self = weak.lock()) {
+            self->onAnswer(ticket, std::move(answer));
+        }
+    });
 }
 
 void UpstreamHome::Impl::onAnswer(Ticket ticket, tl::expected<BatchAnswer, BatchFailure> answer)
@@ -602,7 +615,8 @@
         return false;
     }
     const auto transaction = m_transactions.find(pending.request.transaction);
-    const bool readOnly = kind == StatementKind::BeginReadOnly || (transaction != m_transactions.end() && transaction->second.readOnly);
+    const bool readOnly =
+        kind == StatementKind::BeginReadOnly || (transaction != m_transactions.end() && transaction->second.readOnly);
     // A replica takes no writes, so a read-only transaction there has none.
     const bool onReplica = answer.status && answer.status->role == UpstreamRole::Replica;
     return !(readOnly && onReplica);
@@ -624,8 +638,8 @@
     }
     if (isFencedRefusal(pending, answer)) {
         settleConnection(ticket, answer.state);
-        const Error error{ErrorKind::Moved, "The upstream '" + m_upstream.name + "' takes no writes any more; ask the new primary.",
-                          retrySoon};
+        const Error error{ErrorKind::Moved,
+                          "The upstream '" + m_upstream.name + "' takes no writes any more; ask the new primary.", retrySoon};
         m_ledger.notRun(pending.attempt, error, false, Clock::now());
         if (m_hooks.hurry) {
             m_hooks.hurry(Clock::now() + retrySoon);
@@ -659,19 +673,22 @@
     BatchOrder order;
     order.askStatus = true;
     order.deadline = pending.request.deadline;
-    pending.connection->run(order, [weak = weak_from_this(), ticket, first = std::move(answer)](
-                                       const tl::expected<BatchAnswer, BatchFailure> &second) mutable {
-        const auto self = weak.lock();
-        if (!self) {
-            return;
-        }
-        if (second && second->status) {
-            first.status = second->status;
-            self->onAnswer(ticket, std::move(first));
-            return;
-        }
-        self->onAnswer(ticket, tl::unexpected(BatchFailure{BatchFailure::Reason::Lost, true, "gave no status after a commit"}));
-    });
+    pending.connection->run(
+        order,
+        [weak = weak_from_this(), ticket,
+         first = std::move(answer)](const tl::expected<BatchAnswer, BatchFailure> &second) mutable {
+            const auto self = weak.lock();
+            if (!self) {
+                return;
+            }
+            if (second && second->status) {
+                first.status = second->status;
+                self->onAnswer(ticket, std::move(first));
+                return;
+            }
+            self->onAnswer(ticket,
+                           tl::unexpected(BatchFailure{BatchFailure::Reason::Lost, true, "gave no status after a commit"}));
+        });
 }
 
 std::optional<LogMark> UpstreamHome::Impl::seenBy(const Pending &pending, const std::optional<MemberStatus> &status) const
@@ -758,7 +775,9 @@
     m_ledger.unconfirmed(ticket);
     const std::string cause = outcome == CommitOutcome::LostPrimary ? "the primary was replaced before a majority held the write"
                                                                     : "no majority confirmed the write in time";
-    finish(ticket, Error{ErrorKind::UnknownOutcome, "The outcome is unknown: " + cause + "; look whether it took effect before you repeat it."});
+    finish(ticket,
+           Error{ErrorKind::UnknownOutcome,
+                 "The outcome is unknown: " + cause + "; look whether it took effect before you repeat it."});
 }
 
 void UpstreamHome::Impl::onLost(Ticket ticket, const BatchFailure &failure)
@@ -930,7 +949,8 @@
     if (error) {
         reply.bytes.clear();
         reply.seen.reset();
-        reply.transaction = m_transactions.contains(pending.request.transaction) ? pending.request.transaction : reply.transaction;
+        reply.transaction =
+            m_transactions.contains(pending.request.transaction) ? pending.request.transaction : reply.transaction;
     }
     reply.error = std::move(error);
     reply.sent = reply.sent || pending.sent;
@@ -1119,7 +1139,8 @@
 void UpstreamHome::Impl::giveUpOverdue(TimePoint now)
 {
     for (const Ticket ticket : m_ledger.overdue(now)) {
-        giveUp(ticket, Error{ErrorKind::DeadlineExceeded, "The deadline passed before anything was sent; retry later.", retrySoon});
+        giveUp(ticket,
+               Error{ErrorKind::DeadlineExceeded, "The deadline passed before anything was sent; retry later.", retrySoon});
     }
 }
 
@@ -1193,7 +1214,7 @@
     m_upstream = *upstream;
     apply(m_scheduler.configure(schedulerOptions(), Clock::now()));
     if (m_upstream.leaving && !isPrimary()) {
-        refuseQueued(*refusalOf(StatementRequest{.kind = StatementKind::Read, .deadline = TimePoint::max()}), false);
+        refuseQueued(leavingError(), false);
     }
     settle();
 }
@@ -1220,8 +1241,8 @@
         const bool admitted = pending.holdsSlot || pending.stage == Stage::Running || pending.stage == Stage::Confirming;
         return admitted && pending.request.transaction == 0 && !runsOnReplicas(pending.request);
     });
-    const auto transactions = std::count_if(m_transactions.begin(), m_transactions.end(),
-                                            [](const auto &entry) { return !entry.second.readOnly; });
+    const auto transactions =
+        std::count_if(m_transactions.begin(), m_transactions.end(), [](const auto &entry) { return !entry.second.readOnly; });
     const auto commits = std::count_if(m_pending.begin(), m_pending.end(), [](const auto &entry) {
         return entry.second.stage == Stage::Confirming && entry.second.request.transaction != 0;
     });
@@ -1245,7 +1266,7 @@
     m_draining = true;
     m_drained = std::move(drained);
     m_pool.budget().resign(Clock::now());
-    refuseQueued(*refusalOf(StatementRequest{.kind = StatementKind::Read, .deadline = TimePoint::max()}), false);
+    refuseQueued(movedError(), false);
     settle();
 }
 
--- a/src/runtime/upstreamhome.h
+++ b/src/runtime/upstreamhome.h
@@ -83,8 +83,9 @@
 class UpstreamHome
 {
 public:
-    UpstreamHome(boost::asio::io_context &context, std::shared_ptr<const Configuration> configuration, const std::string &database,
-                 const std::string &upstream, const UpstreamHomeSettings &settings, UpstreamHomeHooks hooks);
+    UpstreamHome(boost::asio::io_context &context, std::shared_ptr<const Configuration> configuration,
+                 const std::string &database, const std::string &upstream, const UpstreamHomeSettings &settings,
+                 UpstreamHomeHooks hooks);
     ~UpstreamHome();
     UpstreamHome(const UpstreamHome &) = delete;
     UpstreamHome &operator=(const UpstreamHome &) = delete;
