--- a/src/runtime/groupobserver.cpp
+++ b/src/runtime/groupobserver.cpp
@@ -94,7 +94,7 @@
     void start()
     {
         m_running = true;
-        tick(false);
+        tick();
     }
 
     void stop()
@@ -122,7 +122,7 @@
             makePromoter();
         }
         resolve(m_gate.configure(namesOf(database), database.durability));
-        tick(false);
+        tick();
     }
 
     void awaitCommit(Term sentUnder, const MemberStatus &after, TimePoint deadline, CommitHandler handler)
@@ -138,7 +138,7 @@
         auto known = m_hurryUntil.load();
         while (known < until) {
             if (m_hurryUntil.compare_exchange_weak(known, until)) {
-                asio::post(m_context, [self = shared_from_this()] { self->tick(false); });
+                asio::post(m_context, [self = shared_from_this()] { self->tick(); });
                 return;
             }
         }
@@ -160,7 +160,7 @@
     {
         learnAnnounced(term, primary);
         m_roundNow = true;
-        tick(false);
+        tick();
     }
 
     void switchover(const std::string &to, DoneHandler handler)
@@ -183,16 +183,14 @@
 
     // ---- Rounds
 
-    // Everything that time brings. `timerFired` tells a late timer from a call.
-    void tick(bool timerFired)
+    // Everything that time brings.
+    void tick()
     {
         if (!m_running) {
             return;
         }
         const TimePoint now = Clock::now();
-        if (timerFired && now > m_armedFor + m_settings.clockGap) {
-            onClockGap(now);
-        }
+        noticeClockGap(now);
         m_monitor.onTimer(now);
         resolve(m_gate.onTimer(now));
         perform(m_promoter->onTimer(now));
@@ -207,8 +205,12 @@
     // What goes wrong: a process that stood still, or whose host slept, wakes up
     // with views and promises that others have moved past. A timer that fires far
     // too late shows it; what was held then is not acted on.
-    void onClockGap(TimePoint now)
+    void noticeClockGap(TimePoint now)
     {
+        if (!m_armed || now <= m_armedFor + m_settings.clockGap) {
+            return;
+        }
+        m_armed = false;
         m_monitor.onClockGap(now);
         perform(m_promoter->onClockGap(now));
         perform(m_switchover.onClockGap(now));
@@ -242,6 +244,7 @@
             return;
         }
         const TimePoint now = Clock::now();
+        noticeClockGap(now);
         if (status) {
             m_monitor.onStatus(round, *status, now);
             resolve(m_gate.onMemberStatus(*status, sentAt));
@@ -311,7 +314,8 @@
             next = std::min(next, due.value_or(TimePoint::max()));
         }
         next = std::max(next, now);
-        if (m_armed && next >= m_armedFor && m_armedFor > now) {
+        const bool soonEnough = m_armed && m_armedFor > now && m_armedFor <= next;
+        if (soonEnough) {
             return;
         }
         m_armed = true;
@@ -320,8 +324,7 @@
         m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &cancelled) {
             const auto self = weak.lock();
             if (!cancelled && self) {
-                self->m_armed = false;
-                self->tick(true);
+                self->tick();
             }
         });
     }
@@ -338,7 +341,7 @@
         m_commits.emplace(id, std::move(handler));
         resolve(m_gate.add(id, sentUnder, after, deadline, Clock::now()));
         if (m_gate.waiting() > 0) {
-            tick(false);
+            tick();
         }
     }
 
@@ -371,6 +374,7 @@
         asio::post(m_context, [weak = weak_from_this(), then = std::move(then)] {
             const auto self = weak.lock();
             if (self && self->m_running) {
+                self->noticeClockGap(Clock::now());
                 then(*self);
                 self->arm();
             }
@@ -454,6 +458,7 @@
             if (!self || !self->m_running) {
                 return;
             }
+            self->noticeClockGap(Clock::now());
             if (answer) {
                 self->perform((self->m_promoter.get()->*onAnswer)(attempt, *answer, Clock::now()));
             } else if (answer.error().failure != ProbeFailure::Timeout) {
@@ -487,7 +492,7 @@
     void carryOut(const RecordInStore &action)
     {
         if (m_hooks.writeRecord) {
-            m_hooks.writeRecord(m_database.name, action.expectedVersion, action.record);
+            m_hooks.writeRecord(m_database.name, action.record);
         }
     }
 
@@ -520,7 +525,7 @@
     {
         const TimePoint now = Clock::now();
         perform(m_switchover.start(*m_monitor.snapshot(), to, unknownOpen, now));
-        tick(false);
+        tick();
     }
 
     // A primary that the operators take away, or whose term has to be renewed, is
--- a/src/runtime/groupobserver.h
+++ b/src/runtime/groupobserver.h
@@ -57,9 +57,9 @@
     std::function<void(const std::string &database, std::uint64_t expectedVersion, const GroupRecord &record, TimePoint deadline,
                        std::function<void(const ClaimAnswer &)> handler)>
         claimRecord;
-    // Writes down a finished promotion if the record still has `expectedVersion`,
-    // best effort.
-    std::function<void(const std::string &database, std::uint64_t expectedVersion, const GroupRecord &record)> writeRecord;
+    // Writes down a finished promotion unless a record of a higher term stands
+    // there (see RecordInStore), best effort.
+    std::function<void(const std::string &database, const GroupRecord &record)> writeRecord;
     // Tells the other hosts of a finished promotion, best effort.
     std::function<void(const std::string &database, Term term, const std::string &primary)> announce;
     // Holds back new writes at the home of `upstream` on this host. `progress`
--- /dev/null
+++ b/src/runtime/homeservice.cpp
@@ -0,0 +1,537 @@
+// Homes and observers of this host.
+
+#include "runtime/homeservice.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <utility>
+
+namespace egrettide
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+struct HomeKey {
+    std::string database;
+    std::string upstream;
+
+    friend auto operator<=>(const HomeKey &, const HomeKey &) = default;
+};
+
+struct HomeEntry {
+    std::shared_ptr<UpstreamHome> home;
+    asio::io_context *context = nullptr;
+    // True when this host is not home any more and only finishes its work.
+    bool draining = false;
+};
+
+Error movedError(const std::string &upstream)
+{
+    return Error{ErrorKind::Moved, "This host is not the home of '" + upstream + "'; ask the host that is.", milliseconds{0}};
+}
+
+// Calls `done` once it has been called for the last time.
+class Countdown
+{
+public:
+    Countdown(std::size_t count, std::function<void()> done) : m_left(count), m_done(std::move(done))
+    {
+    }
+
+    void down()
+    {
+        if (--m_left == 0) {
+            m_done();
+        }
+    }
+
+private:
+    std::atomic<std::size_t> m_left;
+    const std::function<void()> m_done;
+};
+
+} // namespace
+
+class HomeService::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+    Impl(asio::io_context &control, std::vector<asio::io_context *> traffic, HomeServiceSettings settings, HomeServiceHooks hooks)
+        : m_control(control), m_traffic(std::move(traffic)), m_settings(std::move(settings)), m_hooks(std::move(hooks))
+    {
+    }
+
+    void update(const std::shared_ptr<const Configuration> &configuration, const HomePredicate &isHome);
+    void execute(StatementRequest request, const std::string &frontKey, ReplyHandler handler);
+    void cancel(const std::string &frontKey, std::uint64_t id);
+    void abandonFront(const std::string &frontKey);
+    void giveOpinion(const OpinionQuestion &question, std::function<void(std::optional<bool>)> handler);
+    void onAnnounce(const std::string &database, Term term, const std::string &primary);
+    void switchover(const std::string &database, const std::string &to, GroupObserver::DoneHandler handler);
+    void confirmedHome(const HomeKey &key);
+    void handedBack(const HomeKey &key, const HandBack &handBack);
+    std::shared_ptr<const GroupSnapshot> snapshot(const std::string &database) const;
+    void stats(std::function<void(std::vector<UpstreamHomeStats>)> handler) const;
+    void drain(std::function<void()> drained);
+    void stop();
+
+private:
+    using ObserverPointer = std::shared_ptr<GroupObserver>;
+
+    void updateObservers(const Configuration &configuration, const std::map<std::string, std::set<std::string>> &homes);
+    ObserverPointer makeObserver(const DatabaseSpec &database, const std::set<std::string> &homes);
+    void updateHome(const HomeKey &key, const std::shared_ptr<const Configuration> &configuration);
+    void startDrain(const HomeKey &key, const HomeEntry &entry, std::function<void()> drained);
+    void removeDrained(const HomeKey &key, const std::shared_ptr<UpstreamHome> &home);
+    std::shared_ptr<UpstreamHome> makeHome(const HomeKey &key, asio::io_context &context,
+                                           const std::shared_ptr<const Configuration> &configuration,
+                                           const ObserverPointer &observer);
+    UpstreamHomeHooks homeHooks(const HomeKey &key, const ObserverPointer &observer) const;
+    std::optional<HomeEntry> homeOf(const HomeKey &key) const;
+    std::map<HomeKey, HomeEntry> allHomes() const;
+    ObserverPointer observerOf(const std::string &database) const;
+    void spread(const std::string &database, const std::shared_ptr<const GroupSnapshot> &snapshot) const;
+    // Runs `work` on the home's own thread.
+    template <class Work> static void onHome(const HomeEntry &entry, Work work)
+    {
+        asio::post(*entry.context, [home = entry.home, work = std::move(work)] { work(*home); });
+    }
+
+    asio::io_context &m_control;
+    const std::vector<asio::io_context *> m_traffic;
+    const HomeServiceSettings m_settings;
+    const HomeServiceHooks m_hooks;
+    std::size_t m_nextTraffic = 0;
+
+    // Guards the two maps, not what they point to.
+    mutable std::mutex m_mutex;
+    std::map<HomeKey, HomeEntry> m_homes;
+    // One for each database with at least one home here, draining ones included.
+    std::map<std::string, ObserverPointer> m_observers;
+};
+
+// ---- Configuration
+
+void HomeService::Impl::update(const std::shared_ptr<const Configuration> &configuration, const HomePredicate &isHome)
+{
+    std::map<std::string, std::set<std::string>> homes;
+    for (const DatabaseSpec &database : configuration->databases) {
+        for (const UpstreamSpec &upstream : database.upstreams) {
+            if (isHome(database, upstream)) {
+                homes[database.name].insert(upstream.name);
+            }
+        }
+    }
+    updateObservers(*configuration, homes);
+    for (const auto &[database, upstreams] : homes) {
+        for (const std::string &upstream : upstreams) {
+            updateHome(HomeKey{database, upstream}, configuration);
+        }
+    }
+    for (const auto &[key, entry] : allHomes()) {
+        const auto found = homes.find(key.database);
+        const bool stays = found != homes.end() && found->second.contains(key.upstream);
+        if (!stays && !entry.draining) {
+            startDrain(key, entry, [] {});
+        }
+    }
+}
+
+void HomeService::Impl::updateObservers(const Configuration &configuration,
+                                        const std::map<std::string, std::set<std::string>> &homes)
+{
+    for (const auto &[name, upstreams] : homes) {
+        const DatabaseSpec &database = *configuration.database(name);
+        ObserverPointer observer = observerOf(name);
+        const bool isNew = !observer;
+        if (isNew) {
+            observer = makeObserver(database, upstreams);
+            const std::scoped_lock lock(m_mutex);
+            m_observers[name] = observer;
+        }
+        asio::post(m_control, [observer, isNew, database, homesHere = upstreams] {
+            if (isNew) {
+                observer->start();
+            } else {
+                observer->update(database, homesHere);
+            }
+        });
+    }
+}
+
+HomeService::Impl::ObserverPointer HomeService::Impl::makeObserver(const DatabaseSpec &database,
+                                                                   const std::set<std::string> &homes)
+{
+    GroupObserverHooks hooks = m_hooks.observer;
+    const auto weak = weak_from_this();
+    hooks.published = [weak, name = database.name, also = m_hooks.observer.published](const auto &snapshot) {
+        if (const auto self = weak.lock()) {
+            self->spread(name, snapshot);
+        }
+        if (also) {
+            also(snapshot);
+        }
+    };
+    hooks.pauseWrites = [weak, name = database.name](const std::string &upstream, std::function<void(std::size_t)> progress) {
+        const auto self = weak.lock();
+        if (const auto entry = self ? self->homeOf(HomeKey{name, upstream}) : std::nullopt) {
+            onHome(*entry, [progress = std::move(progress)](UpstreamHome &home) { home.pauseWrites(progress); });
+        }
+    };
+    hooks.resumeWrites = [weak, name = database.name](const std::string &upstream) {
+        const auto self = weak.lock();
+        if (const auto entry = self ? self->homeOf(HomeKey{name, upstream}) : std::nullopt) {
+            onHome(*entry, [](UpstreamHome &home) { home.resumeWrites(); });
+        }
+    };
+    hooks.clockGap = [weak, name = database.name] {
+        const auto self = weak.lock();
+        for (const auto &[key, entry] : self ? self->allHomes() : std::map<HomeKey, HomeEntry>{}) {
+            if (key.database == name) {
+                onHome(entry, [](UpstreamHome &home) { home.onClockGap(); });
+            }
+        }
+    };
+    return std::make_shared<GroupObserver>(m_control, database, homes, m_settings.observer, std::move(hooks));
+}
+
+void HomeService::Impl::updateHome(const HomeKey &key, const std::shared_ptr<const Configuration> &configuration)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_homes.find(key);
+    if (found == m_homes.end()) {
+        asio::io_context &context = *m_traffic[m_nextTraffic++ % m_traffic.size()];
+        const ObserverPointer observer = m_observers.at(key.database);
+        HomeEntry entry{makeHome(key, context, configuration, observer), &context, false};
+        onHome(entry, [view = observer->snapshot()](UpstreamHome &home) { home.onSnapshot(view); });
+        m_homes.emplace(key, std::move(entry));
+        return;
+    }
+    HomeEntry &entry = found->second;
+    const bool returns = std::exchange(entry.draining, false);
+    onHome(entry, [configuration, returns](UpstreamHome &home) {
+        if (returns) {
+            home.takeBack();
+        }
+        home.update(configuration);
+    });
+}
+
+std::shared_ptr<UpstreamHome> HomeService::Impl::makeHome(const HomeKey &key, asio::io_context &context,
+                                                          const std::shared_ptr<const Configuration> &configuration,
+                                                          const ObserverPointer &observer)
+{
+    return std::make_shared<UpstreamHome>(context, configuration, key.database, key.upstream, m_settings.home,
+                                          homeHooks(key, observer));
+}
+
+UpstreamHomeHooks HomeService::Impl::homeHooks(const HomeKey &key, const ObserverPointer &observer) const
+{
+    UpstreamHomeHooks hooks;
+    hooks.awaitCommit = [observer](Term sentUnder, const MemberStatus &after, TimePoint deadline, CommitHandler handler) {
+        observer->awaitCommit(sentUnder, after, deadline, std::move(handler));
+    };
+    hooks.hurry = [observer](TimePoint until) { observer->hurry(until); };
+    hooks.handedBack = [key, handedBack = m_hooks.handedBack](const HandBack &handBack) {
+        if (handedBack) {
+            handedBack(key.database, key.upstream, handBack);
+        }
+    };
+    return hooks;
+}
+
+// A home that drains still has its place, for the statements of its open
+// transactions; it is forgotten once it is done.
+void HomeService::Impl::startDrain(const HomeKey &key, const HomeEntry &entry, std::function<void()> drained)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto found = m_homes.find(key);
+        if (found == m_homes.end()) {
+            drained();
+            return;
+        }
+        found->second.draining = true;
+    }
+    onHome(entry, [weak = weak_from_this(), key, home = entry.home, drained = std::move(drained)](UpstreamHome &draining) {
+        draining.drain([weak, key, home, drained] {
+            if (const auto self = weak.lock()) {
+                self->removeDrained(key, home);
+            }
+            drained();
+        });
+    });
+}
+
+void HomeService::Impl::removeDrained(const HomeKey &key, const std::shared_ptr<UpstreamHome> &home)
+{
+    ObserverPointer unused;
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_homes.find(key);
+    if (found == m_homes.end() || found->second.home != home || !found->second.draining) {
+        return;
+    }
+    m_homes.erase(found);
+    const bool othersLeft =
+        std::ranges::any_of(m_homes, [&key](const auto &entry) { return entry.first.database == key.database; });
+    const auto observer = m_observers.find(key.database);
+    if (!othersLeft && observer != m_observers.end()) {
+        asio::post(m_control, [last = observer->second] { last->stop(); });
+        m_observers.erase(observer);
+    }
+}
+
+// ---- Requests
+
+void HomeService::Impl::execute(StatementRequest request, const std::string &frontKey, ReplyHandler handler)
+{
+    const auto entry = homeOf(HomeKey{request.database, request.upstream});
+    if (!entry) {
+        StatementReply reply;
+        reply.id = request.id;
+        reply.error = movedError(request.upstream);
+        reply.hint.database = request.database;
+        handler(std::move(reply));
+        return;
+    }
+    asio::dispatch(*entry->context,
+                   [home = entry->home, request = std::move(request), frontKey, handler = std::move(handler)]() mutable {
+                       home->execute(std::move(request), frontKey, std::move(handler));
+                   });
+}
+
+void HomeService::Impl::cancel(const std::string &frontKey, std::uint64_t id)
+{
+    for (const auto &[key, entry] : allHomes()) {
+        onHome(entry, [frontKey, id](UpstreamHome &home) { home.cancel(frontKey, id); });
+    }
+}
+
+void HomeService::Impl::abandonFront(const std::string &frontKey)
+{
+    for (const auto &[key, entry] : allHomes()) {
+        onHome(entry, [frontKey](UpstreamHome &home) { home.abandonFront(frontKey); });
+    }
+}
+
+// ---- Groups
+
+void HomeService::Impl::giveOpinion(const OpinionQuestion &question, std::function<void(std::optional<bool>)> handler)
+{
+    asio::post(m_control, [self = shared_from_this(), question, handler = std::move(handler)] {
+        const ObserverPointer observer = self->observerOf(question.database);
+        handler(observer ? std::optional(observer->agrees(question)) : std::nullopt);
+    });
+}
+
+void HomeService::Impl::onAnnounce(const std::string &database, Term term, const std::string &primary)
+{
+    asio::post(m_control, [self = shared_from_this(), database, term, primary] {
+        if (const ObserverPointer observer = self->observerOf(database)) {
+            observer->onAnnounce(term, primary);
+        }
+    });
+}
+
+void HomeService::Impl::switchover(const std::string &database, const std::string &to, GroupObserver::DoneHandler handler)
+{
+    asio::post(m_control, [self = shared_from_this(), database, to, handler = std::move(handler)] {
+        if (const ObserverPointer observer = self->observerOf(database)) {
+            observer->switchover(to, handler);
+        } else {
+            handler(tl::unexpected(movedError(to)));
+        }
+    });
+}
+
+void HomeService::Impl::confirmedHome(const HomeKey &key)
+{
+    if (const auto entry = homeOf(key)) {
+        onHome(*entry, [](UpstreamHome &home) { home.confirmedHome(); });
+    }
+}
+
+void HomeService::Impl::handedBack(const HomeKey &key, const HandBack &handBack)
+{
+    if (const auto entry = homeOf(key)) {
+        onHome(*entry, [handBack](UpstreamHome &home) { home.handedBack(handBack); });
+    }
+}
+
+void HomeService::Impl::spread(const std::string &database, const std::shared_ptr<const GroupSnapshot> &snapshot) const
+{
+    for (const auto &[key, entry] : allHomes()) {
+        if (key.database == database) {
+            onHome(entry, [snapshot](UpstreamHome &home) { home.onSnapshot(snapshot); });
+        }
+    }
+}
+
+std::shared_ptr<const GroupSnapshot> HomeService::Impl::snapshot(const std::string &database) const
+{
+    const ObserverPointer observer = observerOf(database);
+    return observer ? observer->snapshot() : nullptr;
+}
+
+std::optional<HomeEntry> HomeService::Impl::homeOf(const HomeKey &key) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_homes.find(key);
+    return found == m_homes.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::map<HomeKey, HomeEntry> HomeService::Impl::allHomes() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_homes;
+}
+
+HomeService::Impl::ObserverPointer HomeService::Impl::observerOf(const std::string &database) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_observers.find(database);
+    return found == m_observers.end() ? nullptr : found->second;
+}
+
+// ---- The whole
+
+void HomeService::Impl::stats(std::function<void(std::vector<UpstreamHomeStats>)> handler) const
+{
+    struct Collected {
+        std::mutex mutex;
+        std::vector<UpstreamHomeStats> all;
+    };
+    const auto homes = allHomes();
+    const auto collected = std::make_shared<Collected>();
+    const auto countdown =
+        std::make_shared<Countdown>(homes.size() + 1, [collected, &control = m_control, handler = std::move(handler)] {
+            asio::post(control, [collected, handler] { handler(std::move(collected->all)); });
+        });
+    for (const auto &[key, entry] : homes) {
+        onHome(entry, [collected, countdown](const UpstreamHome &home) {
+            {
+                const std::scoped_lock lock(collected->mutex);
+                collected->all.push_back(home.stats());
+            }
+            countdown->down();
+        });
+    }
+    countdown->down();
+}
+
+void HomeService::Impl::drain(std::function<void()> drained)
+{
+    const auto homes = allHomes();
+    const auto countdown = std::make_shared<Countdown>(
+        homes.size() + 1, [&control = m_control, drained = std::move(drained)] { asio::post(control, drained); });
+    for (const auto &[key, entry] : homes) {
+        startDrain(key, entry, [countdown] { countdown->down(); });
+    }
+    countdown->down();
+}
+
+void HomeService::Impl::stop()
+{
+    std::map<HomeKey, HomeEntry> homes;
+    std::map<std::string, ObserverPointer> observers;
+    {
+        const std::scoped_lock lock(m_mutex);
+        homes.swap(m_homes);
+        observers.swap(m_observers);
+    }
+    for (const auto &[key, entry] : homes) {
+        onHome(entry, [](UpstreamHome &home) { home.close(); });
+    }
+    for (const auto &[database, observer] : observers) {
+        asio::post(m_control, [last = observer] { last->stop(); });
+    }
+}
+
+// ---- The public face
+
+HomeService::HomeService(asio::io_context &control, std::vector<asio::io_context *> traffic, HomeServiceSettings settings,
+                         HomeServiceHooks hooks)
+    : m_impl(std::make_shared<Impl>(control, std::move(traffic), std::move(settings), std::move(hooks)))
+{
+}
+
+HomeService::~HomeService()
+{
+    m_impl->stop();
+}
+
+void HomeService::update(std::shared_ptr<const Configuration> configuration, const HomePredicate &isHome)
+{
+    m_impl->update(configuration, isHome);
+}
+
+void HomeService::execute(StatementRequest request, const std::string &frontKey, ReplyHandler handler)
+{
+    m_impl->execute(std::move(request), frontKey, std::move(handler));
+}
+
+void HomeService::cancel(const std::string &frontKey, std::uint64_t id)
+{
+    m_impl->cancel(frontKey, id);
+}
+
+void HomeService::abandonFront(const std::string &frontKey)
+{
+    m_impl->abandonFront(frontKey);
+}
+
+void HomeService::giveOpinion(const OpinionQuestion &question, std::function<void(std::optional<bool>)> handler)
+{
+    m_impl->giveOpinion(question, std::move(handler));
+}
+
+void HomeService::onAnnounce(const std::string &database, Term term, const std::string &primary)
+{
+    m_impl->onAnnounce(database, term, primary);
+}
+
+void HomeService::switchover(const std::string &database, const std::string &to,
+                             std::function<void(tl::expected<void, Error>)> handler)
+{
+    m_impl->switchover(database, to, std::move(handler));
+}
+
+void HomeService::confirmedHome(const std::string &database, const std::string &upstream)
+{
+    m_impl->confirmedHome(HomeKey{database, upstream});
+}
+
+void HomeService::handedBack(const std::string &database, const std::string &upstream, const HandBack &handBack)
+{
+    m_impl->handedBack(HomeKey{database, upstream}, handBack);
+}
+
+std::shared_ptr<const GroupSnapshot> HomeService::snapshot(const std::string &database) const
+{
+    return m_impl->snapshot(database);
+}
+
+void HomeService::stats(std::function<void(std::vector<UpstreamHomeStats>)> handler) const
+{
+    m_impl->stats(std::move(handler));
+}
+
+void HomeService::drain(std::function<void()> drained)
+{
+    m_impl->drain(std::move(drained));
+}
+
+void HomeService::stop()
+{
+    m_impl->stop();
+}
+
+} // namespace egrettide
