Fit the daemon to the observer's questions and records

Cause: a home is asked as the home of an upstream, about a suspected primary of a term, and the group's record carries the claim; the hop's Opinion and Release lacked these fields. Change: fields in the hop protocol, coordination by question and record.

--- a/src/runtime/groupcoordination.cpp
+++ b/src/runtime/groupcoordination.cpp
@@ -4,11 +4,8 @@
 
 #include "runtime/log.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
-#include <set>
-
 namespace egrettide
 {
 
@@ -20,21 +17,43 @@
 
 nlohmann::json toJson(const GroupRecord &record)
 {
-    return {{"term", record.term}, {"primary", record.primary}, {"token", record.token}};
+    return {{"term", record.term},
+            {"primary", record.primary},
+            {"claimToken", record.claimToken},
+            {"claimHolder", record.claimHolder},
+            {"claimedOver", record.claimedOver}};
 }
 
 // A damaged record counts as none: it is a hint only.
 GroupRecord groupRecordFrom(const nlohmann::json &value)
 {
     GroupRecord record;
-    if (value.is_object()) {
+    try {
         record.term = value.value("term", Term{0});
         record.primary = value.value("primary", std::string());
-        record.token = value.value("token", std::string());
+        record.claimToken = value.value("claimToken", std::string());
+        record.claimHolder = value.value("claimHolder", std::string());
+        record.claimedOver = value.value("claimedOver", Term{0});
+    } catch (const nlohmann::json::exception &) {
+        return GroupRecord{};
     }
     return record;
 }
 
+using StoreAnswer = tl::expected<VersionedObject, StoreError>;
+
+// Nothing when the store did not answer; an absent record has version 0.
+std::optional<VersionedRecord> recordIn(const StoreAnswer &answer)
+{
+    if (answer) {
+        return VersionedRecord{answer->version, groupRecordFrom(answer->value)};
+    }
+    if (answer.error().failure == StoreFailure::NotFound) {
+        return VersionedRecord{};
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::string groupRecordKey(const std::string &database)
@@ -42,157 +61,109 @@
     return "egrettide/groups/" + database;
 }
 
-struct GroupCoordination::Poll {
-    explicit Poll(boost::asio::io_context &control) : timer(control)
-    {
-    }
-
-    boost::asio::steady_timer timer;
-    std::set<std::string> waitingFor;
-    // Upstreams of the group for which each asked host speaks.
-    std::map<std::string, std::size_t> weight;
-    std::size_t agreeing = 0;
-    std::size_t asked = 0;
-    OpinionsHandler handler;
-};
-
-GroupCoordination::GroupCoordination(boost::asio::io_context &control, StoreClient &store, GroupCoordinationHooks hooks)
-    : m_control(control), m_store(store), m_hooks(std::move(hooks))
+GroupCoordination::GroupCoordination(StoreClient &store, GroupCoordinationHooks hooks) : m_store(store), m_hooks(std::move(hooks))
 {
 }
 
 GroupObserverHooks GroupCoordination::observerHooks()
 {
     GroupObserverHooks hooks;
-    hooks.askOpinions = [this](const std::string &database, const std::string &upstream, TimePoint deadline,
-                               OpinionsHandler handler) { askOpinions(database, upstream, deadline, std::move(handler)); };
-    hooks.claim = [this](const std::string &database, const GroupRecord &wanted, TimePoint deadline, ClaimHandler handler) {
-        claim(database, wanted, deadline, std::move(handler));
+    hooks.askOpinion = [this](const OpinionQuestion &question, TimePoint deadline, OpinionHandler handler) {
+        askOpinion(question, deadline, std::move(handler));
+    };
+    hooks.readRecord = [this](const std::string &database, TimePoint deadline, ReadHandler handler) {
+        readRecord(database, deadline, std::move(handler));
+    };
+    hooks.claimRecord = [this](const std::string &database, std::uint64_t expectedVersion, const GroupRecord &record,
+                               TimePoint deadline, ClaimHandler handler) {
+        claimRecord(database, expectedVersion, record, deadline, std::move(handler));
+    };
+    hooks.writeRecord = [this](const std::string &database, const GroupRecord &record) {
+        writeRecord(database, record, recordAttempts);
     };
-    hooks.record = [this](const std::string &database, const GroupRecord &done) { record(database, done, recordAttempts); };
     hooks.announce = [this](const std::string &database, Term term, const std::string &primary) {
         announce(database, term, primary);
     };
     return hooks;
 }
 
-void GroupCoordination::askOpinions(const std::string &database, const std::string &upstream, TimePoint deadline,
-                                    OpinionsHandler handler)
+void GroupCoordination::askOpinion(const OpinionQuestion &question, TimePoint deadline, OpinionHandler handler)
 {
-    const std::uint64_t id = m_nextPoll++;
-    auto poll = std::make_shared<Poll>(m_control);
-    poll->handler = std::move(handler);
-    for (const std::string &host : m_hooks.otherHomes(database)) {
-        poll->waitingFor.insert(host);
-        ++poll->weight[host];
-        ++poll->asked;
-    }
-    m_polls[id] = poll;
-    for (const std::string &host : poll->waitingFor) {
-        m_hooks.send(host, hop::Opinion{id, database, upstream});
+    forgetExpiredQuestions(Clock::now());
+    const std::string host = m_hooks.homeOf(question.database, question.home);
+    if (host.empty()) {
+        return;
     }
-    // Also when nobody is asked: never answered from within this call.
-    poll->timer.expires_at(poll->waitingFor.empty() ? Clock::now() : deadline);
-    poll->timer.async_wait([this, id](const boost::system::error_code &failure) {
-        if (!failure) {
-            finish(id);
-        }
-    });
+    const std::uint64_t id = m_nextQuestion++;
+    m_questions[id] = Question{host, deadline, std::move(handler)};
+    m_hooks.send(host, hop::Opinion{id, question.database, question.home, question.primary, question.term});
 }
 
-void GroupCoordination::onOpinionReply(const std::string &from, const hop::OpinionReply &reply)
+void GroupCoordination::forgetExpiredQuestions(TimePoint now)
 {
-    const auto found = m_polls.find(reply.id);
-    if (found == m_polls.end() || found->second->waitingFor.erase(from) == 0) {
-        return;
-    }
-    Poll &poll = *found->second;
-    if (reply.suspects) {
-        poll.agreeing += poll.weight[from];
-    }
-    if (poll.waitingFor.empty()) {
-        poll.timer.cancel();
-        finish(reply.id);
-    }
+    std::erase_if(m_questions, [now](const auto &entry) { return entry.second.deadline < now; });
 }
 
-void GroupCoordination::finish(std::uint64_t id)
+void GroupCoordination::onOpinionReply(const std::string &from, const hop::OpinionReply &reply)
 {
-    const auto found = m_polls.find(id);
-    if (found == m_polls.end()) {
+    const auto found = m_questions.find(reply.id);
+    if (found == m_questions.end() || found->second.askedHost != from) {
         return;
     }
-    const auto poll = found->second;
-    m_polls.erase(found);
-    poll->handler(poll->agreeing, poll->asked);
+    const OpinionHandler handler = std::move(found->second.handler);
+    m_questions.erase(found);
+    handler(reply.suspects);
 }
 
-void GroupCoordination::claim(const std::string &database, const GroupRecord &wanted, TimePoint deadline, ClaimHandler handler)
+void GroupCoordination::readRecord(const std::string &database, TimePoint deadline, ReadHandler handler)
 {
     m_store.read(groupRecordKey(database), deadline,
-                 [this, database, wanted, deadline,
-                  handler = std::move(handler)](const tl::expected<VersionedObject, StoreError> &answer) {
-                     if (!answer && answer.error().failure != StoreFailure::NotFound) {
-                         handler(tl::unexpected(answer.error().error));
-                         return;
-                     }
-                     const GroupRecord present = answer ? groupRecordFrom(answer->value) : GroupRecord{};
-                     if (present.term >= wanted.term) {
-                         handler(present);
-                         return;
-                     }
-                     writeClaim(database, wanted, answer ? answer->version : 0, deadline, handler);
-                 });
+                 [handler = std::move(handler)](const StoreAnswer &answer) { handler(recordIn(answer)); });
 }
 
-void GroupCoordination::writeClaim(const std::string &database, const GroupRecord &wanted, std::uint64_t expectedVersion,
-                                   TimePoint deadline, ClaimHandler handler)
+void GroupCoordination::claimRecord(const std::string &database, std::uint64_t expectedVersion, const GroupRecord &record,
+                                    TimePoint deadline, ClaimHandler handler)
 {
     m_store.write(
-        groupRecordKey(database), toJson(wanted), expectedVersion, deadline,
-        [this, database, wanted, deadline,
-         handler = std::move(handler)](const tl::expected<VersionedObject, StoreError> &answer) {
+        groupRecordKey(database), toJson(record), expectedVersion, deadline,
+        [this, database, record, deadline, handler = std::move(handler)](const StoreAnswer &answer) {
             if (answer) {
-                handler(wanted);
+                handler(ClaimAnswer{ClaimResult::Claimed, VersionedRecord{answer->version, record}});
+                return;
+            }
+            if (answer.error().mayHaveApplied()) {
+                handler(ClaimAnswer{ClaimResult::LostAnswer, {}});
                 return;
             }
-            const bool lostOrBeaten = answer.error().failure == StoreFailure::Conflict || answer.error().mayHaveApplied();
-            if (!lostOrBeaten) {
-                handler(tl::unexpected(answer.error().error));
+            if (answer.error().failure != StoreFailure::Conflict) {
+                handler(ClaimAnswer{ClaimResult::Unavailable, {}});
                 return;
             }
-            // The token in the record tells whether the lost answer was a yes.
-            m_store.read(groupRecordKey(database), deadline, [handler](const tl::expected<VersionedObject, StoreError> &now) {
-                if (now) {
-                    handler(groupRecordFrom(now->value));
-                } else {
-                    handler(tl::unexpected(now.error().error));
-                }
+            readRecord(database, deadline, [handler](const std::optional<VersionedRecord> &standing) {
+                handler(standing ? ClaimAnswer{ClaimResult::Conflict, *standing} : ClaimAnswer{ClaimResult::Unavailable, {}});
             });
         });
 }
 
-void GroupCoordination::record(const std::string &database, const GroupRecord &done, int attemptsLeft)
+void GroupCoordination::writeRecord(const std::string &database, const GroupRecord &record, int attemptsLeft)
 {
     if (attemptsLeft == 0) {
-        log::warning("group_record_not_written", {{"database", database}, {"term", done.term}});
+        log::warning("group_record_not_written", {{"database", database}, {"term", record.term}});
         return;
     }
     const TimePoint deadline = Clock::now() + recordTimeout;
-    m_store.read(groupRecordKey(database), deadline, [=, this](const tl::expected<VersionedObject, StoreError> &answer) {
-        if (!answer && answer.error().failure != StoreFailure::NotFound) {
-            record(database, done, attemptsLeft - 1);
+    readRecord(database, deadline, [=, this](const std::optional<VersionedRecord> &standing) {
+        if (!standing) {
+            writeRecord(database, record, attemptsLeft - 1);
             return;
         }
-        const GroupRecord present = answer ? groupRecordFrom(answer->value) : GroupRecord{};
-        const bool isNews = present.term < done.term || (present.term == done.term && present.primary != done.primary);
-        if (!isNews) {
+        if (standing->record.term > record.term) {
             return;
         }
-        m_store.write(groupRecordKey(database), toJson(done), answer ? answer->version : 0, deadline,
-                      [=, this](const tl::expected<VersionedObject, StoreError> &written) {
+        m_store.write(groupRecordKey(database), toJson(record), standing->version, deadline,
+                      [=, this](const StoreAnswer &written) {
                           if (!written) {
-                              record(database, done, attemptsLeft - 1);
+                              writeRecord(database, record, attemptsLeft - 1);
                           }
                       });
     });
--- a/src/runtime/groupcoordination.h
+++ b/src/runtime/groupcoordination.h
@@ -9,11 +9,9 @@
 #include "runtime/storeclient.h"
 #include "wire/hopcodec.h"
 
-#include <boost/asio/io_context.hpp>
-
 #include <functional>
 #include <map>
-#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,9 +20,8 @@
 
 struct GroupCoordinationHooks {
     std::function<void(const std::string &host, hop::HopMessage)> send;
-    // Names of the hosts, other than this one, that are homes of the database's
-    // upstreams; one entry for each upstream.
-    std::function<std::vector<std::string>(const std::string &database)> otherHomes;
+    // The host that is home of the upstream; empty when there is none.
+    std::function<std::string(const std::string &database, const std::string &upstream)> homeOf;
     // All live hosts but this one.
     std::function<std::vector<std::string>()> otherHosts;
 };
@@ -33,33 +30,38 @@
 class GroupCoordination
 {
 public:
-    GroupCoordination(boost::asio::io_context &control, StoreClient &store, GroupCoordinationHooks hooks);
+    GroupCoordination(StoreClient &store, GroupCoordinationHooks hooks);
     GroupCoordination(const GroupCoordination &) = delete;
     GroupCoordination &operator=(const GroupCoordination &) = delete;
 
-    // The hooks that observers call; pauseWrites and resumeWrites stay unset.
+    // The hooks that observers call; those of the writes' pause stay unset.
     GroupObserverHooks observerHooks();
 
     void onOpinionReply(const std::string &from, const hop::OpinionReply &reply);
 
 private:
-    using OpinionsHandler = std::function<void(std::size_t agreeing, std::size_t asked)>;
-    using ClaimHandler = std::function<void(tl::expected<GroupRecord, Error>)>;
-    struct Poll;
+    using OpinionHandler = std::function<void(bool agrees)>;
+    using ReadHandler = std::function<void(const std::optional<VersionedRecord> &)>;
+    using ClaimHandler = std::function<void(const ClaimAnswer &)>;
+    struct Question {
+        std::string askedHost;
+        TimePoint deadline;
+        OpinionHandler handler;
+    };
 
-    void askOpinions(const std::string &database, const std::string &upstream, TimePoint deadline, OpinionsHandler handler);
-    void finish(std::uint64_t id);
-    void claim(const std::string &database, const GroupRecord &claim, TimePoint deadline, ClaimHandler handler);
-    void writeClaim(const std::string &database, const GroupRecord &claim, std::uint64_t expectedVersion, TimePoint deadline,
-                    ClaimHandler handler);
-    void record(const std::string &database, const GroupRecord &record, int attemptsLeft);
+    void askOpinion(const OpinionQuestion &question, TimePoint deadline, OpinionHandler handler);
+    void forgetExpiredQuestions(TimePoint now);
+    void readRecord(const std::string &database, TimePoint deadline, ReadHandler handler);
+    void claimRecord(const std::string &database, std::uint64_t expectedVersion, const GroupRecord &record, TimePoint deadline,
+                     ClaimHandler handler);
+    void writeRecord(const std::string &database, const GroupRecord &record, int attemptsLeft);
     void announce(const std::string &database, Term term, const std::string &primary);
 
-    boost::asio::io_context &m_control;
     StoreClient &m_store;
     GroupCoordinationHooks m_hooks;
-    std::map<std::uint64_t, std::shared_ptr<Poll>> m_polls;
-    std::uint64_t m_nextPoll = 1;
+    // Questions without an answer yet, by their number.
+    std::map<std::uint64_t, Question> m_questions;
+    std::uint64_t m_nextQuestion = 1;
 };
 
 // The store's key of a group's record.
--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -127,6 +127,7 @@
     void makeHomes();
     void makeFront();
     void makeOperators();
+    std::vector<asio::io_context *> trafficContexts() const;
     tl::expected<HostAddresses, Error> listen();
     void startThreads();
     void startControl();
@@ -156,6 +157,10 @@
     std::vector<std::string> otherHosts() const;
     std::vector<std::string> someHosts(std::size_t count);
     std::vector<std::string> otherHomes(const std::string &database) const;
+    // The host that is home of the upstream; empty when there is none.
+    std::string homeOf(const std::string &database, const std::string &upstream) const;
+    // Another host's heartbeat is a sign that we are not cut off and replaced.
+    void confirmOwnHomes();
 
     // Operators' requests; on the control thread.
     void handleOperator(const OperatorRequest &request, const OperatorResponder &respond);
@@ -256,27 +261,32 @@
 void HostDaemon::Impl::makeHomes()
 {
     m_coordination = std::make_unique<GroupCoordination>(
-        m_control, *m_store,
-        GroupCoordinationHooks{[this](const std::string &host, hop::HopMessage message) { send(host, std::move(message)); },
-                               [this](const std::string &database) { return otherHomes(database); },
-                               [this] { return otherHosts(); }});
-    GroupObserverHooks hooks = m_coordination->observerHooks();
-    hooks.announce = [this, tellOthers = hooks.announce](const std::string &database, Term term, const std::string &primary) {
+        *m_store,
+        GroupCoordinationHooks{
+            [this](const std::string &host, hop::HopMessage message) { send(host, std::move(message)); },
+            [this](const std::string &database, const std::string &upstream) { return homeOf(database, upstream); },
+            [this] { return otherHosts(); }});
+    HomeServiceHooks hooks;
+    hooks.observer = m_coordination->observerHooks();
+    hooks.observer.announce = [this, tellOthers = hooks.observer.announce](const std::string &database, Term term,
+                                                                           const std::string &primary) {
         tellOthers(database, term, primary);
         learnPrimary(database, term, primary);
     };
-    GroupObserverSettings observerSettings;
+    hooks.handedBack = [this](const std::string &database, const std::string &upstream, const HandBack &handBack) {
+        const std::string successor = homeOf(database, upstream);
+        if (!successor.empty()) {
+            send(successor, hop::Release{upstream, database, handBack.settled});
+        }
+    };
+    HomeServiceSettings settings;
     // A restarted host must not pass for the one whose promises it finds.
-    observerSettings.hostName = m_settings.host + "." + std::to_string(m_incarnation);
-    observerSettings.seed = static_cast<std::uint32_t>(m_random());
-    UpstreamHomeSettings homeSettings;
-    homeSettings.upstreamUser = m_settings.upstreamUser;
-    homeSettings.firstTransaction = (m_random() >> 2U) | 1U;
-    std::vector<asio::io_context *> traffic;
-    for (const auto &context : m_traffic) {
-        traffic.push_back(context.get());
-    }
-    m_homes = std::make_unique<HomeService>(m_control, std::move(traffic), observerSettings, std::move(hooks), homeSettings);
+    settings.observer.incarnation = m_settings.host + "/" + std::to_string(m_incarnation);
+    settings.observer.upstreamUser = m_settings.upstreamUser;
+    settings.observer.seed = m_random();
+    settings.home.upstreamUser = m_settings.upstreamUser;
+    settings.home.firstTransaction = (m_random() >> 2U) | 1U;
+    m_homes = std::make_unique<HomeService>(m_control, trafficContexts(), settings, std::move(hooks));
     m_switchovers = std::make_unique<SwitchoverDesk>(
         m_control, *m_homes,
         SwitchoverDeskHooks{[this](const std::string &host, hop::HopMessage message) { send(host, std::move(message)); },
@@ -288,13 +298,14 @@
     FrontOptions options;
     options.zone = m_settings.zone;
     options.maxConnections = static_cast<std::size_t>(m_settings.maxCallers);
-    options.tokenKey = m_settings.sessionKey;
-    options.baselineRouting = m_settings.routingPolicy == "baseline";
+    options.tokenKeys = {m_settings.sessionKey};
+    options.routing = m_settings.routingPolicy == "baseline" ? RoutingPolicy::Baseline : RoutingPolicy::Replicas;
+    options.seed = m_random();
     FrontHooks hooks;
     hooks.configuration = [this] { return routes()->configuration; };
     hooks.execute = [this](StatementRequest request, ReplyHandler handler) { execute(std::move(request), std::move(handler)); };
     hooks.cancel = [this](std::uint64_t id) { cancel(id); };
-    hooks.takeRetry = [this] {
+    hooks.spendRetry = [this](TimePoint) {
         const std::lock_guard<std::mutex> lock(m_retryMutex);
         return m_retries.mayRetry({});
     };
@@ -303,11 +314,16 @@
         const std::lock_guard<std::mutex> lock(m_retryMutex);
         m_retries.onRequest({});
     };
-    std::vector<asio::io_context *> traffic;
+    m_front = std::make_unique<Front>(m_link, trafficContexts(), std::move(options), std::move(hooks));
+}
+
+std::vector<asio::io_context *> HostDaemon::Impl::trafficContexts() const
+{
+    std::vector<asio::io_context *> contexts;
     for (const auto &context : m_traffic) {
-        traffic.push_back(context.get());
+        contexts.push_back(context.get());
     }
-    m_front = std::make_unique<Front>(m_link, std::move(traffic), std::move(options), std::move(hooks));
+    return contexts;
 }
 
 void HostDaemon::Impl::makeOperators()
@@ -485,6 +501,7 @@
 {
     if (const auto *gossip = std::get_if<hop::Gossip>(&message)) {
         m_membership->onGossip(gossip->message);
+        confirmOwnHomes();
     } else if (const auto *opinion = std::get_if<hop::Opinion>(&message)) {
         answerOpinion(from, *opinion);
     } else if (const auto *opinionReply = std::get_if<hop::OpinionReply>(&message)) {
@@ -499,6 +516,8 @@
         m_keeper->onPush(from.host, *push);
     } else if (const auto *request = std::get_if<hop::SwitchoverRequest>(&message)) {
         m_switchovers->onRequest(*request, [this, from](hop::SwitchoverReply reply) { sendOn(from, std::move(reply)); });
+    } else if (const auto *release = std::get_if<hop::Release>(&message)) {
+        m_homes->handedBack(release->database, release->upstream, HandBack{release->settled});
     } else if (const auto *reply = std::get_if<hop::SwitchoverReply>(&message)) {
         m_switchovers->onReply(*reply);
     }
@@ -506,10 +525,11 @@
 
 void HostDaemon::Impl::answerOpinion(const PeerRef &from, const hop::Opinion &question)
 {
-    m_homes->suspects(question.database, question.upstream, [this, from, id = question.id](std::optional<bool> suspects) {
+    const OpinionQuestion asked{question.database, question.upstream, question.primary, question.term};
+    m_homes->giveOpinion(asked, [this, from, id = question.id](std::optional<bool> agrees) {
         // A host that does not watch the group has no opinion and stays silent.
-        if (suspects) {
-            sendOn(from, hop::OpinionReply{id, *suspects, !*suspects});
+        if (agrees) {
+            sendOn(from, hop::OpinionReply{id, *agrees, !*agrees});
         }
     });
 }
@@ -521,7 +541,7 @@
     hint.database = database;
     hint.term = term;
     hint.primary = primary;
-    m_front->learn(hint);
+    m_front->learn(hint, primary);
 }
 
 void HostDaemon::Impl::send(const std::string &host, hop::HopMessage message)
@@ -612,6 +632,29 @@
     return homes;
 }
 
+std::string HostDaemon::Impl::homeOf(const std::string &database, const std::string &upstream) const
+{
+    const auto now = routes();
+    const DatabaseSpec *spec = now->configuration ? now->configuration->database(database) : nullptr;
+    const UpstreamSpec *member = spec != nullptr ? spec->upstream(upstream) : nullptr;
+    return member != nullptr ? now->homeOf(*member).value_or(std::string()) : std::string();
+}
+
+void HostDaemon::Impl::confirmOwnHomes()
+{
+    const auto now = routes();
+    if (!now->configuration) {
+        return;
+    }
+    for (const DatabaseSpec &database : now->configuration->databases) {
+        for (const UpstreamSpec &upstream : database.upstreams) {
+            if (now->homeOf(upstream) == m_settings.host) {
+                m_homes->confirmedHome(database.name, upstream.name);
+            }
+        }
+    }
+}
+
 // Operators.
 
 void HostDaemon::Impl::handleOperator(const OperatorRequest &request, const OperatorResponder &respond)
--- a/src/runtime/hostmetrics.cpp
+++ b/src/runtime/hostmetrics.cpp
@@ -58,7 +58,7 @@
         registry.count("reads_total",
                        {{"database", observation.database},
                         {"served_by", observation.byPrimary ? "primary" : "replica"},
-                        {"reason", observation.primaryReason}});
+                        {"reason", observation.primaryReason ? std::string(nameOf(*observation.primaryReason)) : std::string()}});
     }
 }
 
--- a/src/wire/hop_generated.h
+++ b/src/wire/hop_generated.h
@@ -1590,7 +1590,9 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_DATABASE = 6,
-    VT_UPSTREAM = 8
+    VT_UPSTREAM = 8,
+    VT_PRIMARY = 10,
+    VT_TERM = 12
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1601,6 +1603,12 @@
   const flatbuffers::String *upstream() const {
     return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
   }
+  const flatbuffers::String *primary() const {
+    return GetPointer<const flatbuffers::String *>(VT_PRIMARY);
+  }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1608,6 +1616,9 @@
            verifier.VerifyString(database()) &&
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
+           VerifyOffset(verifier, VT_PRIMARY) &&
+           verifier.VerifyString(primary()) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            verifier.EndTable();
   }
 };
@@ -1625,6 +1636,12 @@
   void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
     fbb_.AddOffset(Opinion::VT_UPSTREAM, upstream);
   }
+  void add_primary(flatbuffers::Offset<flatbuffers::String> primary) {
+    fbb_.AddOffset(Opinion::VT_PRIMARY, primary);
+  }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(Opinion::VT_TERM, term, 0);
+  }
   explicit OpinionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1640,9 +1657,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     flatbuffers::Offset<flatbuffers::String> database = 0,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    flatbuffers::Offset<flatbuffers::String> primary = 0,
+    uint64_t term = 0) {
   OpinionBuilder builder_(_fbb);
+  builder_.add_term(term);
   builder_.add_id(id);
+  builder_.add_primary(primary);
   builder_.add_upstream(upstream);
   builder_.add_database(database);
   return builder_.Finish();
@@ -1652,14 +1673,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     const char *database = nullptr,
-    const char *upstream = nullptr) {
+    const char *upstream = nullptr,
+    const char *primary = nullptr,
+    uint64_t term = 0) {
   auto database__ = database ? _fbb.CreateString(database) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto primary__ = primary ? _fbb.CreateString(primary) : 0;
   return egrettide::wire::CreateOpinion(
       _fbb,
       id,
       database__,
-      upstream__);
+      upstream__,
+      primary__,
+      term);
 }
 
 struct OpinionReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2077,15 +2103,26 @@
 struct Release FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReleaseBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_UPSTREAM = 4
+    VT_UPSTREAM = 4,
+    VT_DATABASE = 6,
+    VT_SETTLED = 8
   };
   const flatbuffers::String *upstream() const {
     return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
   }
+  const flatbuffers::String *database() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATABASE);
+  }
+  bool settled() const {
+    return GetField<uint8_t>(VT_SETTLED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
+           VerifyOffset(verifier, VT_DATABASE) &&
+           verifier.VerifyString(database()) &&
+           VerifyField<uint8_t>(verifier, VT_SETTLED, 1) &&
            verifier.EndTable();
   }
 };
@@ -2097,6 +2134,12 @@
   void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
     fbb_.AddOffset(Release::VT_UPSTREAM, upstream);
   }
+  void add_database(flatbuffers::Offset<flatbuffers::String> database) {
+    fbb_.AddOffset(Release::VT_DATABASE, database);
+  }
+  void add_settled(bool settled) {
+    fbb_.AddElement<uint8_t>(Release::VT_SETTLED, static_cast<uint8_t>(settled), 0);
+  }
   explicit ReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2110,19 +2153,28 @@
 
 inline flatbuffers::Offset<Release> CreateRelease(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    flatbuffers::Offset<flatbuffers::String> database = 0,
+    bool settled = false) {
   ReleaseBuilder builder_(_fbb);
+  builder_.add_database(database);
   builder_.add_upstream(upstream);
+  builder_.add_settled(settled);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<Release> CreateReleaseDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *upstream = nullptr) {
+    const char *upstream = nullptr,
+    const char *database = nullptr,
+    bool settled = false) {
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto database__ = database ? _fbb.CreateString(database) : 0;
   return egrettide::wire::CreateRelease(
       _fbb,
-      upstream__);
+      upstream__,
+      database__,
+      settled);
 }
 
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -182,7 +182,8 @@
     {
         const auto database = m_builder.CreateString(message.database);
         const auto upstream = m_builder.CreateString(message.upstream);
-        return body(wire::HopBody_Opinion, wire::CreateOpinion(m_builder, message.id, database, upstream));
+        const auto primary = m_builder.CreateString(message.primary);
+        return body(wire::HopBody_Opinion, wire::CreateOpinion(m_builder, message.id, database, upstream, primary, message.term));
     }
 
     PackedBody operator()(const OpinionReply &message) const
@@ -228,7 +229,9 @@
 
     PackedBody operator()(const Release &message) const
     {
-        return body(wire::HopBody_Release, wire::CreateRelease(m_builder, m_builder.CreateString(message.upstream)));
+        const auto upstream = m_builder.CreateString(message.upstream);
+        const auto database = m_builder.CreateString(message.database);
+        return body(wire::HopBody_Release, wire::CreateRelease(m_builder, upstream, database, message.settled));
     }
 
     PackedBody operator()(const Ping &message) const
@@ -507,7 +510,7 @@
         return unpack(*frame.body_as_Gossip(), now);
     case wire::HopBody_Opinion: {
         const wire::Opinion &opinion = *frame.body_as_Opinion();
-        return Opinion{opinion.id(), text(opinion.database()), text(opinion.upstream())};
+        return Opinion{opinion.id(), text(opinion.database()), text(opinion.upstream()), text(opinion.primary()), opinion.term()};
     }
     case wire::HopBody_OpinionReply: {
         const wire::OpinionReply &reply = *frame.body_as_OpinionReply();
@@ -527,8 +530,10 @@
     }
     case wire::HopBody_SwitchoverReply:
         return unpack(*frame.body_as_SwitchoverReply(), now);
-    case wire::HopBody_Release:
-        return Release{text(frame.body_as_Release()->upstream())};
+    case wire::HopBody_Release: {
+        const wire::Release &release = *frame.body_as_Release();
+        return Release{text(release.upstream()), text(release.database()), release.settled()};
+    }
     case wire::HopBody_Ping:
         return Ping{frame.body_as_Ping()->number(), frame.body_as_Ping()->answer()};
     case wire::HopBody_NONE:
--- a/src/wire/hopcodec.h
+++ b/src/wire/hopcodec.h
@@ -74,7 +74,11 @@
 struct Opinion {
     std::uint64_t id = 0;
     std::string database;
+    // The upstream whose home is asked.
     std::string upstream;
+    // The suspected primary and its term; empty when the group has none.
+    std::string primary;
+    Term term = 0;
 };
 
 struct OpinionReply {
@@ -120,6 +124,9 @@
 // may now use the whole budget.
 struct Release {
     std::string upstream;
+    std::string database;
+    // False when the former home still waited for its own predecessor.
+    bool settled = false;
 };
 
 // Keeps a quiet link honest; answered with the same number.
