--- a/testing/upstream/executor.cpp
+++ b/testing/upstream/executor.cpp
@@ -225,7 +225,7 @@
         const auto &keys = schema().uniqueKeys;
         for (std::size_t i = 0; i < keys.size(); ++i) {
             const auto key = uniqueKeyOf(row, keys[i]);
-            if (key && (clashesWithCommitted(i, *key, id) || clashesWithOwn(keys[i], *key, id))) {
+            if (key && (clashesWithCommitted(i, *key, id) || clashesWithOwn(keys[i], row, id))) {
                 return true;
             }
         }
@@ -244,10 +244,13 @@
         return holder && *holder != id && !isOverwritten(*holder);
     }
 
-    bool clashesWithOwn(const std::vector<std::size_t> &columns, const std::string &key, RowId id) const
+    bool clashesWithOwn(const std::vector<std::size_t> &columns, const Row &row, RowId id) const
     {
+        const auto isSame = [&](const Row &other) {
+            return std::all_of(columns.begin(), columns.end(), [&](std::size_t column) { return other[column] == row[column]; });
+        };
         bool found = false;
-        forEachOwn([&](RowId other, const Row &row) { found = found || (other != id && uniqueKeyOf(row, columns) == key); });
+        forEachOwn([&](RowId other, const Row &values) { found = found || (other != id && isSame(values)); });
         return found;
     }
 
@@ -807,9 +810,10 @@
     return std::visit(columns, statement);
 }
 
-std::vector<ColumnType> parameterTypes(const Statement &statement, const TableSet &tables, const Transaction &transaction)
+std::vector<ColumnType> parameterTypes(const Statement &statement, int count, const TableSet &tables,
+                                       const Transaction &transaction)
 {
-    std::vector<ColumnType> types(static_cast<std::size_t>(parameterCount(statement)), ColumnType::Text);
+    std::vector<ColumnType> types(static_cast<std::size_t>(count), ColumnType::Text);
     ParameterTyper typer(types);
     const auto note = [&](const auto &typed) {
         using Type = std::decay_t<decltype(typed)>;
--- a/testing/upstream/executor.h
+++ b/testing/upstream/executor.h
@@ -32,9 +32,10 @@
 // The columns that a statement returns, empty for none.
 std::vector<ResultColumn> resultColumns(const Statement &statement, const TableSet &tables, const Transaction &transaction);
 
-// The types that a statement's parameters are compared with or stored as; text
-// where nothing tells.
-std::vector<ColumnType> parameterTypes(const Statement &statement, const TableSet &tables, const Transaction &transaction);
+// The types that the `count` parameters of a statement are compared with or stored
+// as; text where nothing tells.
+std::vector<ColumnType> parameterTypes(const Statement &statement, int count, const TableSet &tables,
+                                       const Transaction &transaction);
 
 // Runs one statement. Its writes go to `transaction` alone. Throws SqlError and
 // then leaves `transaction` in a state that only a rollback may follow.
--- a/testing/upstream/groupmember.cpp
+++ b/testing/upstream/groupmember.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-GroupMember::GroupMember(std::string name) : m_name(std::move(name))
+GroupMember::GroupMember(std::string name, GroupFaults faults) : m_faults(faults), m_name(std::move(name))
 {
 }
 
@@ -56,14 +56,18 @@
 
 bool GroupMember::fence(Term term, const std::string &token)
 {
-    if (term < m_promisedTerm || (term == m_promisedTerm && token != m_promisedTo)) {
+    const bool isTaken = term == m_promisedTerm && token != m_promisedTo && !m_faults.grantsTermTwice;
+    if (term < m_promisedTerm || isTaken) {
         return false;
     }
-    if (term == m_promisedTerm) {
+    if (term == m_promisedTerm && token == m_promisedTo) {
         return true;
     }
     m_promisedTerm = term;
     m_promisedTo = token;
+    if (m_faults.ignoresFence) {
+        return true;
+    }
     if (isPrimary()) {
         m_role = UpstreamRole::Fenced;
     }
@@ -182,8 +186,8 @@
 {
     // An old primary that woke up still serves its log. Taking its entries would
     // add to a log that a promoter has already counted.
-    const bool isFollowed = m_role == UpstreamRole::Replica && m_followingTerm != 0 && answer.senderTerm == m_followingTerm;
-    if (!isFollowed || answer.senderTerm < m_promisedTerm) {
+    const bool isFollowed = m_followingTerm != 0 && answer.senderTerm == m_followingTerm && answer.senderTerm >= m_promisedTerm;
+    if (m_role != UpstreamRole::Replica || (!isFollowed && !m_faults.takesOldEntries)) {
         return false;
     }
     if (!answer.matched) {
--- a/testing/upstream/groupmember.h
+++ b/testing/upstream/groupmember.h
@@ -9,6 +9,7 @@
 
 #include "egrettide/core/types.h"
 #include "testing/upstream/tables.h"
+#include "testing/upstream/upstreamstandin.h"
 
 #include <deque>
 #include <functional>
@@ -33,7 +34,7 @@
 class GroupMember
 {
 public:
-    explicit GroupMember(std::string name);
+    explicit GroupMember(std::string name, GroupFaults faults = {});
     GroupMember(const GroupMember &) = delete;
     GroupMember &operator=(const GroupMember &) = delete;
 
@@ -84,6 +85,10 @@
     // As replica: the mark of its entry at `position`, or of its last entry.
     LogMark markAt(Position position) const;
     LogMark received() const;
+    const std::vector<LogEntry> &log() const
+    {
+        return m_log;
+    }
     // Takes a primary's answer about what follows `after`; false when it comes from
     // a primary that this member does not follow (any more).
     bool receive(LogMark after, const LogAnswer &answer, TimePoint now);
@@ -98,13 +103,14 @@
     void truncate(Position last);
     void replayNext();
 
+    const GroupFaults m_faults;
     std::string m_name;
     UpstreamRole m_role = UpstreamRole::Replica;
     // Invariant: only rises.
     Term m_promisedTerm = 0;
     std::string m_promisedTo;
     // The term it is the primary of or follows, 0 for none. Invariant: either 0 or
-    // equal to m_promisedTerm.
+    // equal to m_promisedTerm, unless a fault is set.
     Term m_followingTerm = 0;
     std::string m_primaryAddress;
     // Invariant: the entry at index i has position i + 1.
--- a/testing/upstream/replicator.cpp
+++ b/testing/upstream/replicator.cpp
@@ -16,6 +16,26 @@
 constexpr milliseconds retryDelay{20};
 constexpr std::size_t maxEntries = 500;
 
+// One constant text with parameters, so that the primary parses it once.
+std::string logQuestion(const std::array<std::uint64_t, 4> &arguments)
+{
+    std::string bind(2, '\0'); // unnamed portal and statement
+    pg::appendUint16(bind, 0); // text parameters
+    pg::appendUint16(bind, arguments.size());
+    for (const std::uint64_t argument : arguments) {
+        const std::string text = std::to_string(argument);
+        pg::appendUint32(bind, static_cast<std::uint32_t>(text.size()));
+        bind += text;
+    }
+    pg::appendUint16(bind, 0); // text results
+    std::string question;
+    pg::appendParse(question, "", "SELECT * FROM group_log($1, $2, $3, $4)", std::string(2, '\0'));
+    pg::appendMessage(question, 'B', bind);
+    pg::appendMessage(question, 'E', std::string(5, '\0')); // unnamed portal, all rows
+    pg::appendMessage(question, 'S', {});
+    return question;
+}
+
 std::uint64_t numberOf(const std::optional<std::string> &text)
 {
     return text && !text->empty() ? std::stoull(*text) : 0;
@@ -241,11 +261,7 @@
         link->after = member.markAt(*link->resumeAfter);
     }
     link->isAsking = true;
-    const std::string arguments = std::to_string(member.followingTerm()) + ", " + std::to_string(link->after.term) + ", "
-        + std::to_string(link->after.position) + ", " + std::to_string(maxEntries);
-    std::string query;
-    pg::appendQuery(query, "SELECT * FROM group_log(" + arguments + ")");
-    send(link, std::move(query));
+    send(link, logQuestion({member.followingTerm(), link->after.term, link->after.position, maxEntries}));
 }
 
 } // namespace egrettide::testing
--- a/testing/upstream/session.cpp
+++ b/testing/upstream/session.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <cstdlib>
 
@@ -67,9 +68,14 @@
     return isShort ? static_cast<std::int32_t>(static_cast<std::uint32_t>(value)) : static_cast<std::int64_t>(value);
 }
 
-Value parameterOf(std::string_view bytes, std::uint16_t format, ColumnType type)
+bool isInteger(std::uint32_t type)
 {
-    if (format == binaryFormat && type != ColumnType::Text) {
+    return type == static_cast<std::uint32_t>(ColumnType::Int4) || type == static_cast<std::uint32_t>(ColumnType::Int8);
+}
+
+Value parameterOf(std::string_view bytes, std::uint16_t format, std::uint32_t type)
+{
+    if (format == binaryFormat && isInteger(type)) {
         if (bytes.size() != int4Bytes && bytes.size() != int8Bytes) {
             throw SqlError("22P03", "incorrect binary data format in a parameter");
         }
@@ -364,23 +370,23 @@
 {
     m_query = SimpleQuery{};
     const std::string sql(payload.c_str());
-    m_query->statements = m_server.statements().parsed(sql);
-    if (m_query->statements->empty()) {
+    m_query->text = m_server.statements().parsed(sql);
+    if (m_query->text->statements.empty()) {
         pg::appendMessage(m_output, 'I', {});
     }
 }
 
 void Session::stepQuery()
 {
-    const auto statements = m_query->statements;
-    if (m_query->next == statements->size()) {
+    const auto text = m_query->text;
+    if (m_query->next == text->statements.size()) {
         endQuery();
         return;
     }
-    const Statement &statement = (*statements)[m_query->next];
-    run({statements, &statement, {}, [this](StatementResult result) {
+    const Statement &statement = text->statements[m_query->next];
+    run({text, &statement, {}, [this](StatementResult result) {
              ++m_query->next;
-             if (m_query->next == m_query->statements->size()) {
+             if (m_query->next == m_query->text->statements.size()) {
                  // Before the answer: a caller that reads CommandComplete may count on it.
                  commitImplicit();
              }
@@ -409,48 +415,65 @@
     if (!name.empty() && m_prepared.contains(name)) {
         throw SqlError("42P05", "prepared statement \"" + name + "\" already exists");
     }
-    prepared.statements = m_server.statements().parsed(sql);
-    if (prepared.statements->size() > 1) {
+    prepared.text = m_server.statements().parsed(sql);
+    if (prepared.text->statements.size() > 1) {
         throw SqlError("42601", "cannot insert multiple commands into a prepared statement");
     }
     m_prepared[name] = std::move(prepared);
     pg::appendMessage(m_output, '1', {});
 }
 
-void Session::onBind(pg::PayloadReader payload)
+const Session::Prepared &Session::preparedNamed(const std::string &name) const
 {
-    const std::string portalName = textField(payload);
-    const std::string statementName = textField(payload);
-    const auto found = m_prepared.find(statementName);
+    const auto found = m_prepared.find(name);
     if (found == m_prepared.end()) {
-        throw SqlError("26000", "prepared statement \"" + statementName + "\" does not exist");
+        throw SqlError("26000", "prepared statement \"" + name + "\" does not exist");
     }
+    return found->second;
+}
+
+const Session::Portal &Session::portalNamed(const std::string &name) const
+{
+    const auto found = m_portals.find(name);
+    if (found == m_portals.end()) {
+        throw SqlError("34000", "portal \"" + name + "\" does not exist");
+    }
+    return found->second;
+}
+
+// The types that the caller declared, and the inferred ones elsewhere.
+std::vector<std::uint32_t> Session::typesOf(const Prepared &prepared) const
+{
+    const ParsedText &text = *prepared.text;
+    if (text.parameterCount == 0) {
+        return {};
+    }
+    std::vector<std::uint32_t> types;
+    const auto &tables = m_server.member().tables();
+    for (const ColumnType type : parameterTypes(text.statements.front(), text.parameterCount, tables, visibleTransaction())) {
+        types.push_back(static_cast<std::uint32_t>(type));
+    }
+    for (std::size_t i = 0; i < std::min(types.size(), prepared.declaredTypes.size()); ++i) {
+        types[i] = prepared.declaredTypes[i] == 0 ? types[i] : prepared.declaredTypes[i];
+    }
+    return types;
+}
+
+void Session::onBind(pg::PayloadReader payload)
+{
+    const std::string portalName = textField(payload);
+    const Prepared &prepared = preparedNamed(textField(payload));
     const std::vector<std::uint16_t> formats = uint16List(payload);
-    const StatementList &statements = *found->second.statements;
-    const std::size_t needed = statements.empty() ? 0 : static_cast<std::size_t>(parameterCount(statements.front()));
-    const std::uint16_t count = required(payload.uint16());
-    if (count != needed) {
-        throw SqlError("08P01",
-                       "bind message supplies " + std::to_string(count) + " parameters, but the prepared statement requires "
-                           + std::to_string(needed));
-    }
-    std::vector<ColumnType> types;
-    if (needed > 0) {
-        types = parameterTypes(statements.front(), m_server.member().tables(), visibleTransaction());
-    }
-    Portal portal{found->second.statements, {}, {}};
-    for (std::size_t i = 0; i < count; ++i) {
+    const std::vector<std::uint32_t> types = typesOf(prepared);
+    if (required(payload.uint16()) != types.size()) {
+        throw SqlError("08P01", "the prepared statement requires " + std::to_string(types.size()) + " parameters");
+    }
+    Portal portal{prepared.text, {}, {}};
+    for (std::size_t i = 0; i < types.size(); ++i) {
         const std::uint32_t length = required(payload.uint32());
-        if (length == nullLength) {
-            portal.parameters.emplace_back();
-            continue;
-        }
-        const auto &declared = found->second.declaredTypes;
-        const bool isInteger = i < declared.size()
-            && (declared[i] == static_cast<std::uint32_t>(ColumnType::Int4)
-                || declared[i] == static_cast<std::uint32_t>(ColumnType::Int8));
-        const ColumnType type = isInteger ? ColumnType::Int8 : types[i];
-        portal.parameters.push_back(parameterOf(required(payload.bytes(length)), formatAt(formats, i), type));
+        const bool isMissing = length == nullLength;
+        portal.parameters.push_back(isMissing ? Value()
+                                              : parameterOf(required(payload.bytes(length)), formatAt(formats, i), types[i]));
     }
     portal.resultFormats = uint16List(payload);
     m_portals[portalName] = std::move(portal);
@@ -461,37 +484,24 @@
 {
     const bool isStatement = required(payload.bytes(1)) == "S";
     const std::string name = textField(payload);
-    std::shared_ptr<const StatementList> statements;
-    std::vector<std::uint16_t> formats;
-    if (isStatement) {
-        const auto found = m_prepared.find(name);
-        if (found == m_prepared.end()) {
-            throw SqlError("26000", "prepared statement \"" + name + "\" does not exist");
-        }
-        statements = found->second.statements;
-    } else {
-        const auto found = m_portals.find(name);
-        if (found == m_portals.end()) {
-            throw SqlError("34000", "portal \"" + name + "\" does not exist");
-        }
-        statements = found->second.statements;
-        formats = found->second.resultFormats;
+    if (!isStatement) {
+        describeColumns(*portalNamed(name).text, portalNamed(name).resultFormats);
+        return;
     }
-    if (isStatement) {
-        std::vector<ColumnType> types;
-        if (!statements->empty()) {
-            types = parameterTypes(statements->front(), m_server.member().tables(), visibleTransaction());
-        }
-        const auto &declared = m_prepared.at(name).declaredTypes;
-        std::string description;
-        pg::appendUint16(description, static_cast<std::uint16_t>(types.size()));
-        for (std::size_t i = 0; i < types.size(); ++i) {
-            const bool isDeclared = i < declared.size() && declared[i] != 0;
-            pg::appendUint32(description, isDeclared ? declared[i] : static_cast<std::uint32_t>(types[i]));
-        }
-        pg::appendMessage(m_output, 't', description);
+    const Prepared &prepared = preparedNamed(name);
+    const std::vector<std::uint32_t> types = typesOf(prepared);
+    std::string description;
+    pg::appendUint16(description, static_cast<std::uint16_t>(types.size()));
+    for (const std::uint32_t type : types) {
+        pg::appendUint32(description, type);
     }
-    const auto columns = statements->empty() ? std::vector<ResultColumn>() : columnsOf(statements->front());
+    pg::appendMessage(m_output, 't', description);
+    describeColumns(*prepared.text, {});
+}
+
+void Session::describeColumns(const ParsedText &text, const std::vector<std::uint16_t> &formats)
+{
+    const auto columns = text.statements.empty() ? std::vector<ResultColumn>() : columnsOf(text.statements.front());
     if (columns.empty()) {
         pg::appendMessage(m_output, 'n', {});
         return;
@@ -501,17 +511,12 @@
 
 void Session::onExecute(pg::PayloadReader payload)
 {
-    const std::string name = textField(payload);
-    const auto found = m_portals.find(name);
-    if (found == m_portals.end()) {
-        throw SqlError("34000", "portal \"" + name + "\" does not exist");
-    }
-    const Portal &portal = found->second;
-    if (portal.statements->empty()) {
+    const Portal &portal = portalNamed(textField(payload));
+    if (portal.text->statements.empty()) {
         pg::appendMessage(m_output, 'I', {});
         return;
     }
-    run({portal.statements, &portal.statements->front(), portal.parameters,
+    run({portal.text, &portal.text->statements.front(), portal.parameters,
          [this, formats = portal.resultFormats](StatementResult result) { writeRows(result, formats); }});
 }
 
@@ -742,9 +747,10 @@
     return resultColumns(statement, m_server.member().tables(), visibleTransaction());
 }
 
-Transaction Session::visibleTransaction() const
+const Transaction &Session::visibleTransaction() const
 {
-    return m_transaction.value_or(Transaction());
+    static const Transaction none;
+    return m_transaction ? *m_transaction : none;
 }
 
 void Session::commitImplicit()
--- a/testing/upstream/session.h
+++ b/testing/upstream/session.h
@@ -39,23 +39,23 @@
 
 private:
     struct Prepared {
-        std::shared_ptr<const StatementList> statements;
+        std::shared_ptr<const ParsedText> text;
         std::vector<std::uint32_t> declaredTypes;
     };
     struct Portal {
-        std::shared_ptr<const StatementList> statements;
+        std::shared_ptr<const ParsedText> text;
         std::vector<Value> parameters;
         std::vector<std::uint16_t> resultFormats;
     };
     // The one statement being run. `done` writes its answer and may throw SqlError.
     struct Running {
-        std::shared_ptr<const StatementList> owner;
+        std::shared_ptr<const ParsedText> owner;
         const Statement *statement = nullptr;
         std::vector<Value> parameters;
         std::function<void(StatementResult)> done;
     };
     struct SimpleQuery {
-        std::shared_ptr<const StatementList> statements;
+        std::shared_ptr<const ParsedText> text;
         std::size_t next = 0;
     };
 
@@ -82,6 +82,10 @@
     void onExecute(pg::PayloadReader payload);
     void onClose(pg::PayloadReader payload);
     void onSync();
+    const Prepared &preparedNamed(const std::string &name) const;
+    const Portal &portalNamed(const std::string &name) const;
+    std::vector<std::uint32_t> typesOf(const Prepared &prepared) const;
+    void describeColumns(const ParsedText &text, const std::vector<std::uint16_t> &formats);
 
     void run(Running running);
     void finishRunning();
@@ -96,7 +100,7 @@
     StatementResult executeDeallocate(const DeallocateStatement &statement);
     StatementResult executeInTransaction(const Running &running);
     std::vector<ResultColumn> columnsOf(const Statement &statement) const;
-    Transaction visibleTransaction() const;
+    const Transaction &visibleTransaction() const;
     void commitImplicit();
     void fail(const SqlError &error);
 
--- a/testing/upstream/sqlstatement.cpp
+++ b/testing/upstream/sqlstatement.cpp
@@ -27,9 +27,9 @@
 
 const Json &child(const Json &node, const char *key)
 {
-    static const Json null;
+    static const Json nothing = Json::object();
     const auto found = node.find(key);
-    return found == node.end() ? null : *found;
+    return found == node.end() ? nothing : *found;
 }
 
 std::string stringOf(const Json &node)
@@ -532,82 +532,32 @@
     unsupported(kind);
 }
 
-int highestParameter(const Expression &expression)
-{
-    int highest = expression.parameter;
-    for (const Expression &operand : expression.operands) {
-        highest = std::max(highest, highestParameter(operand));
-    }
-    return highest;
-}
-
-int highestParameter(const std::vector<Expression> &expressions)
-{
-    int highest = 0;
-    for (const Expression &expression : expressions) {
-        highest = std::max(highest, highestParameter(expression));
-    }
-    return highest;
-}
-
-int highestParameter(const std::vector<OutputColumn> &outputs)
+int highestParameter(const Json &tree)
 {
-    int highest = 0;
-    for (const OutputColumn &output : outputs) {
-        highest = std::max(highest, highestParameter(output.expression));
+    if (!tree.is_structured()) {
+        return 0;
     }
-    return highest;
-}
-
-int highestParameter(const Condition &condition)
-{
-    int highest = highestParameter(condition.operands);
-    for (const Condition &part : condition.children) {
+    int highest = tree.is_object() ? child(tree, "ParamRef").value("number", 0) : 0;
+    for (const Json &part : tree) {
         highest = std::max(highest, highestParameter(part));
     }
     return highest;
 }
 
-template <typename Part> int highestParameter(const std::optional<Part> &part)
+ParsedText parsedTextOf(const Json &tree)
 {
-    return part ? highestParameter(*part) : 0;
-}
-
-struct HighestParameter {
-    int operator()(const SelectStatement &select) const
-    {
-        return std::max({highestParameter(select.output), highestParameter(select.where), highestParameter(select.limit),
-                         highestParameter(select.offset)});
-    }
-    int operator()(const InsertStatement &insert) const
-    {
-        int highest = highestParameter(insert.returning);
-        for (const auto &row : insert.rows) {
-            highest = std::max(highest, highestParameter(row));
-        }
-        return highest;
-    }
-    int operator()(const UpdateStatement &update) const
-    {
-        int highest = std::max(highestParameter(update.where), highestParameter(update.returning));
-        for (const auto &assignment : update.assignments) {
-            highest = std::max(highest, highestParameter(assignment.second));
+    ParsedText text;
+    text.parameterCount = highestParameter(tree);
+    try {
+        for (const Json &statement : child(tree, "stmts")) {
+            text.statements.push_back(statementOf(child(statement, "stmt")));
         }
-        return highest;
-    }
-    int operator()(const DeleteStatement &statement) const
-    {
-        return std::max(highestParameter(statement.where), highestParameter(statement.returning));
+    } catch (const Json::exception &) {
+        // A tree of another shape than expected is SQL that is not known here.
+        unsupported("this form of the statement");
     }
-    int operator()(const FunctionStatement &function) const
-    {
-        return highestParameter(function.arguments);
-    }
-    template <typename Other> int operator()(const Other &) const
-    {
-        return 0;
-    }
-};
+    return text;
+}
 
 } // namespace
 
@@ -666,7 +616,7 @@
     throw SqlError("42703", "column \"" + std::string(name) + "\" does not exist");
 }
 
-StatementList parseStatements(const std::string &sql)
+ParsedText parseStatements(const std::string &sql)
 {
     const PgQueryParseResult result = pg_query_parse(sql.c_str());
     const std::string tree = result.parse_tree == nullptr ? "" : result.parse_tree;
@@ -675,21 +625,16 @@
     if (!problem.empty()) {
         throw SqlError("42601", problem);
     }
-    StatementList statements;
-    const Json parsed = Json::parse(tree);
-    for (const Json &statement : child(parsed, "stmts")) {
-        statements.push_back(statementOf(child(statement, "stmt")));
-    }
-    return statements;
+    return parsedTextOf(Json::parse(tree));
 }
 
-std::shared_ptr<const StatementList> StatementCache::parsed(const std::string &sql)
+std::shared_ptr<const ParsedText> StatementCache::parsed(const std::string &sql)
 {
     const auto found = m_statements.find(sql);
     if (found != m_statements.end()) {
         return found->second;
     }
-    auto statements = std::make_shared<const StatementList>(parseStatements(sql));
+    auto statements = std::make_shared<const ParsedText>(parseStatements(sql));
     if (m_statements.size() >= maxCachedTexts) {
         m_statements.clear();
     }
@@ -707,9 +652,4 @@
         || std::holds_alternative<DropTableStatement>(statement);
 }
 
-int parameterCount(const Statement &statement)
-{
-    return std::visit(HighestParameter(), statement);
-}
-
 } // namespace egrettide::testing
--- a/testing/upstream/sqlstatement.h
+++ b/testing/upstream/sqlstatement.h
@@ -161,24 +161,27 @@
 using Statement =
     std::variant<SelectStatement, InsertStatement, UpdateStatement, DeleteStatement, CreateTableStatement, DropTableStatement,
                  FunctionStatement, TransactionStatement, SetStatement, ShowStatement, DeallocateStatement>;
-using StatementList = std::vector<Statement>;
+
+struct ParsedText {
+    std::vector<Statement> statements;
+    // The largest parameter number in the text.
+    int parameterCount = 0;
+};
 
 // The statements of one text; throws 42601 for bad syntax and 0A000 for what the
 // stand-in does not know.
-StatementList parseStatements(const std::string &sql);
+ParsedText parseStatements(const std::string &sql);
 
 // Remembers parsed texts, since callers send the same few over and over.
 class StatementCache
 {
 public:
-    std::shared_ptr<const StatementList> parsed(const std::string &sql);
+    std::shared_ptr<const ParsedText> parsed(const std::string &sql);
 
 private:
-    std::map<std::string, std::shared_ptr<const StatementList>, std::less<>> m_statements;
+    std::map<std::string, std::shared_ptr<const ParsedText>, std::less<>> m_statements;
 };
 
 bool isWrite(const Statement &statement);
-// The largest parameter number of a statement.
-int parameterCount(const Statement &statement);
 
 } // namespace egrettide::testing
--- a/testing/upstream/upstreamstandin.h
+++ b/testing/upstream/upstreamstandin.h
@@ -16,6 +16,17 @@
 namespace egrettide::testing
 {
 
+// Rules that a stand-in breaks on purpose, so that a proof can show that it would
+// notice.
+struct GroupFaults {
+    // Grants a promised term to a second token as well.
+    bool grantsTermTwice = false;
+    // Takes entries from a primary whatever term that is of.
+    bool takesOldEntries = false;
+    // Goes on as primary after promising a higher term.
+    bool ignoresFence = false;
+};
+
 // How one stand-in behaves from its start. Most of it can be changed at run time,
 // in process by methods and over SQL by `SELECT standin_set('key', 'value')`.
 struct UpstreamOptions {
@@ -46,6 +57,7 @@
     milliseconds receiveDelay{0};
     // Seeds the bursts.
     std::uint64_t seed = 1;
+    GroupFaults faults;
     // Above 0 it starts as the primary of this term.
     Term primaryTerm = 0;
     // "IP:port" of the primary to follow from the start.
