--- a/include/egrettide/core/configurationapply.h
+++ b/include/egrettide/core/configurationapply.h
@@ -83,6 +83,11 @@
 struct ReadFailed {
     std::uint64_t attempt = 0;
 };
+// The object is not one of ours: the file must not replace it.
+struct ReadUnusable {
+    std::uint64_t attempt = 0;
+    Error error;
+};
 struct WriteAccepted {
     std::uint64_t attempt = 0;
     std::uint64_t version = 0;
@@ -105,8 +110,8 @@
 };
 struct ApplyDeadlinePassed {
 };
-using ApplyEvent = std::variant<ReadAnswered, ReadFailed, WriteAccepted, WriteConflicted, WriteAnswerLost, WriteNotSent,
-                                WriteRefused, ApplyDeadlinePassed>;
+using ApplyEvent = std::variant<ReadAnswered, ReadFailed, ReadUnusable, WriteAccepted, WriteConflicted, WriteAnswerLost,
+                                WriteNotSent, WriteRefused, ApplyDeadlinePassed>;
 
 enum class ApplyVerdict {
     // This file was accepted as `version`; see `current` for what is there now.
@@ -188,6 +193,7 @@
 
     std::optional<ApplyAction> on(const ReadAnswered &event, TimePoint now);
     std::optional<ApplyAction> on(const ReadFailed &event, TimePoint now);
+    std::optional<ApplyAction> on(const ReadUnusable &event, TimePoint now);
     std::optional<ApplyAction> on(const WriteAccepted &event, TimePoint now);
     std::optional<ApplyAction> on(const WriteConflicted &event, TimePoint now);
     std::optional<ApplyAction> on(const WriteAnswerLost &event, TimePoint now);
--- a/src/core/configurationapply.cpp
+++ b/src/core/configurationapply.cpp
@@ -93,6 +93,14 @@
     return read(m_phase, pauseFrom(now));
 }
 
+std::optional<ApplyAction> ConfigurationApply::on(const ReadUnusable &event, TimePoint)
+{
+    if (!awaits(m_phase, event.attempt) || m_phase == Phase::Writing) {
+        return std::nullopt;
+    }
+    return fail(m_unresolvedWrites == 0 ? ApplyVerdict::Refused : ApplyVerdict::Unknown, event.error);
+}
+
 std::optional<ApplyAction> ConfigurationApply::on(const WriteAccepted &event, TimePoint)
 {
     // However late and whichever repeat it answers: the store has taken the file.
--- a/src/core/configurationcheck.cpp
+++ b/src/core/configurationcheck.cpp
@@ -1,28 +1,20 @@
-// Finds all faults of a file at once.
+// Finds the contradictions between the entries of a file.
 
 #include "core/configurationcheck.h"
 
+#include "core/schemacheck.h"
 #include "egrettide/core/configurationfile.h"
 
-#include <nlohmann/json.hpp>
-#include <valijson/adapters/nlohmann_json_adapter.hpp>
-#include <valijson/schema.hpp>
-#include <valijson/schema_parser.hpp>
-#include <valijson/validator.hpp>
-
 #include <arpa/inet.h>
 
 #include <algorithm>
 #include <charconv>
 #include <map>
-#include <memory>
 #include <set>
 
 namespace egrettide
 {
 
-using nlohmann::json;
-
 namespace
 {
 
@@ -30,83 +22,6 @@
 constexpr double ShareTolerance = 1e-9;
 constexpr unsigned MaxPort = 65535;
 
-std::unique_ptr<const valijson::Schema> compileSchema()
-{
-    auto schema = std::make_unique<valijson::Schema>();
-    const json document = json::parse(configurationSchema());
-    valijson::SchemaParser parser;
-    parser.populateSchema(valijson::adapters::NlohmannJsonAdapter(document), *schema);
-    return schema;
-}
-
-const valijson::Schema &compiledSchema()
-{
-    static const std::unique_ptr<const valijson::Schema> Compiled = compileSchema();
-    return *Compiled;
-}
-
-// "<root>", "[databases]", "[0]" become "/databases/0".
-std::string pathOf(const std::vector<std::string> &context)
-{
-    std::string path;
-    for (const std::string &step : context) {
-        const bool bracketed = step.size() >= 2 && step.front() == '[' && step.back() == ']';
-        if (bracketed) {
-            path += '/' + step.substr(1, step.size() - 2);
-        }
-    }
-    return path;
-}
-
-// The part of the schema that rules one place of a file; null when there is none.
-const json *ruleAt(const json &schema, const std::vector<std::string> &context)
-{
-    const json *rule = &schema;
-    for (const std::string &step : context) {
-        if (step.size() < 2 || step.front() != '[') {
-            continue;
-        }
-        const std::string name = step.substr(1, step.size() - 2);
-        const bool isIndex = rule->contains("items");
-        const json *next = isIndex ? &rule->at("items") : nullptr;
-        if (!isIndex && rule->contains("properties") && rule->at("properties").contains(name)) {
-            next = &rule->at("properties").at(name);
-        }
-        if (next == nullptr) {
-            return nullptr;
-        }
-        rule = next->contains("$ref") ? &schema.at(json::json_pointer(next->at("$ref").get<std::string>().substr(1))) : next;
-    }
-    return rule;
-}
-
-// What to do about one violation, as precisely as the schema says it.
-std::string remedyFor(const valijson::ValidationResults::Error &error, const json &schema)
-{
-    if (error.description.starts_with("Missing required property")) {
-        return "add it";
-    }
-    if (error.description.starts_with("Object contains a property")) {
-        return "remove it or mend its spelling";
-    }
-    const json *rule = ruleAt(schema, error.context);
-    if (rule == nullptr || rule->contains("properties")) {
-        return "write what schema/configuration.schema.json asks for here";
-    }
-    json shown = *rule;
-    shown.erase("description");
-    shown.erase("items");
-    return "write a value that meets " + shown.dump();
-}
-
-// The validator also reports every place that contains a faulty one; those reports
-// say nothing of their own.
-bool isEcho(const std::string &description)
-{
-    return description.starts_with("Failed to validate against schema associated")
-        || description.starts_with("Failed to validate item");
-}
-
 std::string at(const std::string &list, std::size_t index)
 {
     return '/' + list + '/' + std::to_string(index);
@@ -222,31 +137,6 @@
 namespace detail
 {
 
-Error fault(const std::string &path, const std::string &text)
-{
-    return {ErrorKind::InvalidInput, (path.empty() ? "/" : path) + ": " + text + ".", milliseconds{0}};
-}
-
-std::vector<Error> schemaFaults(const json &document)
-{
-    valijson::Validator validator;
-    valijson::ValidationResults results;
-    if (validator.validate(compiledSchema(), valijson::adapters::NlohmannJsonAdapter(document), &results)) {
-        return {};
-    }
-    const json schema = json::parse(configurationSchema());
-    std::vector<Error> faults;
-    valijson::ValidationResults::Error error;
-    while (results.popError(error)) {
-        if (isEcho(error.description)) {
-            continue;
-        }
-        const std::string text = error.description.substr(0, error.description.find_last_not_of('.') + 1);
-        faults.push_back(fault(pathOf(error.context), text + "; " + remedyFor(error, schema)));
-    }
-    return faults;
-}
-
 std::vector<Error> crossFaults(const Configuration &configuration)
 {
     std::vector<Error> faults;
--- a/src/core/configurationfile.cpp
+++ b/src/core/configurationfile.cpp
@@ -3,6 +3,7 @@
 #include "egrettide/core/configurationfile.h"
 
 #include "core/configurationcheck.h"
+#include "core/schemacheck.h"
 
 #include <nlohmann/json.hpp>
 
@@ -212,7 +213,7 @@
 tl::expected<Configuration, std::vector<Error>> parseConfiguration(const json &document)
 {
     Configuration configuration = configurationOf(document);
-    std::vector<Error> faults = detail::schemaFaults(document);
+    std::vector<Error> faults = detail::schemaFaults(configurationSchema(), document);
     std::vector<Error> crossFaults = detail::crossFaults(configuration);
     faults.insert(faults.end(), crossFaults.begin(), crossFaults.end());
     if (!faults.empty()) {
--- /dev/null
+++ b/src/runtime/applyrunner.h
@@ -0,0 +1,50 @@
+// Carries out one ConfigurationApply against the store: makes the calls, keeps
+// the pauses and the deadline, and turns answers into events.
+
+#pragma once
+
+#include "egrettide/core/configurationapply.h"
+#include "runtime/storeclient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+
+namespace egrettide
+{
+
+using ApplyHandler = std::function<void(const ApplyFinished &)>;
+
+// Use it from the io_context's one thread only; it must outlive the run.
+class ApplyRunner
+{
+public:
+    // `file` is a valid configuration in its file form.
+    ApplyRunner(boost::asio::io_context &context, StoreClient &store, ConfigurationApply::Settings settings, nlohmann::json file);
+    ApplyRunner(const ApplyRunner &) = delete;
+    ApplyRunner &operator=(const ApplyRunner &) = delete;
+
+    // Runs the handler exactly once, at the deadline at the latest.
+    void start(TimePoint deadline, ApplyHandler handler);
+
+private:
+    void perform(const ApplyAction &action);
+    void feed(const ApplyEvent &event);
+    void read(const ReadConfiguration &action);
+    void write(const WriteConfiguration &action);
+    void after(TimePoint moment, std::function<void()> step);
+    TimePoint callDeadline() const;
+
+    StoreClient &m_store;
+    ConfigurationApply m_apply;
+    const nlohmann::json m_file;
+    boost::asio::steady_timer m_pauseTimer;
+    boost::asio::steady_timer m_deadlineTimer;
+    TimePoint m_deadline;
+    // Empty once it has run.
+    ApplyHandler m_handler;
+};
+
+} // namespace egrettide
