Add egrettidectl

Operators need to check, compare and apply whole files, to see whether every host has the last accepted one in force, and to plan drains and changes of primary, with exit codes that tell a lost race from an unknown outcome.

--- /dev/null
+++ b/src/runtime/operatorcommands.cpp
@@ -0,0 +1,396 @@
+// The operators' commands over the store client and the hosts' operators' endpoint.
+
+#include "runtime/operatorcommands.h"
+
+#include "egrettide/core/configurationfile.h"
+#include "runtime/address.h"
+#include "runtime/applyrunner.h"
+#include "runtime/httpclient.h"
+#include "runtime/operatorstatus.h"
+#include "runtime/storeclient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iomanip>
+#include <random>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+namespace egrettide
+{
+
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+namespace
+{
+
+// Switchovers wait for open transactions; the host answers within a minute.
+constexpr milliseconds SwitchoverTimeout{60000};
+constexpr milliseconds StatusPause{200};
+
+template <typename Result> using Checked = tl::expected<Result, CommandResult>;
+
+CommandResult done(std::string output)
+{
+    return {ExitCode::Done, std::move(output), {}};
+}
+
+CommandResult failed(ExitCode code, const std::string &complaint)
+{
+    return {code, {}, complaint + '\n'};
+}
+
+CommandResult missing(const char *option)
+{
+    return failed(ExitCode::Usage, std::string("This command needs ") + option + " IP:PORT.");
+}
+
+std::string lines(const std::vector<std::string> &texts)
+{
+    std::string result;
+    for (const std::string &text : texts) {
+        result += text + '\n';
+    }
+    return result;
+}
+
+Checked<Configuration> parsed(const std::string &text)
+{
+    auto configuration = parseConfiguration(std::string_view(text));
+    if (configuration) {
+        return std::move(*configuration);
+    }
+    CommandResult refusal{ExitCode::Refused, {}, {}};
+    for (const Error &fault : configuration.error()) {
+        refusal.complaint += fault.message + '\n';
+    }
+    return tl::make_unexpected(std::move(refusal));
+}
+
+tl::expected<VersionedObject, StoreError> readObject(const boost::asio::ip::tcp::endpoint &platform, TimePoint deadline)
+{
+    boost::asio::io_context context;
+    StoreClient store(context, platform);
+    std::optional<tl::expected<VersionedObject, StoreError>> result;
+    store.read(std::string(ConfigurationKey), deadline, [&result](auto answer) { result.emplace(std::move(answer)); });
+    while (!result) {
+        context.run_one();
+    }
+    return std::move(*result);
+}
+
+// What the store holds; an empty configuration of version 0 when it holds none.
+Checked<Configuration> stored(const boost::asio::ip::tcp::endpoint &platform, TimePoint deadline)
+{
+    const auto object = readObject(platform, deadline);
+    if (!object && object.error().failure == StoreFailure::NotFound) {
+        return Configuration{};
+    }
+    if (!object) {
+        return tl::make_unexpected(failed(ExitCode::Unreachable, object.error().error.message));
+    }
+    auto configuration = parseConfigurationObject(object->value, object->version);
+    if (!configuration) {
+        return tl::make_unexpected(failed(ExitCode::Refused, configuration.error().front().message));
+    }
+    return std::move(*configuration);
+}
+
+tl::expected<HttpAnswer, HttpFailure> ask(const boost::asio::ip::tcp::endpoint &host, const HttpCall &call, TimePoint deadline)
+{
+    boost::asio::io_context context;
+    HttpClient client(context, host);
+    std::optional<tl::expected<HttpAnswer, HttpFailure>> result;
+    client.call(call, deadline, [&result](auto answer) { result.emplace(std::move(answer)); });
+    while (!result) {
+        context.run_one();
+    }
+    return std::move(*result);
+}
+
+std::string textOf(const boost::asio::ip::tcp::endpoint &endpoint)
+{
+    std::ostringstream text;
+    text << endpoint;
+    return text.str();
+}
+
+CommandResult hostSilent(const boost::asio::ip::tcp::endpoint &host, const HttpFailure &failure)
+{
+    return failed(ExitCode::Unreachable,
+                  "The host at " + textOf(host) + " did not answer (" + failure.reason
+                      + "); name another host's --operator address.");
+}
+
+Checked<json> hostStatus(const boost::asio::ip::tcp::endpoint &host, TimePoint deadline)
+{
+    const auto answer = ask(host, {http::verb::get, "/status", {}}, deadline);
+    if (!answer) {
+        return tl::make_unexpected(hostSilent(host, answer.error()));
+    }
+    json document = json::parse(answer->body, nullptr, false);
+    if (answer->status != http::status::ok || !document.is_object()) {
+        return tl::make_unexpected(
+            failed(ExitCode::Unreachable, "What answers at " + textOf(host) + " is no egrettide host; check --operator."));
+    }
+    return document;
+}
+
+// What a host's answer to a command means.
+CommandResult commandResult(const boost::asio::ip::tcp::endpoint &host, const tl::expected<HttpAnswer, HttpFailure> &answer,
+                            const std::string &success)
+{
+    if (!answer && answer.error().mayHaveArrived) {
+        return failed(ExitCode::UnknownOutcome,
+                      "The answer of the host at " + textOf(host) + " was lost; look at status before you repeat the command.");
+    }
+    if (!answer) {
+        return hostSilent(host, answer.error());
+    }
+    if (http::to_status_class(answer->status) == http::status_class::successful) {
+        return done(success + '\n');
+    }
+    const json body = json::parse(answer->body, nullptr, false);
+    const bool explained = body.is_object() && body.contains("message") && body["message"].is_string();
+    const std::string message = explained
+        ? body["message"].get<std::string>()
+        : "The host refused with HTTP status " + std::to_string(static_cast<int>(answer->status)) + ".";
+    const bool unknown = body.is_object() && body.value("error", "") == nameOf(ErrorKind::UnknownOutcome);
+    return failed(unknown ? ExitCode::UnknownOutcome : ExitCode::Refused, message);
+}
+
+// 128 random bits: no two attempts of any operators share an id.
+std::string newApplyId()
+{
+    std::random_device device;
+    std::ostringstream text;
+    for (int word = 0; word < 4; ++word) {
+        text << std::hex << std::setw(8) << std::setfill('0') << device();
+    }
+    return text.str();
+}
+
+ExitCode codeOf(ApplyVerdict verdict)
+{
+    switch (verdict) {
+    case ApplyVerdict::Applied:
+        return ExitCode::Done;
+    case ApplyVerdict::LostRace:
+        return ExitCode::LostRace;
+    case ApplyVerdict::Unknown:
+        return ExitCode::UnknownOutcome;
+    case ApplyVerdict::StoreUnavailable:
+        return ExitCode::Unreachable;
+    case ApplyVerdict::Refused:
+        break;
+    }
+    return ExitCode::Refused;
+}
+
+CommandResult applyResult(const ApplyFinished &finished)
+{
+    if (finished.verdict != ApplyVerdict::Applied) {
+        return failed(codeOf(finished.verdict), finished.error->message);
+    }
+    std::string output = "Accepted as version " + std::to_string(finished.version) + ".\n";
+    if (finished.current.version > finished.version) {
+        output += "It has been replaced since by version " + std::to_string(finished.current.version) + " of "
+            + finished.current.who + ".\n";
+    }
+    return done(output);
+}
+
+} // namespace
+
+std::string meaningOf(ExitCode code)
+{
+    switch (code) {
+    case ExitCode::Done:
+        return "done; for status: every host has the last accepted file in force";
+    case ExitCode::Refused:
+        return "refused or invalid, nothing changed; for status: not every host agrees";
+    case ExitCode::Usage:
+        return "wrong command line";
+    case ExitCode::LostRace:
+        return "another operator's file was accepted instead; yours was not";
+    case ExitCode::UnknownOutcome:
+        return "unknown outcome: it may have taken effect; look at status";
+    case ExitCode::Unreachable:
+        break;
+    }
+    return "the store or the host could not be reached; nothing changed";
+}
+
+OperatorCommands::OperatorCommands(OperatorSettings settings) : m_settings(std::move(settings))
+{
+}
+
+TimePoint OperatorCommands::deadline() const
+{
+    return Clock::now() + m_settings.timeout;
+}
+
+CommandResult OperatorCommands::validate(const std::string &text) const
+{
+    const auto configuration = parsed(text);
+    if (!configuration) {
+        return configuration.error();
+    }
+    std::size_t upstreams = 0;
+    for (const DatabaseSpec &database : configuration->databases) {
+        upstreams += database.upstreams.size();
+    }
+    std::ostringstream output;
+    output << "Valid: " << configuration->databases.size() << " databases, " << upstreams << " upstreams, "
+           << configuration->classes.size() << " classes, " << configuration->tenants.size() << " tenants.\n";
+    for (const std::string &warning : configurationWarnings(*configuration)) {
+        output << "Warning: " << warning << '\n';
+    }
+    return done(output.str());
+}
+
+CommandResult OperatorCommands::diff(const std::string &text) const
+{
+    if (!m_settings.platform) {
+        return missing("--platform");
+    }
+    const auto configuration = parsed(text);
+    if (!configuration) {
+        return configuration.error();
+    }
+    const auto current = stored(*m_settings.platform, deadline());
+    if (!current) {
+        return current.error();
+    }
+    const std::vector<std::string> changes = egrettide::diff(*current, *configuration);
+    const std::string version = std::to_string(current->version);
+    if (changes.empty()) {
+        return done("No change against version " + version + ".\n");
+    }
+    return done(lines(changes) + "Against version " + version + "; apply exactly this with --if-version " + version + ".\n");
+}
+
+CommandResult OperatorCommands::apply(const std::string &text, std::optional<std::uint64_t> ifVersion) const
+{
+    if (!m_settings.platform) {
+        return missing("--platform");
+    }
+    const auto configuration = parsed(text);
+    return configuration ? applyConfiguration(*configuration, ifVersion) : configuration.error();
+}
+
+CommandResult OperatorCommands::applyConfiguration(const Configuration &configuration,
+                                                   std::optional<std::uint64_t> ifVersion) const
+{
+    boost::asio::io_context context;
+    StoreClient store(context, *m_settings.platform);
+    ApplyRunner runner(context, store, {newApplyId(), m_settings.who, ifVersion, {}}, toJson(configuration));
+    std::optional<ApplyFinished> finished;
+    runner.start(deadline(), [&finished](const ApplyFinished &result) { finished = result; });
+    while (!finished) {
+        context.run_one();
+    }
+    return applyResult(*finished);
+}
+
+CommandResult OperatorCommands::status(bool asJson, milliseconds patience) const
+{
+    if (!m_settings.host) {
+        return missing("--operator");
+    }
+    const TimePoint patienceEnds = Clock::now() + patience;
+    while (true) {
+        const auto document = hostStatus(*m_settings.host, deadline());
+        if (!document) {
+            return document.error();
+        }
+        StatusReport report = statusReport(*document);
+        if (m_settings.platform) {
+            addStore(report, readObject(*m_settings.platform, deadline()));
+        }
+        const bool agreed = verdictOf(report) == StatusVerdict::Agreed;
+        if (agreed || Clock::now() >= patienceEnds) {
+            const ExitCode code = agreed ? ExitCode::Done : ExitCode::Refused;
+            return {code, asJson ? toJson(report).dump(2) + '\n' : toText(report), {}};
+        }
+        std::this_thread::sleep_for(StatusPause);
+    }
+}
+
+CommandResult OperatorCommands::drain(const std::string &name) const
+{
+    if (!m_settings.platform && !m_settings.host) {
+        return missing("--platform (to drain an upstream) or --operator (to drain a host)");
+    }
+    if (!m_settings.platform) {
+        return drainHost(name);
+    }
+    auto current = stored(*m_settings.platform, deadline());
+    if (!current && !m_settings.host) {
+        return current.error();
+    }
+    const bool isUpstream = current
+        && std::any_of(current->databases.begin(), current->databases.end(),
+                       [&name](const DatabaseSpec &database) { return database.upstream(name) != nullptr; });
+    if (isUpstream) {
+        return drainUpstream(std::move(*current), name);
+    }
+    if (!m_settings.host) {
+        return failed(ExitCode::Refused,
+                      "There is no upstream '" + name + "'; name one of the file in force, or give --operator to drain a host.");
+    }
+    return drainHost(name);
+}
+
+CommandResult OperatorCommands::drainUpstream(Configuration configuration, const std::string &name) const
+{
+    for (DatabaseSpec &database : configuration.databases) {
+        for (UpstreamSpec &upstream : database.upstreams) {
+            upstream.leaving = upstream.leaving || upstream.name == name;
+        }
+    }
+    // The result is a file like any other: draining the last one is refused.
+    const auto checked = parsed(toJson(configuration).dump());
+    return checked ? applyConfiguration(*checked, configuration.version) : checked.error();
+}
+
+CommandResult OperatorCommands::drainHost(const std::string &name) const
+{
+    const auto document = hostStatus(*m_settings.host, deadline());
+    if (!document) {
+        return document.error();
+    }
+    const StatusReport report = statusReport(*document);
+    const auto found =
+        std::find_if(report.hosts.begin(), report.hosts.end(), [&name](const HostStatus &host) { return host.name == name; });
+    if (found == report.hosts.end()) {
+        return failed(ExitCode::Refused, "There is neither a host nor an upstream '" + name + "'; status lists them.");
+    }
+    const auto address = name == report.answeredBy ? tl::expected<boost::asio::ip::tcp::endpoint, Error>(*m_settings.host)
+                                                   : parseEndpoint(found->operatorAddress);
+    if (!address) {
+        return failed(ExitCode::Unreachable, "The operators' address of " + name + " is not known; give it as --operator.");
+    }
+    const auto answer = ask(*address, {http::verb::post, "/drain", "{}"}, deadline());
+    return commandResult(*address, answer, "Host " + name + " is draining.");
+}
+
+CommandResult OperatorCommands::switchover(const std::string &database, const std::string &to) const
+{
+    if (!m_settings.host) {
+        return missing("--operator");
+    }
+    json body{{"database", database}};
+    if (!to.empty()) {
+        body["to"] = to;
+    }
+    const auto answer = ask(*m_settings.host, {http::verb::post, "/switchover", body.dump()},
+                            Clock::now() + std::max(m_settings.timeout, SwitchoverTimeout));
+    return commandResult(*m_settings.host, answer, "Database " + database + " has a new primary.");
+}
+
+} // namespace egrettide
