--- a/src/runtime/callerconnection.cpp
+++ b/src/runtime/callerconnection.cpp
@@ -517,7 +517,9 @@
     if (m_session) {
         m_session->abandon(false);
     }
-    write(errorResponse(sqlState, error, true));
+    std::string lastWords;
+    pg::appendErrorResponse(lastWords, sqlState, error.message, hintOf(error), true);
+    write(lastWords);
     read();
 }
 
--- a/src/runtime/callersession.cpp
+++ b/src/runtime/callersession.cpp
@@ -48,6 +48,10 @@
     }
 }
 
+constexpr std::string_view readHint = "The statement only reads. It can be sent again.";
+
+} // namespace
+
 std::string hintOf(const Error &error)
 {
     if (outcomeOf(error.kind) == Outcome::Unknown) {
@@ -59,15 +63,6 @@
     return "Not run.";
 }
 
-} // namespace
-
-std::string errorResponse(std::string_view sqlState, const Error &error, bool fatal)
-{
-    std::string out;
-    pg::appendErrorResponse(out, sqlState, error.message, hintOf(error), fatal);
-    return out;
-}
-
 CallerSession::CallerSession(std::shared_ptr<TrafficShard> shard, SessionState state)
     : m_shard(std::move(shard)), m_state(std::move(state)), m_settings(m_state, m_statements)
 {
@@ -260,7 +255,8 @@
 CallerSession::BatchKind CallerSession::kindOf(const pg::BatchPlan &plan)
 {
     if (plan.executesUnknown) {
-        return {StatementKind::Write, true, false};
+        // The upstream refuses a portal that it does not know either.
+        return {StatementKind::Write, false, false};
     }
     if (plan.executed.empty()) {
         // Only described or closed: nothing runs.
@@ -407,25 +403,28 @@
 {
     Error error = *reply.error;
     if (m_state.inTransaction()) {
-        error = failInTransaction(pending.request.kind, reply);
+        error = failInTransaction(pending, reply);
     } else if (isBegin(pending.request.kind) && !pending.multiStatement && outcomeOf(error.kind) == Outcome::Unknown) {
         // The home ends a transaction whose caller it cannot reach.
         error = Error{ErrorKind::Conflict, "The transaction could not be started; start it again.", milliseconds{0}};
     }
-    pending.answer(errorAnswer(sqlStateOf(error.kind), error, pending.plan.end));
+    const bool hasRead = reply.sent && pending.request.kind == StatementKind::Read && outcomeOf(error.kind) == Outcome::NotRun;
+    const std::string hint = hasRead && !m_aborted ? std::string(readHint) : hintOf(error);
+    pending.answer(errorAnswer(sqlStateOf(error.kind), error, pending.plan.end, hint));
 }
 
-Error CallerSession::failInTransaction(StatementKind kind, const StatementReply &reply)
+Error CallerSession::failInTransaction(const Pending &pending, const StatementReply &reply)
 {
     rollBack();
     Error error = *reply.error;
-    if (kind == StatementKind::Commit) {
-        if (reply.sent) {
-            error.kind = ErrorKind::UnknownOutcome;
-        }
+    const StatementKind kind = pending.request.kind;
+    m_aborted = !isEnd(kind);
+    // A text of several statements may hold the COMMIT.
+    const bool mayHaveCommitted = kind == StatementKind::Commit || (kind == StatementKind::Write && pending.multiStatement);
+    if (mayHaveCommitted && reply.sent) {
+        error.kind = ErrorKind::UnknownOutcome;
         return error;
     }
-    m_aborted = kind != StatementKind::Rollback;
     if (losesTransaction(error.kind)) {
         // Nothing of it was committed, so all of it counts as not run.
         return Error{ErrorKind::Conflict,
@@ -442,17 +441,18 @@
         rollBack();
         m_aborted = true;
     }
-    answer(errorAnswer(sqlStateOf(error.kind), error, end));
+    answer(errorAnswer(sqlStateOf(error.kind), error, end, hintOf(error)));
 }
 
 void CallerSession::refuseAborted(pg::BatchEnd end, const AnswerHandler &answer)
 {
-    answer(errorAnswer(abortedSqlState, abortedError(), end));
+    answer(errorAnswer(abortedSqlState, abortedError(), end, hintOf(abortedError())));
 }
 
-std::string CallerSession::errorAnswer(std::string_view sqlState, const Error &error, pg::BatchEnd end)
+std::string CallerSession::errorAnswer(std::string_view sqlState, const Error &error, pg::BatchEnd end, std::string_view hint)
 {
-    std::string out = errorResponse(sqlState, error, false);
+    std::string out;
+    pg::appendErrorResponse(out, sqlState, error.message, hint);
     if (end == pg::BatchEnd::Flush) {
         m_skipToSync = true;
         return out;
--- a/src/runtime/callersession.h
+++ b/src/runtime/callersession.h
@@ -70,7 +70,7 @@
     void onReply(const Pending &pending, StatementReply reply, const std::string &upstream);
     void onAnswer(const Pending &pending, StatementReply reply, const std::string &upstream);
     void onFailure(const Pending &pending, const StatementReply &reply);
-    Error failInTransaction(StatementKind kind, const StatementReply &reply);
+    Error failInTransaction(const Pending &pending, const StatementReply &reply);
     std::string withToken(std::string bytes, const Pending &pending, const StatementReply &reply);
 
     // Refuses a batch that never left. An open transaction is rolled back: the
@@ -78,7 +78,7 @@
     // the refused part.
     void refuse(const Error &error, pg::BatchEnd end, const AnswerHandler &answer);
     void refuseAborted(pg::BatchEnd end, const AnswerHandler &answer);
-    std::string errorAnswer(std::string_view sqlState, const Error &error, pg::BatchEnd end);
+    std::string errorAnswer(std::string_view sqlState, const Error &error, pg::BatchEnd end, std::string_view hint);
     void rollBack();
     char stateCharacter() const;
     std::string localRollback();
@@ -103,7 +103,7 @@
     bool m_abandoned = false;
 };
 
-// An ErrorResponse that states the outcome in its hint.
-std::string errorResponse(std::string_view sqlState, const Error &error, bool fatal);
+// The hint that states what the caller may conclude from an error.
+std::string hintOf(const Error &error);
 
 } // namespace egrettide::detail
--- a/src/runtime/requestrunner.cpp
+++ b/src/runtime/requestrunner.cpp
@@ -135,7 +135,8 @@
 bool RequestRunner::mayWaitForPrimary(const Error &error, bool sent) const
 {
     const bool lacksPrimary = error.kind == ErrorKind::NoPrimary || error.kind == ErrorKind::Moved;
-    if (sent || m_canceled || !lacksPrimary) {
+    const bool mayRunTwice = m_request.kind == StatementKind::Read || m_request.idempotent;
+    if (m_canceled || !lacksPrimary || (sent && !mayRunTwice)) {
         return false;
     }
     return m_shard->now() + m_shard->common->options.primaryPoll < m_request.deadline;
@@ -183,8 +184,9 @@
     }
     m_finished = true;
     m_timer.cancel();
-    // "Not run" may be said only of what never left.
-    if (reply.error && reply.sent && outcomeOf(reply.error->kind) == Outcome::NotRun) {
+    // "Not run" may be said only of what never left. For a read it does not matter.
+    const bool claimsNotRun = reply.error && outcomeOf(reply.error->kind) == Outcome::NotRun;
+    if (claimsNotRun && reply.sent && m_request.kind != StatementKind::Read) {
         reply.error->kind = ErrorKind::UnknownOutcome;
     }
     observe(reply);
--- a/src/wire/batchassembler.cpp
+++ b/src/wire/batchassembler.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t contentNameBytes = 16;
 constexpr std::string_view contentPrefix = "egr_";
 constexpr std::string_view unknownPrefix = "unknown ";
+constexpr std::string_view probePortal = "egr_probe";
 
 Error invalid(std::string text)
 {
@@ -194,12 +195,16 @@
     tl::expected<BatchPlan, Error> build(const CallerBatch &batch)
     {
         m_plan.end = batch.end;
+        if (preparesAny(batch)) {
+            addProbe();
+        }
         for (const Message &message : batch.messages) {
             auto added = add(message);
             if (!added) {
                 return tl::unexpected(added.error());
             }
         }
+        removeNeedlessProbe();
         const bool isLocal = m_plan.batch.empty() && m_plan.prepared.empty();
         if (!isLocal && batch.end != BatchEnd::Query) {
             // A Flush becomes a Sync upstream; its ReadyForQuery is dropped later.
@@ -211,6 +216,36 @@
 private:
     using Added = tl::expected<void, Error>;
 
+    static bool preparesAny(const CallerBatch &batch)
+    {
+        return std::any_of(batch.messages.begin(), batch.messages.end(),
+                           [](const Message &message) { return message.type == 'P'; });
+    }
+
+    void addProbe()
+    {
+        ReplyStep step;
+        step.kind = ReplyStep::Kind::Probe;
+        m_plan.steps.push_back(std::move(step));
+        std::string payload(1, 'P');
+        appendCString(payload, probePortal);
+        appendMessage(m_plan.batch, 'C', payload);
+    }
+
+    // Without a statement for the upstream the probe would be all that it gets.
+    void removeNeedlessProbe()
+    {
+        const bool hasProbe = !m_plan.steps.empty() && m_plan.steps.front().kind == ReplyStep::Kind::Probe;
+        const auto isUpstreams = [](const ReplyStep &step) {
+            return step.kind != ReplyStep::Kind::Local && step.kind != ReplyStep::Kind::Probe;
+        };
+        if (!hasProbe || !m_plan.prepared.empty() || std::any_of(m_plan.steps.begin(), m_plan.steps.end(), isUpstreams)) {
+            return;
+        }
+        m_plan.steps.erase(m_plan.steps.begin());
+        m_plan.batch.clear();
+    }
+
     Added add(const Message &message)
     {
         switch (message.type) {
@@ -579,8 +614,7 @@
             pass(message);
             return true;
         case 'E':
-            pass(message);
-            m_answer.failed = true;
+            takeError(message);
             return true;
         case 'Z':
             return takeReady(message);
@@ -589,6 +623,19 @@
         }
     }
 
+    // The error is that of the next step that the upstream answers, so the front's
+    // own steps before it went well; unless the statements could not be prepared.
+    void takeError(const Message &message)
+    {
+        const bool hasNext = m_answer.answeredSteps < m_plan.steps.size();
+        const bool failedToPrepare = hasNext && m_plan.steps[m_answer.answeredSteps].kind == ReplyStep::Kind::Probe;
+        if (!m_answer.failed && !m_isWithinStep && !failedToPrepare) {
+            answerLocalSteps();
+        }
+        pass(message);
+        m_answer.failed = true;
+    }
+
     bool takeReady(const Message &message)
     {
         if (message.payload.size() != 1) {
@@ -615,11 +662,14 @@
         if (m_answer.answeredSteps == m_plan.steps.size()) {
             return false;
         }
-        const Fit fit = fitOf(m_plan.steps[m_answer.answeredSteps].kind, message.type);
+        const ReplyStep::Kind kind = m_plan.steps[m_answer.answeredSteps].kind;
+        const Fit fit = fitOf(kind, message.type);
         if (fit == Fit::No) {
             return false;
         }
-        pass(message);
+        if (kind != ReplyStep::Kind::Probe) {
+            pass(message);
+        }
         m_isWithinStep = fit == Fit::Part;
         m_answer.answeredSteps += fit == Fit::End ? 1 : 0;
         return true;
@@ -634,6 +684,7 @@
         case ReplyStep::Kind::Bind:
             return type == '2' ? Fit::End : Fit::No;
         case ReplyStep::Kind::Close:
+        case ReplyStep::Kind::Probe:
             return type == '3' ? Fit::End : Fit::No;
         case ReplyStep::Kind::DescribeStatement:
             return type == 't' ? Fit::Part : isDescription ? Fit::End : Fit::No;
--- a/src/wire/batchassembler.h
+++ b/src/wire/batchassembler.h
@@ -118,6 +118,10 @@
 struct ReplyStep {
     enum class Kind {
         Local, // the front's own answer
+        // A Close of no portal, whose answer the caller never sees: it proves that
+        // the home could prepare all statements, so that a later error is not taken
+        // for a failed Parse.
+        Probe,
         Bind,
         DescribeStatement,
         DescribePortal,
