--- a/include/egrettide/core/freshnessgate.h
+++ b/include/egrettide/core/freshnessgate.h
@@ -90,6 +90,9 @@
     // Covers the time between the decision and the moment at which the statement
     // is handed to the upstream's connection.
     milliseconds sendMargin{1};
+    // How soon a new snapshot is expected once a read waits: the home asks its
+    // observer for a round at once, shared by all that wait.
+    milliseconds nextSnapshot{3};
     // A waiting read is looked at again at least this often, in case no snapshot comes.
     milliseconds recheck{5};
     GateChecks checks;
@@ -134,19 +137,25 @@
     std::optional<milliseconds> provenAge(const GroupSnapshot &snapshot, const MemberView &member, TimePoint now) const;
 
 private:
-    bool follows(const GroupSnapshot &snapshot, const MemberView &member) const;
-    bool floorHolds(LogMark floor, const GroupSnapshot &snapshot, const MemberView &member) const;
-    bool confirmedSince(TimePoint since, const GroupSnapshot &snapshot, const MemberView &member) const;
-    std::optional<FreshnessReason> floorObstacle(const FreshnessRequest &request, const GroupSnapshot &snapshot,
-                                                 const MemberView &member) const;
-    std::optional<FreshnessReason> ageObstacle(const FreshnessRequest &request, const GroupSnapshot &snapshot,
-                                               const MemberView &member, TimePoint now) const;
-    std::optional<FreshnessReason> latestObstacle(const FreshnessRequest &request, const GroupSnapshot &snapshot,
-                                                  const MemberView &member) const;
-    GateDecision waitOrLeave(const FreshnessRequest &request, const GroupSnapshot &snapshot, const MemberView &member,
-                             FreshnessReason reason, TimePoint now) const;
-    TimePoint predictedReady(const FreshnessRequest &request, const GroupSnapshot &snapshot, const MemberView &member,
-                             FreshnessReason reason, TimePoint now) const;
+    // One decision's inputs, so that its steps need no long argument lists.
+    struct Case {
+        const FreshnessRequest &request;
+        const GroupSnapshot &snapshot;
+        const MemberView &member;
+        TimePoint now;
+    };
+
+    bool follows(const Case &about) const;
+    bool floorHolds(LogMark floor, const Case &about) const;
+    bool shows(LogMark mark, const Case &about) const;
+    bool confirmedSince(TimePoint since, const Case &about) const;
+    std::optional<FreshnessReason> firstObstacle(const Case &about) const;
+    std::optional<FreshnessReason> floorObstacle(const Case &about) const;
+    std::optional<FreshnessReason> ageObstacle(const Case &about) const;
+    std::optional<FreshnessReason> latestObstacle(const Case &about) const;
+    TimePoint provenAt(const Watermark &watermark, const Case &about) const;
+    GateDecision waitOrLeave(const Case &about, FreshnessReason reason) const;
+    TimePoint predictedReady(const Case &about, FreshnessReason reason) const;
 
     GateOptions m_options;
 };
--- a/include/egrettide/core/router.h
+++ b/include/egrettide/core/router.h
@@ -88,13 +88,19 @@
 struct Route {
     std::string upstream;
     bool primary = false;
-    // Set for reads that go to the primary.
+    // Set for requests that go to the primary.
     std::optional<PrimaryReason> reason;
 };
 
 // The last reply goes to the caller: nothing is left to try, or trying again
 // could run the request twice.
+//
+// What goes wrong without `instead`: an idempotent request is lost on its way to
+// one upstream and refused by the next one. Its caller would read "not run" from
+// the refusal although the first upstream may have run it.
 struct Finish {
+    // The error to give in place of the reply's own.
+    std::optional<Error> instead;
 };
 
 using RouteDecision = std::variant<Route, Finish>;
@@ -120,9 +126,14 @@
     friend class Router;
 
     std::vector<Try> m_tries;
-    // Why replicas refused it, the last reason.
-    std::optional<PrimaryReason> m_reason;
+    // Why the last upstream refused it.
+    std::optional<PrimaryReason> m_refusal;
+    // The reason of the current route.
     std::optional<PrimaryReason> m_routeReason;
+    // True while other members' homes may be asked for the primary.
+    bool m_askOthers = true;
+    // True once an attempt ended without a known outcome; never false again.
+    bool m_outcomeUnknown = false;
 };
 
 // Takes one retry from the budget; false when it is used up.
@@ -157,6 +168,9 @@
     RouteDecision afterReply(const StatementRequest &request, const StatementReply &reply, RouteAttempts &attempts, TimePoint now,
                              std::mt19937_64 &random);
 
+    // Counts a read inside a transaction, which the router did not route.
+    void countPinnedRead(std::string_view database, std::string_view upstream);
+
     // The primary as last heard of; empty when unknown.
     std::string primary(std::string_view database) const;
     Term term(std::string_view database) const;
@@ -189,18 +203,30 @@
         bool local = false;
     };
 
+    // One choice's inputs.
+    struct Case {
+        const Group &group;
+        const StatementRequest &request;
+        const RouteAttempts &attempts;
+        TimePoint now;
+    };
+
     const Group *group(std::string_view database) const;
     static void learnMember(Member &member, const MemberHint &hint, bool fromOwnHome, TimePoint now);
-    tl::expected<Route, Error> chooseReplica(const Group &group, const StatementRequest &request, RouteAttempts &attempts,
-                                             TimePoint now, std::mt19937_64 &random) const;
-    tl::expected<Route, Error> choosePrimary(const Group &group, const RouteAttempts &attempts) const;
-    std::vector<Candidate> candidates(const Group &group, const StatementRequest &request, const RouteAttempts &attempts,
-                                      TimePoint now, PrimaryReason &reason) const;
-    std::optional<PrimaryReason> unfit(const Group &group, const Member &member, const StatementRequest &request,
-                                       TimePoint now) const;
+    Route route(const Group &group, RouteAttempts &attempts, std::string upstream, std::optional<PrimaryReason> reason) const;
+    std::optional<Route> replicaRoute(const Case &about, RouteAttempts &attempts, std::mt19937_64 &random,
+                                      PrimaryReason &reason) const;
+    std::optional<Route> primaryRoute(const Case &about, RouteAttempts &attempts, std::optional<PrimaryReason> reason) const;
+    std::optional<Route> lastResort(const Case &about, RouteAttempts &attempts) const;
+    std::optional<PrimaryReason> unfit(const Case &about, const Member &member) const;
+    std::optional<PrimaryReason> unfitForBaseline(const Case &about, const Member &member) const;
+    static std::chrono::microseconds floorWait(const Case &about, const Member &member);
+    Candidate candidate(const Case &about, const std::string &upstream, const Member &member) const;
     const Candidate &pick(const std::vector<Candidate> &all, std::mt19937_64 &random) const;
-    bool mayRunAgain(const StatementRequest &request, const StatementReply &reply) const;
-    void count(const StatementRequest &request, const RouteAttempts &attempts);
+    static bool spendsBudget(ErrorKind kind);
+    static bool mayRunAgain(const StatementRequest &request, const StatementReply &reply, TimePoint now);
+    PrimaryReason refusalReason(const StatementRequest &request, const StatementReply &reply, std::string_view upstream) const;
+    Finish finish(const StatementRequest &request, const StatementReply &reply, const RouteAttempts &attempts);
 
     RouterOptions m_options;
     SpendRetryHook m_spendRetry;
--- /dev/null
+++ b/src/core/router.cpp
@@ -0,0 +1,479 @@
+// Router: hints of groups, the choice of an upstream, and what to do after a refusal.
+
+#include "egrettide/core/router.h"
+
+#include <algorithm>
+#include <numeric>
+#include <ostream>
+
+namespace egrettide
+{
+
+namespace
+{
+
+using std::chrono::microseconds;
+
+constexpr milliseconds noPrimaryRetryAfter{200};
+// Waits closer than this count as equal: hints are older than the difference.
+constexpr microseconds sameWait{1000};
+// The guess for a replica whose replay rate is unknown.
+constexpr microseconds unknownReplayWait{5000};
+// The weight of the newest observation in the smoothed replay rate.
+constexpr double rateWeight = 0.3;
+
+bool readsOnly(StatementKind kind)
+{
+    return kind == StatementKind::Read || kind == StatementKind::BeginReadOnly;
+}
+
+std::string keyOf(std::string_view name)
+{
+    return std::string(name);
+}
+
+Error noPrimary(std::string_view database)
+{
+    return Error{ErrorKind::NoPrimary,
+                 "No upstream of " + std::string(database) + " is known that takes this request; it did not run, try again.",
+                 noPrimaryRetryAfter};
+}
+
+} // namespace
+
+std::string_view nameOf(PrimaryReason reason)
+{
+    switch (reason) {
+    case PrimaryReason::NotRead:
+        return "not_read";
+    case PrimaryReason::Transaction:
+        return "transaction";
+    case PrimaryReason::Floor:
+        return "floor";
+    case PrimaryReason::Age:
+        return "age";
+    case PrimaryReason::Latest:
+        return "latest";
+    case PrimaryReason::Capacity:
+        return "capacity";
+    case PrimaryReason::Health:
+        return "health";
+    case PrimaryReason::NoReplica:
+        break;
+    }
+    return "no_replica";
+}
+
+std::ostream &operator<<(std::ostream &out, PrimaryReason reason)
+{
+    return out << nameOf(reason);
+}
+
+std::uint64_t RoutingCounters::readsByPrimaryTotal() const
+{
+    return std::accumulate(readsByPrimary.begin(), readsByPrimary.end(), std::uint64_t{0});
+}
+
+double RoutingCounters::replicaShare() const
+{
+    const std::uint64_t all = readsByReplica + readsByPrimaryTotal();
+    return all == 0 ? 0 : static_cast<double>(readsByReplica) / static_cast<double>(all);
+}
+
+std::string_view RouteAttempts::current() const
+{
+    return m_tries.empty() ? std::string_view() : std::string_view(m_tries.back().upstream);
+}
+
+bool RouteAttempts::tried(std::string_view upstream, Term term) const
+{
+    return std::any_of(m_tries.begin(), m_tries.end(),
+                       [&](const Try &each) { return each.upstream == upstream && each.term >= term; });
+}
+
+Router::Router(RouterOptions options, SpendRetryHook spendRetry)
+    : m_options(std::move(options)), m_spendRetry(std::move(spendRetry))
+{
+}
+
+void Router::configure(const Configuration &configuration)
+{
+    absl::flat_hash_map<std::string, Group> groups;
+    for (const DatabaseSpec &spec : configuration.databases) {
+        Group &next = groups[spec.name];
+        if (const Group *known = group(spec.name)) {
+            next = *known;
+        }
+        next.replicaWait = spec.replicaWait;
+        next.order.clear();
+        absl::flat_hash_map<std::string, Member> members;
+        for (const UpstreamSpec &upstream : spec.upstreams) {
+            Member &member = members[upstream.name];
+            member = next.members[upstream.name];
+            member.zone = upstream.zone;
+            member.leaving = upstream.leaving;
+            next.order.push_back(upstream.name);
+        }
+        next.members = std::move(members);
+        if (!next.members.contains(next.primary)) {
+            next.primary.clear();
+        }
+    }
+    m_groups = std::move(groups);
+}
+
+const Router::Group *Router::group(std::string_view database) const
+{
+    const auto found = m_groups.find(keyOf(database));
+    return found == m_groups.end() ? nullptr : &found->second;
+}
+
+void Router::learn(const GroupHint &hint, std::string_view upstream, TimePoint now)
+{
+    const auto found = m_groups.find(hint.database);
+    if (found == m_groups.end() || hint.term < found->second.term) {
+        return;
+    }
+    Group &group = found->second;
+    if (hint.term > group.term) {
+        group.term = hint.term;
+        group.primary.clear();
+    }
+    if (!hint.primary.empty() && group.members.contains(hint.primary)) {
+        group.primary = hint.primary;
+    }
+    for (const MemberHint &memberHint : hint.members) {
+        const auto member = group.members.find(memberHint.upstream);
+        if (member != group.members.end()) {
+            learnMember(member->second, memberHint, memberHint.upstream == upstream, now);
+        }
+    }
+}
+
+void Router::learnMember(Member &member, const MemberHint &hint, bool fromOwnHome, TimePoint now)
+{
+    const milliseconds wait = fromOwnHome ? hint.expectedWait : member.hint.expectedWait;
+    const std::chrono::duration<double> elapsed = now - member.learnedAt;
+    const bool advanced = member.known && hint.replayed.position > member.hint.replayed.position && elapsed.count() > 0;
+    if (advanced) {
+        const double rate = static_cast<double>(hint.replayed.position - member.hint.replayed.position) / elapsed.count();
+        member.replayRate = member.replayRate == 0 ? rate : rateWeight * rate + (1 - rateWeight) * member.replayRate;
+    }
+    member.hint = hint;
+    member.hint.expectedWait = wait;
+    member.learnedAt = now;
+    member.known = true;
+}
+
+tl::expected<Route, Error> Router::choose(const StatementRequest &request, RouteAttempts &attempts, TimePoint now,
+                                          std::mt19937_64 &random)
+{
+    const Group *found = group(request.database);
+    if (found == nullptr) {
+        return tl::unexpected(Error{ErrorKind::UnknownDatabase,
+                                    "There is no database service " + request.database + "; check the name.", milliseconds{0}});
+    }
+    const Case about{*found, request, attempts, now};
+    std::optional<Route> route;
+    if (readsOnly(request.kind)) {
+        PrimaryReason reason = PrimaryReason::NoReplica;
+        route = replicaRoute(about, attempts, random, reason);
+        route = route ? route : primaryRoute(about, attempts, reason);
+        route = route ? route : lastResort(about, attempts);
+    } else {
+        const bool begins = request.kind == StatementKind::Begin;
+        route = primaryRoute(about, attempts, begins ? PrimaryReason::Transaction : PrimaryReason::NotRead);
+    }
+    if (!route) {
+        return tl::unexpected(noPrimary(request.database));
+    }
+    return *route;
+}
+
+Route Router::route(const Group &group, RouteAttempts &attempts, std::string upstream, std::optional<PrimaryReason> reason) const
+{
+    const bool primary = upstream == group.primary;
+    attempts.m_tries.push_back(RouteAttempts::Try{upstream, group.term, primary});
+    attempts.m_routeReason = reason;
+    return Route{std::move(upstream), primary, reason};
+}
+
+// A replica that probably serves the read in time. Otherwise `reason` says why
+// there is none.
+std::optional<Route> Router::replicaRoute(const Case &about, RouteAttempts &attempts, std::mt19937_64 &random,
+                                          PrimaryReason &reason) const
+{
+    std::vector<Candidate> fit;
+    std::optional<PrimaryReason> why = about.attempts.m_refusal;
+    for (const std::string &name : about.group.order) {
+        if (name == about.group.primary) {
+            continue;
+        }
+        if (about.attempts.tried(name, about.group.term)) {
+            continue;
+        }
+        const Member &member = about.group.members.at(name);
+        if (const auto obstacle = unfit(about, member)) {
+            // Health says least: a replica that is merely behind could have served.
+            why = why && *why != PrimaryReason::Health ? why : obstacle;
+            continue;
+        }
+        fit.push_back(candidate(about, name, member));
+    }
+    reason = why.value_or(PrimaryReason::NoReplica);
+    if (fit.empty()) {
+        return std::nullopt;
+    }
+    return route(about.group, attempts, pick(fit, random).upstream, std::nullopt);
+}
+
+std::optional<Route> Router::primaryRoute(const Case &about, RouteAttempts &attempts, std::optional<PrimaryReason> reason) const
+{
+    const Group &group = about.group;
+    if (!group.primary.empty() && !about.attempts.tried(group.primary, group.term)) {
+        return route(group, attempts, group.primary, reason);
+    }
+    if (!about.attempts.m_askOthers || readsOnly(about.request.kind)) {
+        return std::nullopt;
+    }
+    // Any home of the group may know the primary; its refusal names it.
+    for (const std::string &name : group.order) {
+        if (!about.attempts.tried(name, group.term)) {
+            return route(group, attempts, name, reason);
+        }
+    }
+    return std::nullopt;
+}
+
+// A read that neither a fit replica nor the primary takes: whoever is left may
+// still serve it, since predictions are only guesses.
+std::optional<Route> Router::lastResort(const Case &about, RouteAttempts &attempts) const
+{
+    for (const std::string &name : about.group.order) {
+        const Member &member = about.group.members.at(name);
+        const bool usable = !member.leaving && !(member.known && (member.hint.leaving || !member.hint.reachable));
+        if (usable && name != about.group.primary && !about.attempts.tried(name, about.group.term)) {
+            return route(about.group, attempts, name, std::nullopt);
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<PrimaryReason> Router::unfit(const Case &about, const Member &member) const
+{
+    if (member.leaving || (member.known && (member.hint.leaving || !member.hint.reachable))) {
+        return PrimaryReason::Health;
+    }
+    if (m_options.policy == RoutingPolicy::Baseline) {
+        return unfitForBaseline(about, member);
+    }
+    const Freshness &freshness = about.request.freshness;
+    if (floorWait(about, member) > about.group.replicaWait) {
+        return PrimaryReason::Floor;
+    }
+    // The hint's age is the replica's usual lag; it is renewed until the read arrives.
+    if (member.known && freshness.maxAge && member.hint.age > *freshness.maxAge + about.group.replicaWait) {
+        return PrimaryReason::Age;
+    }
+    if (about.now + member.hint.expectedWait > about.request.deadline) {
+        return PrimaryReason::Capacity;
+    }
+    return std::nullopt;
+}
+
+std::optional<PrimaryReason> Router::unfitForBaseline(const Case &about, const Member &member) const
+{
+    const Freshness &freshness = about.request.freshness;
+    if (freshness.latest) {
+        return PrimaryReason::Latest;
+    }
+    if (freshness.floor && (!member.known || member.hint.replayed < *freshness.floor)) {
+        return PrimaryReason::Floor;
+    }
+    if (freshness.maxAge && (!member.known || member.hint.age + (about.now - member.learnedAt) > *freshness.maxAge)) {
+        return PrimaryReason::Age;
+    }
+    return std::nullopt;
+}
+
+microseconds Router::floorWait(const Case &about, const Member &member)
+{
+    const auto &floor = about.request.freshness.floor;
+    if (!floor || !member.known || member.hint.replayed >= *floor) {
+        return microseconds{0};
+    }
+    const Position replayed = member.hint.replayed.position;
+    if (member.replayRate <= 0 || floor->position <= replayed) {
+        return unknownReplayWait;
+    }
+    using Seconds = std::chrono::duration<double>;
+    const Seconds needed(static_cast<double>(floor->position - replayed) / member.replayRate);
+    const Seconds left = std::min(needed, Seconds(std::chrono::hours(1))) - Seconds(about.now - member.learnedAt);
+    return std::max(microseconds{0}, std::chrono::duration_cast<microseconds>(left));
+}
+
+Router::Candidate Router::candidate(const Case &about, const std::string &upstream, const Member &member) const
+{
+    Candidate result;
+    result.upstream = upstream;
+    result.local = member.zone == m_options.zone;
+    result.wait = member.hint.expectedWait + floorWait(about, member);
+    if (!result.local) {
+        result.wait += m_options.crossZoneCost;
+    }
+    return result;
+}
+
+// The better of two picked at random, among those of the own zone while one of
+// them is quick. All fronts choosing the best one would overload it by turns.
+const Router::Candidate &Router::pick(const std::vector<Candidate> &all, std::mt19937_64 &random) const
+{
+    std::vector<const Candidate *> pool;
+    for (const Candidate &each : all) {
+        if (each.local && each.wait <= m_options.localWaitLimit) {
+            pool.push_back(&each);
+        }
+    }
+    if (pool.empty()) {
+        std::transform(all.begin(), all.end(), std::back_inserter(pool), [](const Candidate &each) { return &each; });
+    }
+    std::vector<const Candidate *> two;
+    std::sample(pool.begin(), pool.end(), std::back_inserter(two), 2, random);
+    std::shuffle(two.begin(), two.end(), random);
+    if (two.size() == 2 && two[1]->wait + sameWait < two[0]->wait) {
+        return *two[1];
+    }
+    return *two[0];
+}
+
+// The budget bounds retries that add load where there is too much of it or where
+// answers get lost. Refusals that only say "not here" are bounded by the number of
+// upstreams, and cutting them off would fail requests after every change of primary.
+bool Router::spendsBudget(ErrorKind kind)
+{
+    return kind == ErrorKind::Overloaded || kind == ErrorKind::ConnectionLimit || kind == ErrorKind::UnknownOutcome;
+}
+
+bool Router::mayRunAgain(const StatementRequest &request, const StatementReply &reply, TimePoint now)
+{
+    const bool harmless = readsOnly(request.kind) || (request.idempotent && request.kind == StatementKind::Write);
+    const bool sent = reply.sent || outcomeOf(reply.error->kind) != Outcome::NotRun;
+    if (request.transaction != 0 || now >= request.deadline || (sent && !harmless)) {
+        return false;
+    }
+    switch (reply.error->kind) {
+    case ErrorKind::Moved:
+    case ErrorKind::Leaving:
+        return true;
+    case ErrorKind::NoPrimary:
+    case ErrorKind::NotFresh:
+        return readsOnly(request.kind) || reply.error->kind == ErrorKind::NoPrimary;
+    case ErrorKind::Overloaded:
+    case ErrorKind::ConnectionLimit:
+        return readsOnly(request.kind);
+    case ErrorKind::UnknownOutcome:
+        return true;
+    default:
+        return false;
+    }
+}
+
+// The gate's reason does not travel; what the request asked for tells it.
+PrimaryReason Router::refusalReason(const StatementRequest &request, const StatementReply &reply, std::string_view upstream) const
+{
+    switch (reply.error->kind) {
+    case ErrorKind::Overloaded:
+    case ErrorKind::ConnectionLimit:
+        return PrimaryReason::Capacity;
+    case ErrorKind::NotFresh:
+        break;
+    default:
+        return PrimaryReason::Health;
+    }
+    const Group *found = group(request.database);
+    const auto member = found->members.find(keyOf(upstream));
+    const auto &floor = request.freshness.floor;
+    if (floor && member != found->members.end() && member->second.hint.replayed < *floor) {
+        return PrimaryReason::Floor;
+    }
+    if (request.freshness.latest) {
+        return PrimaryReason::Latest;
+    }
+    return request.freshness.maxAge ? PrimaryReason::Age : PrimaryReason::Floor;
+}
+
+RouteDecision Router::afterReply(const StatementRequest &request, const StatementReply &reply, RouteAttempts &attempts,
+                                 TimePoint now, std::mt19937_64 &random)
+{
+    const std::string upstream(attempts.current());
+    learn(reply.hint, upstream, now);
+    if (!reply.error || group(request.database) == nullptr) {
+        return finish(request, reply, attempts);
+    }
+    const ErrorKind kind = reply.error->kind;
+    if (reply.sent || outcomeOf(kind) == Outcome::Unknown) {
+        attempts.m_outcomeUnknown = true;
+    }
+    attempts.m_refusal = refusalReason(request, reply, upstream);
+    attempts.m_askOthers = kind == ErrorKind::Moved || kind == ErrorKind::Leaving || kind == ErrorKind::NoPrimary;
+    const bool full = attempts.m_tries.size() >= static_cast<std::size_t>(m_options.maxAttempts);
+    if (full || !mayRunAgain(request, reply, now)) {
+        return finish(request, reply, attempts);
+    }
+    RouteAttempts next = attempts;
+    const auto chosen = choose(request, next, now, random);
+    if (!chosen || (spendsBudget(kind) && m_spendRetry && !m_spendRetry(now))) {
+        return finish(request, reply, attempts);
+    }
+    attempts = std::move(next);
+    ++m_counters.retries;
+    return *chosen;
+}
+
+Finish Router::finish(const StatementRequest &request, const StatementReply &reply, const RouteAttempts &attempts)
+{
+    if (!readsOnly(request.kind)) {
+        ++m_counters.writes;
+    } else if (!attempts.m_tries.empty() && attempts.m_tries.back().primary) {
+        const auto reason = attempts.m_routeReason.value_or(PrimaryReason::NoReplica);
+        ++m_counters.readsByPrimary[static_cast<std::size_t>(reason)];
+    } else {
+        ++m_counters.readsByReplica;
+    }
+    const bool misleading = reply.error && attempts.m_outcomeUnknown && outcomeOf(reply.error->kind) == Outcome::NotRun;
+    if (!misleading) {
+        return Finish{};
+    }
+    return Finish{Error{ErrorKind::UnknownOutcome,
+                        "An earlier attempt of this request was lost after it had been sent, and the next was refused; find out "
+                        "whether it ran before you send it again.",
+                        milliseconds{0}}};
+}
+
+void Router::countPinnedRead(std::string_view database, std::string_view upstream)
+{
+    if (primary(database) == upstream) {
+        ++m_counters.readsByPrimary[static_cast<std::size_t>(PrimaryReason::Transaction)];
+    } else {
+        ++m_counters.readsByReplica;
+    }
+}
+
+std::string Router::primary(std::string_view database) const
+{
+    const Group *found = group(database);
+    return found == nullptr ? std::string() : found->primary;
+}
+
+Term Router::term(std::string_view database) const
+{
+    const Group *found = group(database);
+    return found == nullptr ? 0 : found->term;
+}
+
+const RoutingCounters &Router::counters() const
+{
+    return m_counters;
+}
+
+} // namespace egrettide
