Schedule slots, bound connections and retries, keep the request ledger and metrics

The settled share of a home is a half and the takeover share a quarter of the data connections, so that any two homes fit in whatever each believes.

--- a/include/egrettide/core/connectionbudget.h
+++ b/include/egrettide/core/connectionbudget.h
@@ -3,8 +3,10 @@
 //
 // What goes wrong without it: two hosts believe that they are home while views
 // differ, both fill up the upstream's connections, and the observers and
-// promoters that should end the trouble are refused with SQLSTATE 53300. The
-// shares here add up to less than the limit for any two such hosts.
+// promoters that should end the trouble are refused with SQLSTATE 53300. Here the
+// shares of any two such hosts, settled or not, add up to less than the limit, and
+// so do those of three of which one is settled, with the control reserve untouched.
+// docs/design/connections.md says what holds beyond that.
 
 #pragma once
 
@@ -15,12 +17,15 @@
 
 // Switches that take one mechanism out, so that its proof can be shown to fail.
 struct ConnectionBudgetFaults {
-    // A new home takes the full share at once.
+    // Every home takes all data connections.
+    bool ignoreShares = false;
+    // A new home takes the settled share at once.
     bool skipTakeoverShare = false;
     // A hand back counts even from a home that was never settled itself.
     bool trustUnsettledHandBack = false;
-    // A home keeps its full share without any confirmation from others.
+    // A home keeps its settled share without any confirmation from others.
     bool keepShareUnconfirmed = false;
+    // A refusal by the upstream changes nothing.
     bool ignoreRefusals = false;
 };
 
@@ -29,31 +34,38 @@
     int limit = 1;
     // Kept free for the status connections of observers and promoters.
     int controlReserve = 6;
-    // The part of the data connections that a home may use before it is settled,
-    // and that a settled home leaves to its successor.
-    double takeoverShare = 1.0 / 3;
-    // A settled home that no other host confirmed for this long falls back to
+    // The part of the data connections (limit less reserve) of a settled home. At
+    // most a half, so that two hosts that both believe to be settled fit in.
+    double settledShare = 0.5;
+    // The part of a home that is not settled. At most a quarter, so that two such
+    // homes fit in beside a settled one.
+    double takeoverShare = 0.25;
+    // A settled home that the others did not confirm for this long falls back to
     // the takeover share: it may have been replaced without hearing of it.
     milliseconds confirmationBound{2000};
-    // A home that nobody handed over to settles after this long. It must exceed
-    // confirmationBound, plus the time in which a home closes surplus connections
-    // and in which the upstream closes connections that fell silent.
+    // How long a home may take to close what it holds above its allowance.
+    milliseconds shedBound{10000};
+    // A home that nobody handed over to settles after this long. It has to exceed
+    // confirmationBound plus shedBound.
     milliseconds takeoverBound{15000};
     // How long a refusal of the upstream holds the allowance down.
     milliseconds refusalBackoff{5000};
-    // Connections above demand are closed after they were spare for this long.
+    // A connection is closed after it was above demand for one to two of these.
     milliseconds idleBound{30000};
-    // Connections kept open above the recent peak of demand.
+    // Kept open at least, usually the upstream's slots.
+    int minimumWarm = 1;
+    // Kept open above the recent peak of demand.
     int spare = 1;
     ConnectionBudgetFaults faults;
 };
 
 enum class HomeState {
-    // Not home: opens nothing, closes what is idle.
+    // Not home: opens nothing, closes what it has.
     None,
-    // Home, but a predecessor may still hold its share.
+    // Home, but a predecessor may still hold connections, or a successor may have
+    // taken over already.
     Takeover,
-    // Home, and nobody before it holds more than the takeover share.
+    // Home, and no predecessor holds anything by all that is known here.
     Settled,
 };
 
@@ -75,12 +87,14 @@
     void becomeHome(TimePoint now);
     // Stops being home by this host's view; nothing may be opened any more.
     void resign(TimePoint now);
-    // The predecessor said that it holds nothing any more.
+    // The home before this one said that it holds nothing any more. Only to be
+    // called for the home that this host's own view named last.
     void handedBack(const HandBack &handBack, TimePoint now);
-    // Another host of the zone said that it sees this host as home.
-    void confirmed(TimePoint now);
+    // A majority of the zone's known hosts, this one included, saw this host as home;
+    // `askedAt` is when they were asked, so that a slow answer proves less.
+    void confirmed(TimePoint askedAt);
     // This host did not run for a while: what it knew of its place is stale.
-    void paused(TimePoint now);
+    void suspended(TimePoint now);
     // The upstream refused a connection (SQLSTATE 53300) while `open` data
     // connections were open here.
     void refused(int open, TimePoint now);
@@ -88,15 +102,21 @@
     void demand(int connections, TimePoint now);
 
     // How many data connections may be open now. A home that holds more closes
-    // idle ones at once and busy ones as they end.
+    // idle ones at once, and busy ones as they end or at shedsBy().
     int allowance(TimePoint now) const;
+    // When connections above the allowance have to be closed even if busy;
+    // TimePoint::max() while the allowance is the settled one.
+    TimePoint shedsBy(TimePoint now) const;
     // How many to keep open now, so that no request waits for an opening; never
     // above allowance().
     int target(TimePoint now) const;
-    // The share that a settled home has in the best case.
-    int settledShare() const;
+    // How many transactions may be open at once if each statement outside of
+    // transactions is to find a connection: the allowance less the slots, at least one.
+    int transactionPlaces(int slots, TimePoint now) const;
+    // The share that a settled home has.
+    int settledConnections() const;
     // The share that a home has before it is settled.
-    int takeoverShare() const;
+    int takeoverConnections() const;
     HomeState state(TimePoint now) const;
     // What to tell the successor once no data connection is open here.
     HandBack handBack() const;
@@ -104,24 +124,28 @@
     TimePoint nextEventAt(TimePoint now) const;
 
 private:
-    int shareAt(TimePoint now) const;
-    bool isConfirmed(TimePoint now) const;
+    int dataConnections() const;
+    int shareOf(double share) const;
+    void restartTakeover(TimePoint now);
 
     ConnectionBudgetOptions m_options;
-    HomeState m_state = HomeState::None;
-    // When a home that hears of no hand back settles; meaningful in Takeover.
+    bool m_isHome = false;
+    // When this home settles unless it is handed over earlier; it counts as settled
+    // from then on. max() while not home.
     TimePoint m_settlesAt = TimePoint::max();
-    // The last confirmation holds until then.
+    // The confirmations received so far hold until then.
     TimePoint m_confirmedUntil = TimePoint::min();
     // A refusal of the upstream holds the allowance at m_refusedAllowance until then.
     TimePoint m_refusedUntil = TimePoint::min();
     int m_refusedAllowance = 0;
-    // The highest demand of the running and of the last idle window.
+    // The last moment at which the allowance fell, for shedsBy().
+    TimePoint m_loweredAt = TimePoint::min();
+    // The highest demand of the running window and of the one before it.
     int m_peak = 0;
     int m_lastPeak = 0;
     TimePoint m_windowEndsAt = TimePoint::min();
-    // True once this host's own term as home was settled; what handBack() tells.
-    bool m_wasSettled = false;
+    // What handBack() tells: this host's term as home was settled at its end.
+    bool m_resignedSettled = false;
 };
 
 } // namespace egrettide
--- a/include/egrettide/core/histogram.h
+++ b/include/egrettide/core/histogram.h
@@ -82,7 +82,7 @@
     // The latency below which this part of the samples lies, 0 to 1, interpolated
     // within its bucket; zero without samples.
     std::chrono::nanoseconds quantile(double part) const;
-    // Samples of at most this many seconds, exact at bucket bounds.
+    // Samples of at most the upper bound of this bucket.
     std::uint64_t countUpTo(int bucket) const;
 
 private:
@@ -91,6 +91,8 @@
         boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum, boost::accumulators::tag::max,
                                    detail::tag::latencyBuckets>>;
 
+    double maxSeconds() const;
+
     Accumulator m_accumulator;
     // What was merged in from other histograms; the accumulators of the library
     // can't be added up.
--- a/include/egrettide/core/metrics.h
+++ b/include/egrettide/core/metrics.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -35,6 +36,23 @@
     std::size_t maximumSeries = 1024;
 };
 
+// One rising count.
+class Counter
+{
+public:
+    void add(std::uint64_t by = 1)
+    {
+        m_value += by;
+    }
+    std::uint64_t value() const
+    {
+        return m_value;
+    }
+
+private:
+    std::uint64_t m_value = 0;
+};
+
 // Metric names are given without the prefix "egrettide_", which rendering adds.
 class MetricsRegistry
 {
@@ -44,21 +62,19 @@
     // Sets the help line of a metric. Without one the name stands for it.
     void describe(std::string_view name, std::string_view help);
 
-    // Adds to a counter, which only rises; by convention named "..._total".
-    void count(std::string_view name, MetricLabels labels, std::uint64_t by = 1);
+    // The counter of these labels, made when first asked for; by convention named
+    // "..._total". Valid as long as the registry, so callers on a hot path keep it.
+    Counter &counter(std::string_view name, MetricLabels labels);
+    // The histogram of these labels, likewise; by convention named "..._seconds".
+    Histogram &histogram(std::string_view name, MetricLabels labels);
     // Sets a gauge. Merging adds gauges of the same labels up.
     void set(std::string_view name, MetricLabels labels, double value);
-    // Records a latency; by convention named "..._seconds".
-    void record(std::string_view name, MetricLabels labels, std::chrono::nanoseconds latency);
-    // The histogram itself, for callers that record often: valid as long as the
-    // registry, and cheaper than record() by the lookup.
-    Histogram &histogram(std::string_view name, MetricLabels labels);
 
     // Adds all that another registry holds; the limits hold for the result.
     void merge(const MetricsRegistry &other);
 
     // Zero when there is no such series.
-    std::uint64_t counter(std::string_view name, MetricLabels labels) const;
+    std::uint64_t counterValue(std::string_view name, MetricLabels labels) const;
     // Null when there is no such series.
     const Histogram *findHistogram(std::string_view name, MetricLabels labels) const;
 
@@ -67,18 +83,18 @@
     std::string render() const;
 
 private:
-    template <typename Value> struct Family {
-        std::map<MetricLabels, Value> series;
-    };
-    template <typename Value> using Families = std::map<std::string, Family<Value>, std::less<>>;
+    template <typename Value> using Series = std::map<MetricLabels, Value>;
+    template <typename Value> using Families = std::map<std::string, Series<Value>, std::less<>>;
 
-    MetricLabels bounded(MetricLabels labels);
-    static MetricLabels sorted(MetricLabels labels);
+    MetricLabels admitted(MetricLabels labels);
+    MetricLabels lookedUp(MetricLabels labels) const;
     template <typename Value> Value &seriesOf(Families<Value> &families, std::string_view name, MetricLabels labels);
+    void renderHead(std::string &out, const std::string &name, std::string_view type) const;
+    void renderHistograms(std::string &out) const;
 
     MetricsOptions m_options;
     std::map<std::string, std::string, std::less<>> m_help;
-    Families<std::uint64_t> m_counters;
+    Families<Counter> m_counters;
     Families<double> m_gauges;
     Families<Histogram> m_histograms;
     // Invariant: size <= maximumTenants.
--- a/include/egrettide/core/requestledger.h
+++ b/include/egrettide/core/requestledger.h
@@ -70,6 +70,8 @@
     };
     Kind kind = Kind::Drop;
     std::uint64_t id = 0;
+    // What the request has become; a final state for Deliver and Fail.
+    RequestState state = RequestState::Queued;
     // Set for Fail.
     std::optional<Error> error;
     // An answer is still outstanding there: nobody else may use that connection,
@@ -107,6 +109,8 @@
     // The other side says that nothing of the attempt ran: the error is of a NotRun
     // kind. Retry when time is left and `mayRetryElsewhere`, else Fail with it.
     LedgerAction notRun(AttemptId attempt, const Error &error, bool mayRetryElsewhere, TimePoint now);
+    // The hop broke, or was never there, before a byte of the attempt was written.
+    LedgerAction neverLeft(AttemptId attempt, milliseconds retryAfter, TimePoint now);
     // The other side says that it does not know: Retry for what may run twice, else Fail.
     LedgerAction lost(AttemptId attempt, const Error &error, TimePoint now);
 
@@ -141,7 +145,7 @@
     struct Entry {
         RequestFacts facts;
         RequestState state = RequestState::Queued;
-        // Valid in Sent and Answered.
+        // Both valid in Sent only.
         AttemptId attempt = 0;
         HopId hop = 0;
         // True once any attempt left whose outcome was not proven to be "not run".
@@ -153,6 +157,7 @@
     LedgerAction close(Entry &entry, LedgerAction::Kind kind, std::optional<Error> error);
     LedgerAction requeue(Entry &entry);
     void detach(Entry &entry);
+    static Error finalError(const Entry &entry, const Error &error);
     static bool mayRunTwice(const RequestFacts &facts);
     bool mayResend(const Entry &entry, TimePoint now) const;
 
--- a/include/egrettide/core/slotscheduler.h
+++ b/include/egrettide/core/slotscheduler.h
@@ -167,11 +167,11 @@
 
     // Takes a queued ticket back, on a cancel or when its caller is gone. Returns
     // false when it is not queued (any more).
-    bool withdraw(std::uint64_t id, TimePoint now);
+    bool withdraw(std::uint64_t id);
 
     // Holds back writes and new transactions, for a planned change of primary.
     // They queue within their deadlines; statements of open transactions go on.
-    void pause(TimePoint now);
+    void pause();
     SlotActions resume(TimePoint now);
     bool isPaused() const;
 
--- /dev/null
+++ b/src/core/retrybudget.cpp
@@ -0,0 +1,44 @@
+// The bucket of earned retries.
+
+#include "egrettide/core/retrybudget.h"
+
+#include <algorithm>
+
+namespace egrettide
+{
+
+namespace
+{
+constexpr std::int64_t wholeRetry = 1000;
+}
+
+RetryBudget::RetryBudget(const RetryBudgetOptions &options) : m_options(options)
+{
+}
+
+void RetryBudget::onRequest(std::string_view database)
+{
+    std::int64_t &saved = m_saved[std::string(database)];
+    saved = std::min(saved + m_options.retriesPerThousand, m_options.maximumSaved * wholeRetry);
+}
+
+bool RetryBudget::mayRetry(std::string_view database)
+{
+    if (m_options.grantAll) {
+        return true;
+    }
+    const auto found = m_saved.find(std::string(database));
+    if (found == m_saved.end() || found->second < wholeRetry) {
+        return false;
+    }
+    found->second -= wholeRetry;
+    return true;
+}
+
+std::int64_t RetryBudget::available(std::string_view database) const
+{
+    const auto found = m_saved.find(std::string(database));
+    return found == m_saved.end() ? 0 : found->second / wholeRetry;
+}
+
+} // namespace egrettide
