--- a/src/runtime/homeservice.cpp
+++ b/src/runtime/homeservice.cpp
@@ -76,7 +76,7 @@
     void giveOpinion(const OpinionQuestion &question, std::function<void(std::optional<bool>)> handler);
     void onAnnounce(const std::string &database, Term term, const std::string &primary);
     void switchover(const std::string &database, const std::string &to, GroupObserver::DoneHandler handler);
-    void confirmedHome(const HomeKey &key);
+    void confirmedHome(const HomeKey &key, TimePoint askedAt);
     void handedBack(const HomeKey &key, const HandBack &handBack);
     std::shared_ptr<const GroupSnapshot> snapshot(const std::string &database) const;
     void stats(std::function<void(std::vector<UpstreamHomeStats>)> handler) const;
@@ -352,10 +352,10 @@
     });
 }
 
-void HomeService::Impl::confirmedHome(const HomeKey &key)
+void HomeService::Impl::confirmedHome(const HomeKey &key, TimePoint askedAt)
 {
     if (const auto entry = homeOf(key)) {
-        onHome(*entry, [](UpstreamHome &home) { home.confirmedHome(); });
+        onHome(*entry, [askedAt](UpstreamHome &home) { home.confirmedHome(askedAt); });
     }
 }
 
@@ -504,9 +504,9 @@
     m_impl->switchover(database, to, std::move(handler));
 }
 
-void HomeService::confirmedHome(const std::string &database, const std::string &upstream)
+void HomeService::confirmedHome(const std::string &database, const std::string &upstream, TimePoint askedAt)
 {
-    m_impl->confirmedHome(HomeKey{database, upstream});
+    m_impl->confirmedHome(HomeKey{database, upstream}, askedAt);
 }
 
 void HomeService::handedBack(const std::string &database, const std::string &upstream, const HandBack &handBack)
--- a/src/runtime/homeservice.h
+++ b/src/runtime/homeservice.h
@@ -74,7 +74,7 @@
     void switchover(const std::string &database, const std::string &to, std::function<void(tl::expected<void, Error>)> handler);
 
     // What other hosts say about the place of a home; see ConnectionBudget.
-    void confirmedHome(const std::string &database, const std::string &upstream);
+    void confirmedHome(const std::string &database, const std::string &upstream, TimePoint askedAt);
     void handedBack(const std::string &database, const std::string &upstream, const HandBack &handBack);
 
     // The newest snapshot of a group that this host watches, or null.
--- a/src/runtime/upstreamhome.cpp
+++ b/src/runtime/upstreamhome.cpp
@@ -157,7 +157,7 @@
     void drain(std::function<void()> drained);
     void takeBack();
     void close();
-    void confirmedHome();
+    void confirmedHome(TimePoint askedAt);
     void handedBack(const HandBack &handBack);
     void onClockGap();
     UpstreamHomeStats stats() const;
@@ -220,6 +220,8 @@
     void giveUpOverdue(TimePoint now);
     void giveUpOnReplacedPrimary(TimePoint now);
     void followAllowance(TimePoint now);
+    void shedSurplus(TimePoint now);
+    void shedTransaction(std::uint64_t id);
     void recheckFreshness(TimePoint now);
     void dropIdleTransactions(TimePoint now);
     TimePoint nextEventAt(TimePoint now) const;
@@ -267,8 +269,8 @@
     TimePoint m_armedFor = TimePoint::max();
     // Until when a replaced primary may still answer what it was sent.
     TimePoint m_patienceUntil = TimePoint::max();
-    // Connections that the budget allowed when the scheduler was last told.
-    int m_allowance = -1;
+    // What the scheduler was last told.
+    int m_transactionPlaces = 0;
     // Set while writes are paused.
     std::function<void(std::size_t)> m_progress;
     std::optional<std::size_t> m_reportedOpen;
@@ -312,8 +314,7 @@
     options.slots = m_upstream.slots;
     options.classes = m_configuration->classes;
     options.tenants = m_configuration->tenants;
-    // The others have to suffice for the statements of everybody else.
-    options.maximumTransactions = std::max(1, m_allowance - m_upstream.slots);
+    options.maximumTransactions = std::max(1, m_transactionPlaces);
     return options;
 }
 
@@ -321,9 +322,9 @@
 {
     ConnectionBudget &budget = m_pool.budget();
     budget.demand(m_scheduler.inUse() + m_scheduler.queued() + static_cast<int>(m_transactions.size()), now);
-    const int allowance = budget.allowance(now);
-    if (allowance != m_allowance) {
-        m_allowance = allowance;
+    const int places = budget.transactionPlaces(m_upstream.slots, now);
+    if (places != m_transactionPlaces) {
+        m_transactionPlaces = places;
         apply(m_scheduler.configure(schedulerOptions(), now));
     }
 }
@@ -930,7 +931,7 @@
     if (pending.stage == Stage::AwaitingFreshness) {
         m_rechecks.erase({pending.recheckAt, ticket});
     } else if (pending.stage == Stage::AwaitingSlot) {
-        m_scheduler.withdraw(ticket, Clock::now());
+        m_scheduler.withdraw(ticket);
     }
     release(ticket, pending, std::chrono::nanoseconds{0});
     const auto transaction = m_transactions.find(pending.request.transaction);
@@ -1133,6 +1134,7 @@
     apply(m_scheduler.expire(now));
     recheckFreshness(now);
     dropIdleTransactions(now);
+    shedSurplus(now);
     settle();
 }
 
@@ -1192,9 +1194,34 @@
     }
 }
 
+// What goes wrong: this host is no longer confirmed as the home, and another one
+// may hold connections, too; the upstream would refuse the control connections
+// of observers. So what exceeds the share is closed in time even if it is busy.
+void UpstreamHome::Impl::shedSurplus(TimePoint now)
+{
+    const auto allowance = static_cast<std::size_t>(std::max(0, m_pool.budget().allowance(now)));
+    if (now < m_pool.budget().shedsBy(now) || m_pool.size() <= allowance) {
+        return;
+    }
+    m_pool.closeSpare();
+    while (m_pool.size() > allowance && !m_transactions.empty()) {
+        shedTransaction(m_transactions.begin()->first);
+    }
+}
+
+void UpstreamHome::Impl::shedTransaction(std::uint64_t id)
+{
+    const Transaction transaction = m_transactions.at(id);
+    if (transaction.ticket != 0) {
+        giveUp(transaction.ticket, movedError());
+    }
+    endTransaction(id);
+    m_pool.drop(transaction.connection);
+}
+
 void UpstreamHome::Impl::onClockGap()
 {
-    m_pool.budget().paused(Clock::now());
+    m_pool.budget().suspended(Clock::now());
     settle();
 }
 
@@ -1223,7 +1250,7 @@
 {
     m_progress = std::move(progress);
     m_reportedOpen.reset();
-    m_scheduler.pause(Clock::now());
+    m_scheduler.pause();
     settle();
 }
 
@@ -1311,9 +1338,9 @@
     m_timer.cancel();
 }
 
-void UpstreamHome::Impl::confirmedHome()
+void UpstreamHome::Impl::confirmedHome(TimePoint askedAt)
 {
-    m_pool.budget().confirmed(Clock::now());
+    m_pool.budget().confirmed(askedAt);
     settle();
 }
 
@@ -1423,9 +1450,9 @@
     m_impl->close();
 }
 
-void UpstreamHome::confirmedHome()
+void UpstreamHome::confirmedHome(TimePoint askedAt)
 {
-    m_impl->confirmedHome();
+    m_impl->confirmedHome(askedAt);
 }
 
 void UpstreamHome::handedBack(const HandBack &handBack)
--- a/src/runtime/upstreamhome.h
+++ b/src/runtime/upstreamhome.h
@@ -119,7 +119,7 @@
     void close();
 
     // What other hosts say about the place of home; see ConnectionBudget.
-    void confirmedHome();
+    void confirmedHome(TimePoint askedAt);
     void handedBack(const HandBack &handBack);
     void onClockGap();
 
