--- /dev/null
+++ b/tests/runtime/controlplane.h
@@ -0,0 +1,39 @@
+// What tests of control parts share: a platform stand-in, an io_context on the
+// test's own thread, and waiting for conditions instead of times.
+
+#pragma once
+
+#include "runtime/storeclient.h"
+#include "testing/platform/platformstandin.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+
+namespace egrettide::test
+{
+
+// Generous: it only decides how long a broken test takes to fail.
+constexpr std::chrono::seconds eventBound{60};
+
+struct ControlPlane {
+    standin::PlatformStandIn platform;
+    boost::asio::io_context control{1};
+    StoreClient store{control, platform.endpoint()};
+
+    // Runs the control context until the condition holds; false at the bound.
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        const TimePoint bound = Clock::now() + eventBound;
+        while (!condition()) {
+            if (Clock::now() > bound) {
+                return false;
+            }
+            control.restart();
+            control.run_for(std::chrono::milliseconds(5));
+        }
+        return true;
+    }
+};
+
+} // namespace egrettide::test
--- /dev/null
+++ b/tests/runtime/groupcoordination_test.cpp
@@ -0,0 +1,129 @@
+// Claims and records of promotions against the platform stand-in, with its faults.
+
+#define BOOST_TEST_MODULE GroupCoordination
+#include <boost/test/unit_test.hpp>
+
+#include "runtime/groupcoordination.h"
+#include "tests/runtime/controlplane.h"
+
+#include <nlohmann/json.hpp>
+
+using namespace egrettide;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct Sent {
+    std::string host;
+    hop::HopMessage message;
+};
+
+struct Fixture : test::ControlPlane {
+    std::vector<Sent> sent;
+    GroupCoordination coordination{
+        store,
+        GroupCoordinationHooks{[this](const std::string &host, hop::HopMessage message) {
+                                   sent.push_back(Sent{host, std::move(message)});
+                               },
+                               [](const std::string &, const std::string &upstream) { return "host-" + upstream; },
+                               [] {
+                                   return std::vector<std::string>{"host-x", "host-y"};
+                               }}};
+    GroupObserverHooks hooks = coordination.observerHooks();
+
+    ClaimAnswer claim(std::uint64_t expectedVersion, const std::string &token)
+    {
+        std::optional<ClaimAnswer> result;
+        GroupRecord record;
+        record.claimToken = token;
+        record.claimedOver = 3;
+        hooks.claimRecord("d", expectedVersion, record, Clock::now() + 30s, [&](const ClaimAnswer &answer) { result = answer; });
+        BOOST_TEST_REQUIRE(runUntil([&] { return result.has_value(); }), "no answer to a claim; every claim must be answered");
+        return *result;
+    }
+
+    std::string storedToken() const
+    {
+        const auto object = platform.object(groupRecordKey("d"));
+        return object ? object->value.value("claimToken", std::string()) : std::string();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GroupCoordinationSuite)
+
+BOOST_FIXTURE_TEST_CASE(OnlyOneOfTwoClaimsOnTheSameVersionWins, Fixture)
+{
+    BOOST_TEST((claim(0, "first").result == ClaimResult::Claimed));
+    const ClaimAnswer second = claim(0, "second");
+    BOOST_TEST((second.result == ClaimResult::Conflict));
+    BOOST_TEST(second.current.record.claimToken == "first", "the loser must be told who holds the claim");
+    BOOST_TEST(storedToken() == "first");
+}
+
+BOOST_FIXTURE_TEST_CASE(TellsALostAnswerFromARefusal, Fixture)
+{
+    // Symptom: two promoters both believe that they lost, or both that they won.
+    // Sequence: the store applies a claim and its answer is lost.
+    // Cause: taking a lost answer for a failure.
+    platform.loseNextAnswers(1);
+    BOOST_TEST((claim(0, "mine").result == ClaimResult::LostAnswer));
+    std::optional<VersionedRecord> standing;
+    hooks.readRecord("d", Clock::now() + 30s, [&](const std::optional<VersionedRecord> &record) { standing = record; });
+    BOOST_TEST_REQUIRE(runUntil([&] { return standing.has_value(); }));
+    BOOST_TEST(standing->record.claimToken == "mine", "reading back must show that the claim took effect");
+}
+
+BOOST_FIXTURE_TEST_CASE(NeverWritesOverARecordOfAHigherTerm, Fixture)
+{
+    // Symptom: new hosts are pointed to a primary that was replaced.
+    // Sequence: a slow promoter of term 4 writes its record after that of term 5.
+    // Cause: an unconditional write.
+    platform.put(groupRecordKey("d"), {{"term", 5}, {"primary", "newer"}});
+    const auto callsBefore = platform.calls().reads;
+    GroupRecord late;
+    late.term = 4;
+    late.primary = "older";
+    hooks.writeRecord("d", late);
+    BOOST_TEST_REQUIRE(runUntil([&] { return platform.calls().reads > callsBefore; }));
+    runUntil([&, rounds = 0]() mutable { return ++rounds > 20; });
+    BOOST_TEST(platform.object(groupRecordKey("d"))->value.at("primary") == "newer");
+}
+
+BOOST_FIXTURE_TEST_CASE(WritesTheRecordOnceTheStoreIsBack, Fixture)
+{
+    platform.failNextCalls(2);
+    GroupRecord done;
+    done.term = 7;
+    done.primary = "p";
+    hooks.writeRecord("d", done);
+    BOOST_TEST(runUntil([&] { return platform.object(groupRecordKey("d")).has_value(); }), "the record was given up too early");
+}
+
+BOOST_FIXTURE_TEST_CASE(TakesAnOpinionOnlyFromTheHostThatWasAsked, Fixture)
+{
+    std::optional<bool> agreed;
+    hooks.askOpinion(OpinionQuestion{"d", "u2", "u1", 3}, Clock::now() + 30s, [&](bool agrees) { agreed = agrees; });
+    BOOST_TEST_REQUIRE(sent.size() == 1U);
+    BOOST_TEST(sent[0].host == "host-u2");
+    const auto &question = std::get<hop::Opinion>(sent[0].message);
+    coordination.onOpinionReply("host-u3", hop::OpinionReply{question.id, true, false});
+    BOOST_TEST(!agreed.has_value(), "an answer of a host that was not asked must not count");
+    coordination.onOpinionReply("host-u2", hop::OpinionReply{question.id, true, false});
+    BOOST_TEST_REQUIRE(agreed.has_value());
+    BOOST_TEST(*agreed);
+    agreed.reset();
+    coordination.onOpinionReply("host-u2", hop::OpinionReply{question.id, true, false});
+    BOOST_TEST(!agreed.has_value(), "a repeated answer must not count twice");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnnouncesToAllOtherHosts, Fixture)
+{
+    hooks.announce("d", 9, "u2");
+    BOOST_TEST_REQUIRE(sent.size() == 2U);
+    BOOST_TEST(std::get<hop::Announce>(sent[1].message).term == 9U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/runtime/settings_test.cpp
@@ -0,0 +1,79 @@
+// A host's settings file: complete reports of what is wrong with it.
+
+#define BOOST_TEST_MODULE Settings
+#include <boost/test/unit_test.hpp>
+
+#include "runtime/settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+using namespace egrettide;
+
+namespace
+{
+
+nlohmann::json validSettings()
+{
+    return {{"host", "a1"},
+            {"zone", "a"},
+            {"callerAddress", "127.0.0.1:6432"},
+            {"peerAddress", "127.0.0.1:6433"},
+            {"operatorAddress", "127.0.0.1:6434"},
+            {"platformAddress", "127.0.0.1:7000"},
+            {"sessionKey", "0123456789abcdef"}};
+}
+
+bool anyMentions(const std::vector<Error> &faults, const std::string &text)
+{
+    return std::any_of(faults.begin(), faults.end(),
+                       [&](const Error &fault) { return fault.message.find(text) != std::string::npos; });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SettingsFile)
+
+BOOST_AUTO_TEST_CASE(IsReadWithDefaults)
+{
+    const auto settings = parseSettings(validSettings().dump());
+    BOOST_TEST_REQUIRE(settings.has_value(), "a valid file was refused");
+    BOOST_TEST(settings->host == "a1");
+    BOOST_TEST(settings->trafficThreads == 2);
+    BOOST_TEST(settings->routingPolicy == "adaptive");
+}
+
+BOOST_AUTO_TEST_CASE(ReportsAllFaultsAtOnceWithTheirPaths)
+{
+    auto document = validSettings();
+    document["trafficThreads"] = 0;
+    document["logLevel"] = "loud";
+    document["peerAdress"] = "127.0.0.1:1";
+    const auto settings = parseSettings(document.dump());
+    BOOST_TEST_REQUIRE(!settings.has_value(), "a faulty file was accepted");
+    for (const char *fault : {"trafficThreads", "logLevel", "peerAdress"}) {
+        BOOST_TEST(anyMentions(settings.error(), fault), "no fault names " << fault << "; all must be reported at once");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWhatIsNoJson)
+{
+    BOOST_TEST(!parseSettings("{\"host\": ").has_value());
+    BOOST_TEST(!parseSettings("").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ShipsTheSchemaThatItChecks)
+{
+    const char *source = std::getenv("EGRETTIDE_SOURCE");
+    BOOST_TEST_REQUIRE(source != nullptr, "set EGRETTIDE_SOURCE to the repository");
+    std::ifstream file(std::string(source) + "/schema/settings.schema.json");
+    std::ostringstream shipped;
+    shipped << file.rdbuf();
+    BOOST_TEST((nlohmann::json::parse(shipped.str()) == nlohmann::json::parse(settingsSchema())),
+               "schema/settings.schema.json and src/runtime/settings.cpp differ; make them equal");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
