Follow unconfirmed primaries, notice split promises, adopt announcements

A promotion that died half-way could leave each member with its own promise: the primary answered, nobody suspected it, and no write was confirmed any more. Its home now gives orders to follow before it is confirmed, and a monitor suspects a group whose majority answers but does not stand by the term.

--- a/include/egrettide/core/groupmonitor.h
+++ b/include/egrettide/core/groupmonitor.h
@@ -46,6 +46,9 @@
     milliseconds busyInterval{2};
     // The spacing of rounds while nobody waits.
     milliseconds idleInterval{50};
+    // The spacing for a while after the primary changed or was lost.
+    milliseconds hurryInterval{10};
+    milliseconds hurrySpan{2000};
     // Probes outstanding at one member; beyond that it is left out of rounds, so
     // a silent member costs a bounded number of requests and delays nobody.
     std::size_t outstandingLimit = 4;
@@ -53,6 +56,8 @@
     milliseconds watermarkSpan{10'000};
     // A group without a primary is left to a running promotion for this long.
     milliseconds noPrimaryPatience{400};
+    // Split promises are left to the orders to follow for this long.
+    milliseconds splitPatience{1000};
     FailureDetectorOptions detector;
     GroupMonitorFaults faults;
 };
@@ -66,8 +71,11 @@
 enum class SuspicionReason {
     PrimarySilent,
     PrimaryRefuses,
-    // No member is a primary that a majority stands by.
+    // No member is the primary of a term that a majority still accepts.
     NoPrimary,
+    // The primary answers and so does a majority, yet no majority stands by its
+    // term: promotions that died half-way left the members with different promises.
+    SplitPromises,
 };
 
 // Why this observer thinks that the group needs a new primary.
@@ -95,6 +103,9 @@
     // what it proves.
     void onStatus(RoundId round, const MemberStatus &status, TimePoint now);
     void onProbeFailed(RoundId round, const std::string &upstream, ProbeFailure failure, TimePoint now);
+    // A promoter announced a primary: it is used at once and confirmed by the next
+    // rounds, which follow soon.
+    void onAnnounced(Term term, const std::string &primary, TimePoint now);
     // Ends probes that have been unanswered for too long. Call it at least
     // whenever a round begins.
     void onTimer(TimePoint now);
@@ -168,8 +179,11 @@
     void observe(Member &member, RoundId id, const MemberStatus &status, TimePoint sentAt);
     void smoothReplayRate(Member &member, const MemberStatus &status, TimePoint sentAt) const;
     void learnTerm(const MemberStatus &status, RoundId id, TimePoint now);
+    void adopt(Term term, const std::string &primary, TimePoint now);
     void withdraw(TimePoint now);
     bool majorityPromisedAbove(Term term) const;
+    bool split() const;
+    void watchSplit(TimePoint now);
     void tryProof(RoundId id, Round &round, TimePoint now);
     void addWatermark(const Watermark &watermark);
     void thinWatermarks();
@@ -191,6 +205,10 @@
     bool m_confirmed = false;
     // Set while m_primary is empty, from the first round on.
     std::optional<TimePoint> m_noPrimarySince;
+    // Rounds follow closely until then, or until a primary is confirmed.
+    TimePoint m_hurryUntil;
+    // Set while the members' promises are split.
+    std::optional<TimePoint> m_splitSince;
     Term m_highestPromised = 0;
     // Sorted by sentAt; marks never fall.
     std::vector<Watermark> m_watermarks;
--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -231,8 +231,8 @@
     // The member refused, reset or closed the connection of a fence or promotion.
     PromoterActions onMemberFailed(AttemptId attempt, const std::string &upstream, TimePoint now);
     // Call it whenever the monitor's view changed. A confirmed primary ends an
-    // attempt that has fenced nobody yet, and members that do not follow it, such
-    // as an old primary that returns, are told to.
+    // attempt that has fenced nobody yet; members that do not follow the primary,
+    // such as an old primary that returns, are told to by the primary's home.
     PromoterActions onGroup(const GroupSnapshot &snapshot, const std::vector<MemberStatus> &statuses, TimePoint now);
     PromoterActions onTimer(TimePoint now);
     // The process was paused: the running attempt is dropped and nothing that was
--- a/include/egrettide/core/switchover.h
+++ b/include/egrettide/core/switchover.h
@@ -105,7 +105,7 @@
 private:
     enum class Phase { Idle, Draining, CatchingUp, Promoting };
 
-    SwitchoverActions startCatchUp(TimePoint now);
+    void startCatchUp(TimePoint now);
     SwitchoverActions abort(SwitchoverFailure failure);
     SwitchoverActions finish(Term term, const std::string &primary);
 
--- a/src/core/groupmonitor.cpp
+++ b/src/core/groupmonitor.cpp
@@ -20,8 +20,6 @@
 constexpr int thinningShare = 8;
 // Always kept apart, so that the newest ones are exact.
 constexpr milliseconds watermarkSpacing{2};
-// The spacing of rounds while the primary refuses but is not yet suspected.
-constexpr milliseconds refusingInterval{10};
 
 // A primary that has promised nothing above its own term.
 bool leads(const MemberStatus &status)
@@ -122,11 +120,21 @@
     changed();
 }
 
+void GroupMonitor::onAnnounced(Term term, const std::string &primary, TimePoint now)
+{
+    if (term <= m_term || !member(primary)) {
+        return;
+    }
+    adopt(term, primary, now);
+    changed();
+}
+
 void GroupMonitor::onTimer(TimePoint now)
 {
     for (Member &each : m_members) {
         expire(each, now);
     }
+    watchSplit(now);
 }
 
 void GroupMonitor::onClockGap(TimePoint now)
@@ -148,6 +156,8 @@
     if (m_noPrimarySince) {
         m_noPrimarySince = now;
     }
+    m_splitSince.reset();
+    m_hurryUntil = now + m_options.hurrySpan;
     changed();
 }
 
@@ -201,7 +211,8 @@
         return *m_lastRoundAt + m_options.busyInterval;
     }
     const bool refusing = primary && primary->detector.refusing() && !primary->detector.refused();
-    return *m_lastRoundAt + (refusing ? std::min(refusingInterval, m_options.idleInterval) : m_options.idleInterval);
+    const bool hurry = refusing || (!m_confirmed && now < m_hurryUntil);
+    return *m_lastRoundAt + (hurry ? std::min(m_options.hurryInterval, m_options.idleInterval) : m_options.idleInterval);
 }
 
 bool GroupMonitor::suspects(std::string_view upstream, TimePoint now) const
@@ -220,7 +231,8 @@
     }
     const FailureDetector &detector = member(m_primary)->detector;
     if (!detector.suspects(now)) {
-        return std::nullopt;
+        const bool stuck = m_splitSince && now - *m_splitSince >= m_options.splitPatience;
+        return stuck ? std::optional(Suspicion{SuspicionReason::SplitPromises, m_primary, m_term}) : std::nullopt;
     }
     const auto reason = detector.refused() ? SuspicionReason::PrimaryRefuses : SuspicionReason::PrimarySilent;
     return Suspicion{.reason = reason, .primary = m_primary, .term = m_term};
@@ -234,7 +246,8 @@
     if (m_primary.empty()) {
         return m_noPrimarySince.has_value();
     }
-    return suspects(primary.empty() ? std::string_view(m_primary) : primary, now);
+    const bool stuck = m_splitSince && now - *m_splitSince >= m_options.splitPatience / 2;
+    return stuck || suspects(primary.empty() ? std::string_view(m_primary) : primary, now);
 }
 
 Term GroupMonitor::highestPromised() const
@@ -352,10 +365,7 @@
     const bool newest = member(status.upstream)->statusRound <= id;
     const bool returned = m_primary.empty() && newest && status.followingTerm == m_term && !majorityPromisedAbove(m_term);
     if (leads(status) && (status.followingTerm > m_term || returned)) {
-        m_term = status.followingTerm;
-        m_primary = status.upstream;
-        m_confirmed = false;
-        m_noPrimarySince.reset();
+        adopt(status.followingTerm, status.upstream, now);
     }
     if (m_primary.empty()) {
         return;
@@ -366,8 +376,19 @@
     }
 }
 
+void GroupMonitor::adopt(Term term, const std::string &primary, TimePoint now)
+{
+    m_term = term;
+    m_primary = primary;
+    m_confirmed = false;
+    m_noPrimarySince.reset();
+    m_splitSince.reset();
+    m_hurryUntil = now + m_options.hurrySpan;
+}
+
 void GroupMonitor::withdraw(TimePoint now)
 {
+    m_hurryUntil = now + m_options.hurrySpan;
     m_primary.clear();
     m_confirmed = false;
     m_noPrimarySince = now;
@@ -379,6 +400,29 @@
     return static_cast<std::size_t>(above) >= majority();
 }
 
+// What goes wrong: promotions that die half-way leave each member with a promise of
+// its own. The primary answers, so nobody suspects it, but no write is confirmed
+// any more. It shows as a majority that answers and none that stands by the term.
+bool GroupMonitor::split() const
+{
+    std::size_t answering = 0;
+    std::size_t standing = 0;
+    for (const Member &each : m_members) {
+        answering += each.reachable ? 1 : 0;
+        standing += each.reachable && each.promised == m_term ? 1 : 0;
+    }
+    return !m_primary.empty() && answering >= majority() && standing < majority();
+}
+
+void GroupMonitor::watchSplit(TimePoint now)
+{
+    if (!split()) {
+        m_splitSince.reset();
+    } else if (!m_splitSince) {
+        m_splitSince = now;
+    }
+}
+
 void GroupMonitor::tryProof(RoundId id, Round &round, TimePoint now)
 {
     if (round.proven) {
--- a/src/core/promoter.cpp
+++ b/src/core/promoter.cpp
@@ -169,8 +169,12 @@
     if (const auto reason = running() ? overtaken(snapshot) : std::nullopt) {
         actions = giveUp(*reason, now);
     }
+    // The primary need not be confirmed: it may lack a majority only because the
+    // members that would make one have not been told to follow it yet, and if the
+    // promoter that made it is gone, nobody else tells them. A primary of a term
+    // exists only after a majority promised that term, so following it is safe.
     const bool responsible = snapshot.primary == m_identity.home || snapshot.primary == m_leader;
-    if (!snapshot.primaryConfirmed || !responsible || snapshot.term < m_leaderTerm) {
+    if (snapshot.primary.empty() || !responsible || snapshot.term < m_leaderTerm) {
         return actions;
     }
     m_leader = snapshot.primary;
--- a/src/core/switchover.cpp
+++ b/src/core/switchover.cpp
@@ -38,17 +38,22 @@
     m_successor = successor;
     m_target.reset();
     m_deadline = now + m_options.drainTimeout;
-    SwitchoverActions actions{PauseWrites{}};
+    SwitchoverActions actions;
+    actions.emplace_back(PauseWrites{});
     if (openTransactions == 0) {
-        const SwitchoverActions next = startCatchUp(now);
-        actions.insert(actions.end(), next.begin(), next.end());
+        startCatchUp(now);
+        actions.emplace_back(WatchMarks{});
     }
     return actions;
 }
 
 SwitchoverActions Switchover::onOpenTransactions(std::size_t open, TimePoint now)
 {
-    return m_phase == Phase::Draining && open == 0 ? startCatchUp(now) : SwitchoverActions{};
+    if (m_phase != Phase::Draining || open > 0) {
+        return {};
+    }
+    startCatchUp(now);
+    return {WatchMarks{}};
 }
 
 SwitchoverActions Switchover::onSnapshot(const GroupSnapshot &snapshot, TimePoint now)
@@ -134,12 +139,11 @@
     return running();
 }
 
-SwitchoverActions Switchover::startCatchUp(TimePoint now)
+void Switchover::startCatchUp(TimePoint now)
 {
     m_phase = Phase::CatchingUp;
     m_drainedAt = now;
     m_deadline = now + m_options.catchUpTimeout;
-    return {WatchMarks{}};
 }
 
 // Ends the change and lets writes go the ordinary way: to the old primary while it
