--- a/include/egrettide/core/freshnessgate.h
+++ b/include/egrettide/core/freshnessgate.h
@@ -77,9 +77,6 @@
     // Compare floors by term first, not by position alone.
     bool floorTerm = true;
     bool following = true;
-    // Count an age from the sending of the probe. Switched off, it counts from the
-    // moment at which the observer saw the answer.
-    bool ageFromSending = true;
     // Ask for a confirmation of the primary before it counts as fresh.
     bool confirmation = true;
     bool latest = true;
@@ -153,7 +150,6 @@
     std::optional<FreshnessReason> floorObstacle(const Case &about) const;
     std::optional<FreshnessReason> ageObstacle(const Case &about) const;
     std::optional<FreshnessReason> latestObstacle(const Case &about) const;
-    TimePoint provenAt(const Watermark &watermark, const Case &about) const;
     GateDecision waitOrLeave(const Case &about, FreshnessReason reason) const;
     TimePoint predictedReady(const Case &about, FreshnessReason reason) const;
 
--- a/include/egrettide/core/sessiontoken.h
+++ b/include/egrettide/core/sessiontoken.h
@@ -40,7 +40,7 @@
 
     // Signs with the first key and accepts all of them, so that keys can be
     // changed host by host. No key at all leaves a checksum only: damage is found,
-    // forgery is not, which costs freshness work and nothing else.
+    // forgery is not, and a forger may see less than its own session wrote.
     explicit SessionTokenCodec(std::vector<std::string> keys);
 
     std::string encode(const SessionFloor &floor) const;
--- a/src/core/freshnessgate.cpp
+++ b/src/core/freshnessgate.cpp
@@ -156,15 +156,6 @@
     return about.snapshot.primaryConfirmed ? FreshnessReason::Latest : FreshnessReason::Unconfirmed;
 }
 
-TimePoint FreshnessGate::provenAt(const Watermark &watermark, const Case &about) const
-{
-    const MemberView *primary = findMember(about.snapshot, about.snapshot.primary);
-    if (m_options.checks.ageFromSending || primary == nullptr) {
-        return watermark.sentAt;
-    }
-    return std::max(watermark.sentAt, primary->observedAt);
-}
-
 std::optional<FreshnessReason> FreshnessGate::ageObstacle(const Case &about) const
 {
     const auto &maxAge = about.request.freshness.maxAge;
@@ -174,7 +165,7 @@
     const TimePoint oldest = about.now + m_options.sendMargin - *maxAge;
     const auto &watermarks = about.snapshot.watermarks;
     const bool fresh = std::any_of(watermarks.rbegin(), watermarks.rend(), [this, oldest, &about](const Watermark &watermark) {
-        return provenAt(watermark, about) >= oldest && shows(watermark.mark, about);
+        return watermark.sentAt >= oldest && shows(watermark.mark, about);
     });
     if (fresh || (!m_options.checks.confirmation && isPrimary(about.snapshot, about.member))) {
         return std::nullopt;
