--- a/src/core/membertable.cpp
+++ b/src/core/membertable.cpp
@@ -36,8 +36,7 @@
 
 } // namespace
 
-MemberTable::MemberTable(bool remembersIncarnations)
-    : m_remembersIncarnations(remembersIncarnations)
+MemberTable::MemberTable(bool remembersIncarnations) : m_remembersIncarnations(remembersIncarnations)
 {
 }
 
@@ -122,6 +121,9 @@
     if (record.health != member.record.health || !sameProcess) {
         member.healthSince = now;
     }
+    if (!sameProcess) {
+        member.heardAt = TimePoint{};
+    }
     member.record = record;
     member.record.configurationVersion = std::max(version, record.configurationVersion);
     if (isLiving(member)) {
@@ -176,8 +178,10 @@
     if (rumors <= 0) {
         return;
     }
+    // Ahead of older news: a host that leaves must not wait behind hundreds that
+    // came back with a healed partition.
     if (member.recordRumors == 0) {
-        m_recordQueue.push_back(member.record.name);
+        m_recordQueue.push_front(member.record.name);
     }
     member.recordRumors = rumors;
 }
@@ -267,8 +271,8 @@
     return digests;
 }
 
-std::vector<HostRecord>
-MemberTable::recordsDifferingFrom(const std::vector<std::uint32_t> &theirs, std::size_t firstBucket, std::size_t limit) const
+std::vector<HostRecord> MemberTable::recordsDifferingFrom(const std::vector<std::uint32_t> &theirs, std::size_t firstBucket,
+                                                          std::size_t limit) const
 {
     std::vector<HostRecord> records;
     if (theirs.size() != digestBuckets) {
--- a/src/core/membertable.h
+++ b/src/core/membertable.h
@@ -74,7 +74,8 @@
     std::vector<std::uint32_t> bucketDigests() const;
     // All records of the buckets that differ, dead ones included, from a bucket
     // number on, at most `limit`.
-    std::vector<HostRecord> recordsDifferingFrom(const std::vector<std::uint32_t> &theirs, std::size_t firstBucket, std::size_t limit) const;
+    std::vector<HostRecord> recordsDifferingFrom(const std::vector<std::uint32_t> &theirs, std::size_t firstBucket,
+                                                 std::size_t limit) const;
 
     // Rises with every change of a record other than its version.
     std::uint64_t changes() const;
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -345,9 +345,9 @@
     const auto packedNotes = notes.empty() ? 0 : m_builder.CreateVectorOfStructs(notes);
 
     return body(wire::HopBody_Gossip,
-                wire::CreateGossip(m_builder, static_cast<std::uint8_t>(message.kind), from, fromAddress, fromZone,
-                                   message.fromIncarnation, message.sequence, target, targetAddress, message.configurationVersion,
-                                   message.digest, buckets, packedRecords, packedNotes));
+                wire::CreateGossip(m_builder, static_cast<std::uint8_t>(message.kind), from, fromAddress, message.fromIncarnation,
+                                   message.sequence, target, targetAddress, message.configurationVersion, message.digest, buckets,
+                                   packedRecords, packedNotes));
 }
 
 using Decoded = tl::expected<HopMessage, Error>;
--- /dev/null
+++ b/tests/core/gossipfleet.h
@@ -0,0 +1,301 @@
+// A fleet of memberships in one thread on a simulated clock: messages take a
+// fixed time, may be lost, and do not cross a cut. Only what the tests and the
+// scale measurement of membership need.
+
+#pragma once
+
+#include "egrettide/core/membership.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace egrettide::testing
+{
+
+class GossipFleet
+{
+public:
+    explicit GossipFleet(std::uint64_t seed, MembershipOptions options = {}) : m_options(options), m_random(seed)
+    {
+    }
+
+    // Sees every message as it leaves.
+    std::function<void(const std::string &from, const GossipSend &)> onSend;
+    milliseconds latency{1};
+    // Share of messages that are lost.
+    double loss = 0;
+
+    static std::string addressOf(int place)
+    {
+        return "10.0." + std::to_string(place / 250) + "." + std::to_string(place % 250 + 1) + ":7400";
+    }
+
+    // Starts a host at a place; `seeds` is what the platform's list shows it.
+    void start(const std::string &name, const std::string &zone, int place, std::uint64_t incarnation,
+               const std::vector<HostSeed> &seeds)
+    {
+        HostRecord self{name, zone, addressOf(place), addressOf(place) + "1", addressOf(place) + "2"};
+        self.incarnation = incarnation;
+        Host host;
+        host.zone = zone;
+        host.address = self.peerAddress;
+        host.membership = std::make_unique<Membership>(self, m_options, m_random(), m_now);
+        host.membership->onHostList(seeds, m_now);
+        m_places[host.address] = name;
+        m_hosts[name] = std::move(host);
+        schedule(name);
+    }
+
+    // Starts hosts h0.. over the zones; all are on the list of each.
+    void startMany(int count, int zones)
+    {
+        std::vector<HostSeed> seeds;
+        for (int i = 0; i < count; ++i) {
+            seeds.push_back(HostSeed{nameOf(i), zoneOf(i, zones), addressOf(i)});
+        }
+        for (int i = 0; i < count; ++i) {
+            start(nameOf(i), zoneOf(i, zones), i, 1000 + static_cast<std::uint64_t>(i), seeds);
+        }
+    }
+
+    static std::string nameOf(int i)
+    {
+        return "h" + std::to_string(i);
+    }
+
+    static std::string zoneOf(int i, int zones)
+    {
+        return "zone-" + std::to_string(i % zones);
+    }
+
+    // The host is gone without a word; its kernel refuses links when asked to.
+    void crash(const std::string &name)
+    {
+        const auto found = m_hosts.find(name);
+        if (m_places[found->second.address] == name) {
+            m_places.erase(found->second.address);
+        }
+        m_hosts.erase(found);
+    }
+
+    // The host's process is frozen, and so is what is on its way to it.
+    void pause(const std::string &name)
+    {
+        m_hosts.at(name).paused = true;
+    }
+
+    void resume(const std::string &name)
+    {
+        Host &host = m_hosts.at(name);
+        host.paused = false;
+        for (auto &message : std::exchange(host.waiting, {})) {
+            send(name, host.membership->onMessage(message, m_now));
+        }
+        send(name, host.membership->tick(m_now));
+        schedule(name);
+    }
+
+    // Cuts off the zones from all others; an empty set heals.
+    void cut(std::set<std::string> zones)
+    {
+        m_cut = std::move(zones);
+    }
+
+    Membership &host(const std::string &name)
+    {
+        return *m_hosts.at(name).membership;
+    }
+
+    std::vector<std::string> names() const
+    {
+        std::vector<std::string> names;
+        for (const auto &[name, host] : m_hosts) {
+            names.push_back(name);
+        }
+        return names;
+    }
+
+    const std::string &zone(const std::string &name) const
+    {
+        return m_hosts.at(name).zone;
+    }
+
+    void apply(const std::string &name, const std::function<std::vector<GossipSend>(Membership &, TimePoint)> &event)
+    {
+        send(name, event(*m_hosts.at(name).membership, m_now));
+        schedule(name);
+    }
+
+    TimePoint now() const
+    {
+        return m_now;
+    }
+
+    void runFor(Clock::duration duration)
+    {
+        runUntil(duration, [] { return false; });
+    }
+
+    // Runs until the condition holds; gives the time that took, or nothing.
+    std::optional<milliseconds> runUntil(Clock::duration limit, const std::function<bool()> &condition)
+    {
+        constexpr milliseconds checkEvery{20};
+        const TimePoint begin = m_now;
+        TimePoint nextCheck = begin;
+        while (!m_events.empty() && m_events.top().at <= begin + limit) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = std::max(m_now, event.at);
+            handle(event);
+            if (m_now >= nextCheck) {
+                if (condition()) {
+                    return std::chrono::duration_cast<milliseconds>(m_now - begin);
+                }
+                nextCheck = m_now + checkEvery;
+            }
+        }
+        m_now = begin + limit;
+        return condition() ? std::optional(std::chrono::duration_cast<milliseconds>(limit)) : std::nullopt;
+    }
+
+    // True when every running host holds exactly these hosts living.
+    bool agree(const std::set<std::string> &living) const
+    {
+        return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) { return livingIn(entry.first) == living; });
+    }
+
+    bool agreeOnAll() const
+    {
+        const auto all = names();
+        return agree(std::set<std::string>(all.begin(), all.end()));
+    }
+
+    std::set<std::string> livingIn(const std::string &name) const
+    {
+        std::set<std::string> living;
+        for (const HostRecord &record : m_hosts.at(name).membership->view()->hosts) {
+            if (record.health != HostHealth::Dead) {
+                living.insert(record.name);
+            }
+        }
+        return living;
+    }
+
+    // True when all running hosts see the named one so.
+    bool allSee(const std::string &name, const std::function<bool(const HostRecord &)> &condition) const
+    {
+        return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) {
+            const auto view = entry.second.membership->view();
+            const HostRecord *record = view->host(name);
+            return record != nullptr && condition(*record);
+        });
+    }
+
+private:
+    struct Host {
+        std::string zone;
+        std::string address;
+        std::unique_ptr<Membership> membership;
+        TimePoint tickAt = TimePoint::max();
+        bool paused = false;
+        std::vector<GossipMessage> waiting;
+    };
+
+    struct Event {
+        TimePoint at;
+        std::uint64_t order = 0;
+        // Unset for a tick.
+        std::shared_ptr<const GossipMessage> message;
+        // Set when a link was refused.
+        std::string refusedPeer;
+        std::string to;
+
+        bool operator<(const Event &other) const
+        {
+            return std::pair(at, order) > std::pair(other.at, other.order);
+        }
+    };
+
+    void schedule(const std::string &name)
+    {
+        Host &host = m_hosts.at(name);
+        const TimePoint next = std::max(m_now, host.membership->nextTick());
+        if (next < host.tickAt || host.tickAt < m_now) {
+            host.tickAt = next;
+            m_events.push(Event{next, ++m_order, nullptr, {}, name});
+        }
+    }
+
+    bool separated(const std::string &one, const std::string &other) const
+    {
+        return one != other && (m_cut.contains(one) || m_cut.contains(other));
+    }
+
+    void send(const std::string &from, std::vector<GossipSend> sends)
+    {
+        const std::string zone = m_hosts.at(from).zone;
+        for (GossipSend &send : sends) {
+            if (onSend) {
+                onSend(from, send);
+            }
+            const auto place = m_places.find(send.address);
+            const bool there = place != m_places.end() && place->second == send.peer;
+            if (!there) {
+                m_events.push(Event{m_now + latency * 2, ++m_order, nullptr, send.peer, from});
+                continue;
+            }
+            const bool lost = loss > 0 && std::bernoulli_distribution(loss)(m_random);
+            if (lost || separated(zone, m_hosts.at(send.peer).zone)) {
+                continue;
+            }
+            auto message = std::make_shared<const GossipMessage>(std::move(send.message));
+            m_events.push(Event{m_now + latency, ++m_order, std::move(message), {}, send.peer});
+        }
+    }
+
+    void handle(const Event &event)
+    {
+        const auto found = m_hosts.find(event.to);
+        if (found == m_hosts.end()) {
+            return;
+        }
+        Host &host = found->second;
+        if (host.paused) {
+            if (event.message) {
+                host.waiting.push_back(*event.message);
+            }
+            return;
+        }
+        if (event.message) {
+            send(event.to, host.membership->onMessage(*event.message, m_now));
+        } else if (!event.refusedPeer.empty()) {
+            send(event.to, host.membership->onLinkLost(event.refusedPeer, m_now));
+        } else {
+            host.tickAt = TimePoint::max();
+            send(event.to, host.membership->tick(m_now));
+        }
+        schedule(event.to);
+    }
+
+    const MembershipOptions m_options;
+    std::mt19937_64 m_random;
+    TimePoint m_now{std::chrono::hours{100}};
+    std::uint64_t m_order = 0;
+    std::map<std::string, Host> m_hosts;
+    // Who answers at an address.
+    std::map<std::string, std::string> m_places;
+    std::set<std::string> m_cut;
+    std::priority_queue<Event> m_events;
+};
+
+} // namespace egrettide::testing
--- /dev/null
+++ b/tests/core/membership_test.cpp
@@ -0,0 +1,369 @@
+// What hosts believe about each other, whatever becomes of their messages.
+
+#define BOOST_TEST_MODULE Membership
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include "tests/core/gossipfleet.h"
+
+#include <algorithm>
+#include <optional>
+
+using namespace egrettide;
+using egrettide::testing::GossipFleet;
+using std::chrono::seconds;
+
+namespace
+{
+
+std::string inMilliseconds(const std::optional<milliseconds> &time)
+{
+    return time ? std::to_string(time->count()) + " ms" : "never";
+}
+
+bool isDead(const HostRecord &record)
+{
+    return record.health == HostHealth::Dead;
+}
+
+// A fleet in which everybody knows everybody.
+std::unique_ptr<GossipFleet> settledFleet(int hosts, int zones, std::uint64_t seed, MembershipOptions options = {})
+{
+    auto fleet = std::make_unique<GossipFleet>(seed, options);
+    fleet->startMany(hosts, zones);
+    const auto settled = fleet->runUntil(seconds{30}, [&] { return fleet->agreeOnAll(); });
+    RC_ASSERT(settled.has_value());
+    fleet->runFor(seconds{2});
+    return fleet;
+}
+
+HostRecord recordOf(const std::string &name, std::uint64_t incarnation, HostHealth health)
+{
+    HostRecord record{name, "zone-0", "10.0.0.9:1", "10.0.0.9:2", "10.0.0.9:3"};
+    record.incarnation = incarnation;
+    record.health = health;
+    return record;
+}
+
+GossipMessage newsFrom(const std::string &from, std::vector<HostRecord> records)
+{
+    GossipMessage message;
+    message.kind = GossipKind::Ack;
+    message.from = from;
+    message.fromAddress = "10.0.0.8:1";
+    message.fromIncarnation = 1;
+    message.records = std::move(records);
+    return message;
+}
+
+// Feeds random, partly outdated news about one host and says whether a dead
+// incarnation of it ever came back.
+bool resurrects(const MembershipOptions &options, const std::vector<std::pair<int, int>> &news)
+{
+    TimePoint now{seconds{1000}};
+    Membership membership(recordOf("self", 1, HostHealth::Live), options, 1, now);
+    std::optional<std::uint64_t> deadIncarnation;
+    for (const auto &[incarnation, health] : news) {
+        now += milliseconds{10};
+        const auto record = recordOf("other", static_cast<std::uint64_t>(incarnation), static_cast<HostHealth>(health));
+        membership.onMessage(newsFrom("teller", {record}), now);
+        const HostRecord *seen = membership.view()->host("other");
+        if (seen == nullptr) {
+            continue;
+        }
+        if (deadIncarnation && !isDead(*seen) && seen->incarnation <= *deadIncarnation) {
+            return true;
+        }
+        if (isDead(*seen)) {
+            deadIncarnation = std::max(deadIncarnation.value_or(0), seen->incarnation);
+        }
+    }
+    return false;
+}
+
+// False deaths among hosts that all run, seen by any of them.
+int falseDeaths(const MembershipOptions &options, double loss, seconds duration)
+{
+    auto fleet = settledFleet(9, 3, 5, options);
+    fleet->loss = loss;
+    std::set<std::pair<std::string, std::uint64_t>> died;
+    fleet->runUntil(duration, [&] {
+        for (const std::string &name : fleet->names()) {
+            for (const HostRecord &record : fleet->host(name).view()->hosts) {
+                if (isDead(record)) {
+                    died.emplace(record.name, record.incarnation);
+                }
+            }
+        }
+        return false;
+    });
+    return static_cast<int>(died.size());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(MembershipOfHosts)
+
+BOOST_AUTO_TEST_CASE(FindsAllHostsOfTheList)
+{
+    GossipFleet fleet(1);
+    fleet.startMany(9, 4);
+    const auto settled = fleet.runUntil(seconds{10}, [&] { return fleet.agreeOnAll(); });
+    BOOST_TEST(settled.has_value(), "9 hosts that list each other did not find each other within 10 s");
+}
+
+// The platform's list lags: a host may know only one other.
+BOOST_AUTO_TEST_CASE(FindsAllHostsThroughAChainOfLists)
+{
+    GossipFleet fleet(2);
+    constexpr int count = 12;
+    for (int i = 0; i < count; ++i) {
+        std::vector<HostSeed> seeds;
+        if (i > 0) {
+            seeds.push_back(HostSeed{GossipFleet::nameOf(i - 1), "zone-0", GossipFleet::addressOf(i - 1)});
+        }
+        fleet.start(GossipFleet::nameOf(i), "zone-0", i, 1, seeds);
+    }
+    const auto settled = fleet.runUntil(seconds{30}, [&] { return fleet.agreeOnAll(); });
+    BOOST_TEST(settled.has_value(), "a chain of lists has to lead everywhere within 30 s");
+}
+
+BOOST_AUTO_TEST_CASE(TrustsItsViewOnceAPeerAnsweredOrNobodyDid)
+{
+    GossipFleet fleet(3);
+    fleet.start("alone", "zone-0", 1, 1, {HostSeed{"nobody", "zone-0", GossipFleet::addressOf(2)}});
+    BOOST_TEST(!fleet.host("alone").view()->trusted, "a view without any evidence must not be trusted");
+    const auto trusted = fleet.runUntil(seconds{10}, [&] { return fleet.host("alone").view()->trusted; });
+    BOOST_TEST(trusted.has_value(), "a host that is cut off alone has to go on serving");
+}
+
+// Symptom: writes fail for many seconds after a host died.
+// Sequence: a host dies; its homes move once it is held dead.
+// Cause: the failure detector waits too long.
+BOOST_AUTO_TEST_CASE(FindsADeadHostWithinAboutASecond)
+{
+    milliseconds worst{0};
+    milliseconds sum{0};
+    constexpr int trials = 20;
+    for (std::uint64_t trial = 0; trial < trials; ++trial) {
+        auto fleet = settledFleet(9, 4, trial);
+        fleet->pause("h4"); // Silent, but its address still takes messages.
+        const auto found = fleet->runUntil(seconds{10}, [&] {
+            const auto names = fleet->names();
+            return std::all_of(names.begin(), names.end(), [&](const std::string &name) {
+                return name == "h4" || isDead(*fleet->host(name).view()->host("h4"));
+            });
+        });
+        BOOST_REQUIRE_MESSAGE(found.has_value(), "trial " << trial << ": a silent host was never found dead");
+        worst = std::max(worst, *found);
+        sum += *found;
+    }
+    BOOST_TEST_MESSAGE("found dead by all after " << sum.count() / trials << " ms on average, " << worst.count()
+                                                  << " ms at worst");
+    BOOST_TEST(worst.count() <= 2000,
+               "the slowest of " << trials << " detections took " << worst.count() << " ms of simulated time");
+}
+
+BOOST_AUTO_TEST_CASE(SpreadsThatAHostIsLeaving)
+{
+    BOOST_TEST(rc::check("known everywhere within a few periods", [] {
+        const int hosts = *rc::gen::inRange(2, 40);
+        auto fleet = settledFleet(hosts, 4, *rc::gen::arbitrary<std::uint64_t>());
+        fleet->loss = *rc::gen::element(0.0, 0.1);
+        fleet->apply("h1", [](Membership &host, TimePoint now) { return host.leave(now); });
+        const auto known = fleet->runUntil(
+            seconds{5}, [&] { return fleet->allSee("h1", [](const HostRecord &record) { return record.leaving; }); });
+        RC_LOG() << inMilliseconds(known);
+        RC_ASSERT(known.has_value());
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(TakesAHostThatDepartsForDeadAtOnce)
+{
+    auto fleet = settledFleet(9, 4, 11);
+    fleet->apply("h3", [](Membership &host, TimePoint now) { return host.depart(now); });
+    fleet->runFor(milliseconds{5});
+    fleet->crash("h3");
+    const auto known = fleet->runUntil(seconds{2}, [&] { return fleet->allSee("h3", isDead); });
+    BOOST_TEST(known.has_value(), "a goodbye has to spread without waiting for a suspicion");
+}
+
+// Symptom: after a network partition hosts of the other side stay lost.
+// Sequence: zones are cut off; each side holds the other dead; the cut heals.
+// Cause: nobody calls on the dead, and the dead do not know that they are.
+BOOST_AUTO_TEST_CASE(SeparatesWithACutAndComesTogetherAgain)
+{
+    BOOST_TEST(rc::check("views follow the cut and the healing", [] {
+        const int zones = *rc::gen::inRange(2, 5);
+        const int hosts = *rc::gen::inRange(zones, 25);
+        auto fleet = settledFleet(hosts, zones, *rc::gen::arbitrary<std::uint64_t>());
+        const std::string gone = GossipFleet::zoneOf(*rc::gen::inRange(0, zones), zones);
+        fleet->cut({gone});
+        const auto separated = fleet->runUntil(seconds{30}, [&] {
+            const auto names = fleet->names();
+            return std::all_of(names.begin(), names.end(), [&](const std::string &name) {
+                std::set<std::string> reachable;
+                for (const std::string &other : names) {
+                    if ((fleet->zone(other) == gone) == (fleet->zone(name) == gone)) {
+                        reachable.insert(other);
+                    }
+                }
+                return fleet->livingIn(name) == reachable;
+            });
+        });
+        RC_ASSERT(separated.has_value());
+        fleet->runFor(seconds{*rc::gen::inRange(0, 600)});
+        fleet->cut({});
+        const auto healed = fleet->runUntil(seconds{30}, [&] { return fleet->agreeOnAll(); });
+        RC_LOG() << "separated after " << inMilliseconds(separated) << ", healed after " << inMilliseconds(healed);
+        RC_ASSERT(healed.has_value());
+    }));
+}
+
+// Symptom: a replaced host stays in the view, and its upstreams get no home.
+// Sequence: a host dies; another one starts at once under its address.
+// Cause: the address answers, so the old host looks alive.
+BOOST_AUTO_TEST_CASE(ReplacesAHostUnderTheSameAddress)
+{
+    auto fleet = settledFleet(9, 4, 13);
+    fleet->crash("h5");
+    fleet->start("h5-new", "zone-1", 5, 1, {HostSeed{"h0", "zone-0", GossipFleet::addressOf(0)}});
+    const auto settled = fleet->runUntil(seconds{10}, [&] { return fleet->agreeOnAll(); });
+    BOOST_TEST(settled.has_value(), "the old host has to be dead and the new one living everywhere");
+}
+
+BOOST_AUTO_TEST_CASE(TakesARestartedHostForANewOne)
+{
+    auto fleet = settledFleet(9, 4, 17);
+    fleet->crash("h5");
+    fleet->runFor(seconds{5});
+    fleet->start("h5", "zone-1", 5, 5000, {HostSeed{"h0", "zone-0", GossipFleet::addressOf(0)}});
+    const auto settled = fleet->runUntil(seconds{10}, [&] {
+        return fleet->agreeOnAll() && fleet->allSee("h5", [](const HostRecord &record) { return record.incarnation >= 5000; });
+    });
+    BOOST_TEST(settled.has_value());
+}
+
+// A restart with a clock behind the old process: the fleet still remembers a
+// higher incarnation as dead.
+BOOST_AUTO_TEST_CASE(LetsARestartedHostWithALowerIncarnationIn)
+{
+    auto fleet = settledFleet(9, 4, 19);
+    fleet->crash("h5");
+    fleet->runFor(seconds{5});
+    fleet->start("h5", "zone-1", 5, 3, {HostSeed{"h0", "zone-0", GossipFleet::addressOf(0)}});
+    const auto settled = fleet->runUntil(seconds{10}, [&] { return fleet->agreeOnAll(); });
+    BOOST_TEST(settled.has_value(), "it has to raise its incarnation above what is remembered");
+}
+
+// Symptom: a host that died gets requests again.
+// Sequence: old news of its life arrives after the news of its death.
+// Cause: the later message is believed, whatever it speaks about.
+BOOST_AUTO_TEST_CASE(NeverRevivesADeadIncarnation)
+{
+    BOOST_TEST(rc::check("only a higher incarnation brings a host back", [] {
+        const auto news =
+            *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(1, 5), rc::gen::inRange(0, 3)));
+        RC_ASSERT(!resurrects(MembershipOptions{}, news));
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(RevivesTheDeadOnceIncarnationsAreForgotten)
+{
+    MembershipOptions mutant;
+    mutant.remembersIncarnations = false;
+    const std::vector<std::pair<int, int>> news{{2, 0}, {2, 2}, {1, 0}};
+    BOOST_TEST(resurrects(mutant, news), "without incarnations old news has to revive the dead; the proof above is blind");
+    BOOST_TEST(!resurrects(MembershipOptions{}, news));
+}
+
+BOOST_AUTO_TEST_CASE(KeepsLivingHostsDespiteLostMessages)
+{
+    const int deaths = falseDeaths(MembershipOptions{}, 0.1, seconds{120});
+    BOOST_TEST(deaths == 0, deaths << " false deaths in 120 s with a tenth of the messages lost");
+}
+
+BOOST_AUTO_TEST_CASE(KillsLivingHostsOnceTheyCannotRefute)
+{
+    MembershipOptions mutant;
+    mutant.refutes = false;
+    mutant.confirmsIndirectly = false;
+    const int deaths = falseDeaths(mutant, 0.1, seconds{120});
+    BOOST_TEST(deaths > 0, "without refutation and confirmation losses have to kill; the proof above is blind");
+}
+
+// Symptom: a frozen host wakes up and moves homes about.
+// Sequence: all its timers are overdue; it finds everybody silent.
+// Cause: its own silence is taken for that of others.
+BOOST_AUTO_TEST_CASE(DistrustsItsViewAfterAPause)
+{
+    auto fleet = settledFleet(9, 4, 23);
+    fleet->pause("h2");
+    fleet->runFor(seconds{30});
+    fleet->cut({fleet->zone("h2")});
+    fleet->resume("h2");
+    BOOST_TEST(!fleet->host("h2").view()->trusted, "what waited in its sockets is from before the pause");
+    const std::size_t living = fleet->host("h2").liveCount();
+    BOOST_TEST(living == 9U, "waking up is no reason to hold " << 9 - living << " hosts dead");
+    fleet->cut({});
+    const auto back = fleet->runUntil(seconds{10}, [&] { return fleet->host("h2").view()->trusted && fleet->agreeOnAll(); });
+    BOOST_TEST(back.has_value(), "it has to trust its view again and be taken back");
+}
+
+// Symptom: control traffic eats the hosts when the fleet grows.
+// Cause: a host that talks to all others every period.
+BOOST_AUTO_TEST_CASE(KeepsItsFanOutWhateverTheSizeOfTheFleet)
+{
+    const auto busiest = [](int hosts) {
+        auto fleet = settledFleet(hosts, 4, 29);
+        std::map<std::string, std::size_t> sent;
+        std::map<std::string, std::set<std::string>> peers;
+        fleet->onSend = [&](const std::string &from, const GossipSend &send) {
+            ++sent[from];
+            peers[from].insert(send.peer);
+        };
+        fleet->runFor(seconds{10});
+        std::pair<std::size_t, std::size_t> most;
+        for (const auto &[host, count] : sent) {
+            most.first = std::max(most.first, count);
+            most.second = std::max(most.second, peers[host].size());
+        }
+        return most;
+    };
+    const auto [fewMessages, fewPeers] = busiest(16);
+    const auto [manyMessages, manyPeers] = busiest(128);
+    BOOST_TEST(manyMessages <= fewMessages, "messages in 10 s grew from " << fewMessages << " to " << manyMessages);
+    BOOST_TEST(manyPeers <= 6U, "3 watched and 3 watching make 6 peers, not " << manyPeers << " (16 hosts: " << fewPeers << ")");
+}
+
+BOOST_AUTO_TEST_CASE(SpreadsAConfigurationVersionAndWhoHasIt)
+{
+    auto fleet = settledFleet(40, 4, 31);
+    fleet->host("h7").setConfigurationVersion(12);
+    const auto heard = fleet->runUntil(seconds{6}, [&] {
+        const auto names = fleet->names();
+        return std::all_of(names.begin(), names.end(),
+                           [&](const std::string &name) { return fleet->host(name).highestConfigurationVersion() == 12; });
+    });
+    BOOST_REQUIRE_MESSAGE(heard.has_value(), "a version has to be heard of everywhere within 6 s");
+    BOOST_TEST(*fleet->host("h0").holderOfHighestConfiguration() == "h7");
+    BOOST_TEST(!fleet->host("h7").holderOfHighestConfiguration().has_value(), "the holder needs to pull from nobody");
+}
+
+BOOST_AUTO_TEST_CASE(ComputesHomesAnewOnlyWhenTheyMayChange)
+{
+    auto fleet = settledFleet(9, 4, 37);
+    const std::uint64_t before = fleet->host("h0").view()->placementVersion;
+    const GossipMessage slander = newsFrom("h1", {[&] {
+                                               HostRecord record = *fleet->host("h0").view()->host("h3");
+                                               record.health = HostHealth::Suspect;
+                                               return record;
+                                           }()});
+    fleet->apply("h0", [&](Membership &host, TimePoint now) { return host.onMessage(slander, now); });
+    BOOST_TEST((fleet->host("h0").view()->host("h3")->health == HostHealth::Suspect));
+    fleet->runFor(seconds{5});
+    BOOST_TEST((fleet->host("h0").view()->host("h3")->health == HostHealth::Live), "a false suspicion has to be refuted");
+    BOOST_TEST(fleet->host("h0").view()->placementVersion == before, "a suspicion must not move homes");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
