--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -49,6 +49,8 @@
 constexpr std::string_view localFrontKey = "local";
 constexpr std::string_view watchKey = "egrettide/watch";
 constexpr milliseconds movedRetry{100};
+// In large zones a host hears from a sample of its zone mates only.
+constexpr std::size_t confirmingHosts = 3;
 
 // Where every upstream's home is, under one view and one configuration. Threads
 // that route read it without a lock.
@@ -159,8 +161,11 @@
     std::vector<std::string> otherHomes(const std::string &database) const;
     // The host that is home of the upstream; empty when there is none.
     std::string homeOf(const std::string &database, const std::string &upstream) const;
-    // Another host's heartbeat is a sign that we are not cut off and replaced.
-    void confirmOwnHomes();
+    // A host whose zone mates go on talking to it has not been replaced as home:
+    // whoever took over would have had to hold it for dead.
+    void confirmOwnHomes(const std::string &heardFrom);
+    // Since when enough zone mates have been heard; nothing while they have not.
+    std::optional<TimePoint> confirmationTime(const MembershipView &view, TimePoint now) const;
 
     // Operators' requests; on the control thread.
     void handleOperator(const OperatorRequest &request, const OperatorResponder &respond);
@@ -198,6 +203,9 @@
     std::unique_ptr<OperatorServer> m_operators;
     std::unique_ptr<asio::steady_timer> m_drainTimer;
 
+    // When each host was last heard from; control thread only.
+    absl::flat_hash_map<std::string, TimePoint> m_heard;
+
     HostMetrics m_metrics;
     std::mutex m_retryMutex;
     // Guarded by m_retryMutex.
@@ -501,7 +509,7 @@
 {
     if (const auto *gossip = std::get_if<hop::Gossip>(&message)) {
         m_membership->onGossip(gossip->message);
-        confirmOwnHomes();
+        confirmOwnHomes(from.host);
     } else if (const auto *opinion = std::get_if<hop::Opinion>(&message)) {
         answerOpinion(from, *opinion);
     } else if (const auto *opinionReply = std::get_if<hop::OpinionReply>(&message)) {
@@ -640,21 +648,49 @@
     return member != nullptr ? now->homeOf(*member).value_or(std::string()) : std::string();
 }
 
-void HostDaemon::Impl::confirmOwnHomes()
+void HostDaemon::Impl::confirmOwnHomes(const std::string &heardFrom)
 {
     const auto now = routes();
-    if (!now->configuration) {
+    const TimePoint heardAt = Clock::now();
+    m_heard[heardFrom] = heardAt;
+    const auto askedAt = confirmationTime(*now->view, heardAt);
+    if (!askedAt || !now->configuration) {
         return;
     }
     for (const DatabaseSpec &database : now->configuration->databases) {
         for (const UpstreamSpec &upstream : database.upstreams) {
             if (now->homeOf(upstream) == m_settings.host) {
-                m_homes->confirmedHome(database.name, upstream.name);
+                m_homes->confirmedHome(database.name, upstream.name, *askedAt);
             }
         }
     }
 }
 
+std::optional<TimePoint> HostDaemon::Impl::confirmationTime(const MembershipView &view, TimePoint now) const
+{
+    if (!view.trusted) {
+        return std::nullopt;
+    }
+    std::vector<TimePoint> heard{now};
+    std::size_t zoneHosts = 0;
+    for (const PlacementHost &host : view.placementHosts()) {
+        if (host.zone != m_settings.zone) {
+            continue;
+        }
+        ++zoneHosts;
+        const auto found = m_heard.find(host.name);
+        if (found != m_heard.end()) {
+            heard.push_back(found->second);
+        }
+    }
+    const std::size_t needed = std::min(zoneHosts / 2 + 1, confirmingHosts);
+    if (heard.size() < needed) {
+        return std::nullopt;
+    }
+    std::sort(heard.begin(), heard.end(), std::greater<>());
+    return heard[needed - 1];
+}
+
 // Operators.
 
 void HostDaemon::Impl::handleOperator(const OperatorRequest &request, const OperatorResponder &respond)
--- a/src/runtime/hostmetrics.cpp
+++ b/src/runtime/hostmetrics.cpp
@@ -47,18 +47,24 @@
     Shard &shard = ownShard();
     const std::lock_guard<std::mutex> lock(shard.mutex);
     MetricsRegistry &registry = shard.registry;
-    registry.count("requests_total",
-                   {{"class", observation.className},
-                    {"database", observation.database},
-                    {"outcome", std::string(outcomeName(observation))}});
-    registry.count("attempts_total", {{"database", observation.database}}, static_cast<std::uint64_t>(observation.attempts));
-    registry.record("request_seconds", {{"class", observation.className}, {"tenant", observation.tenant}}, observation.latency);
+    registry
+        .counter("requests_total",
+                 {{"class", observation.className},
+                  {"database", observation.database},
+                  {"outcome", std::string(outcomeName(observation))}})
+        .add(1);
+    registry.counter("attempts_total", {{"database", observation.database}})
+        .add(static_cast<std::uint64_t>(observation.attempts));
+    registry.histogram("request_seconds", {{"class", observation.className}, {"tenant", observation.tenant}})
+        .record(observation.latency);
     const bool isRead = observation.kind == StatementKind::Read || observation.kind == StatementKind::BeginReadOnly;
     if (isRead && !observation.error) {
-        registry.count("reads_total",
-                       {{"database", observation.database},
-                        {"served_by", observation.byPrimary ? "primary" : "replica"},
-                        {"reason", observation.primaryReason ? std::string(nameOf(*observation.primaryReason)) : std::string()}});
+        registry
+            .counter("reads_total",
+                     {{"database", observation.database},
+                      {"served_by", observation.byPrimary ? "primary" : "replica"},
+                      {"reason", observation.primaryReason ? std::string(nameOf(*observation.primaryReason)) : std::string()}})
+            .add(1);
     }
 }
 
--- a/src/runtime/hoststatus.cpp
+++ b/src/runtime/hoststatus.cpp
@@ -96,22 +96,22 @@
 
 void addStoreMetrics(MetricsRegistry &registry, const StoreCallCounts &counts)
 {
-    registry.count("store_calls_total", {{"kind", "read"}}, counts.reads);
-    registry.count("store_calls_total", {{"kind", "write"}}, counts.writes);
-    registry.count("store_calls_total", {{"kind", "watch"}}, counts.watches);
-    registry.count("store_calls_total", {{"kind", "hosts"}}, counts.hostLists);
+    registry.counter("store_calls_total", {{"kind", "read"}}).add(counts.reads);
+    registry.counter("store_calls_total", {{"kind", "write"}}).add(counts.writes);
+    registry.counter("store_calls_total", {{"kind", "watch"}}).add(counts.watches);
+    registry.counter("store_calls_total", {{"kind", "hosts"}}).add(counts.hostLists);
 }
 
 void addHomeMetrics(MetricsRegistry &registry, const std::vector<UpstreamHomeStats> &homes)
 {
     for (const UpstreamHomeStats &home : homes) {
         const MetricLabels labels{{"database", home.database}, {"upstream", home.upstream}};
-        registry.count("upstream_sent_total", labels, home.sent);
-        registry.count("upstream_answered_total", labels, home.answered);
-        registry.count("upstream_refused_total", labels, home.refused);
-        registry.count("upstream_unknown_outcomes_total", labels, home.unknownOutcomes);
-        registry.count("upstream_not_fresh_total", labels, home.notFresh);
-        registry.count("upstream_connections_opened_total", labels, home.connectionsOpened);
+        registry.counter("upstream_sent_total", labels).add(home.sent);
+        registry.counter("upstream_answered_total", labels).add(home.answered);
+        registry.counter("upstream_refused_total", labels).add(home.refused);
+        registry.counter("upstream_unknown_outcomes_total", labels).add(home.unknownOutcomes);
+        registry.counter("upstream_not_fresh_total", labels).add(home.notFresh);
+        registry.counter("upstream_connections_opened_total", labels).add(home.connectionsOpened);
         registry.set("upstream_connections", labels, static_cast<double>(home.connections));
         registry.set("upstream_busy_connections", labels, static_cast<double>(home.busyConnections));
         registry.set("upstream_waiting", labels, static_cast<double>(home.waiting));
@@ -121,10 +121,10 @@
 
 void addPeerMetrics(MetricsRegistry &registry, const PeerTraffic &traffic, std::size_t links)
 {
-    registry.count("peer_bytes_total", {{"kind", "control"}, {"direction", "sent"}}, traffic.controlBytesSent);
-    registry.count("peer_bytes_total", {{"kind", "control"}, {"direction", "received"}}, traffic.controlBytesReceived);
-    registry.count("peer_bytes_total", {{"kind", "request"}, {"direction", "sent"}}, traffic.requestBytesSent);
-    registry.count("peer_bytes_total", {{"kind", "request"}, {"direction", "received"}}, traffic.requestBytesReceived);
+    registry.counter("peer_bytes_total", {{"kind", "control"}, {"direction", "sent"}}).add(traffic.controlBytesSent);
+    registry.counter("peer_bytes_total", {{"kind", "control"}, {"direction", "received"}}).add(traffic.controlBytesReceived);
+    registry.counter("peer_bytes_total", {{"kind", "request"}, {"direction", "sent"}}).add(traffic.requestBytesSent);
+    registry.counter("peer_bytes_total", {{"kind", "request"}, {"direction", "received"}}).add(traffic.requestBytesReceived);
     registry.set("peer_links", {}, static_cast<double>(links));
 }
 
