--- a/src/core/commitgate.cpp
+++ b/src/core/commitgate.cpp
@@ -169,7 +169,7 @@
             times.push_back(found->second.promisedAt);
         }
     }
-    return reachedBy(std::move(times), majority());
+    return reachedBy(std::move(times), m_faults.withoutMajority ? 1 : majority());
 }
 
 // Keeps what held commits need and the newest term; the rest would grow with the
--- a/testing/support/groupworld.h
+++ b/testing/support/groupworld.h
@@ -243,6 +243,8 @@
         microseconds at{0};
         LogMark mark;
         std::uint64_t write = 0;
+        // Missing from a later primary: a violation, or the trade of PrimaryOnly.
+        bool lost = false;
     };
 
     // --- time, links and chance -------------------------------------------
@@ -401,9 +403,10 @@
         m_promotedAt[primary.followingTerm] = m_now;
         // A late order may still make a primary of a term that is already over; it
         // owes nothing to the terms after its own.
-        for (const Ack &ack : m_acks) {
+        for (Ack &ack : m_acks) {
             if (ack.mark.term < primary.followingTerm && !primary.holds(ack.mark, ack.write)) {
                 ++m_lostAcks;
+                ack.lost = true;
                 violateDurability("the primary " + primary.name + " of term " + std::to_string(primary.followingTerm)
                                   + " lacks the acknowledged write " + std::to_string(ack.write));
             }
@@ -492,7 +495,7 @@
         // The write's own place: the mark of its answer is at or after it, and in
         // this model exactly at it, since the status is taken with the write.
         const LogMark mark = m_homes[index]->writes[id];
-        m_acks.push_back({m_now, mark, id});
+        m_acks.push_back({m_now, mark, id, false});
         if (m_acks.size() > 1) {
             m_longestGap = std::max(m_longestGap, m_now - m_acks[m_acks.size() - 2].at);
         }
@@ -503,6 +506,7 @@
             const auto &log = later->second;
             if (mark.position > log.size() || log[mark.position - 1] != LogEntry{mark.term, id}) {
                 ++m_lostAcks;
+                m_acks.back().lost = true;
                 violateDurability("write " + std::to_string(id) + " of term " + std::to_string(mark.term)
                                   + " was acknowledged after a primary of term " + std::to_string(later->first)
                                   + " began without it");
@@ -822,8 +826,10 @@
                 break;
             }
         }
-        home.naiveTerm = m_store.object.record.term;
-        home.naivePrimary = m_store.object.record.primary;
+        if (!m_store.object.record.primary.empty()) {
+            home.naiveTerm = m_store.object.record.term;
+            home.naivePrimary = m_store.object.record.primary;
+        }
     }
 
     // --- faults -----------------------------------------------------------
@@ -1107,7 +1113,7 @@
         const microseconds claimed = m_now - std::chrono::duration_cast<microseconds>(localNow(index) - watermark.sentAt);
         for (const Ack &ack : m_acks) {
             const bool shown = ack.mark.position <= member.replayed && member.holds(ack.mark, ack.write);
-            if (ack.at < claimed && !shown) {
+            if (ack.at < claimed && !shown && !ack.lost) {
                 return violate("a read of " + member.name + " misses write " + std::to_string(ack.write)
                                + ", which was acknowledged before the date it was proven to show");
             }
--- /dev/null
+++ b/tests/core/group_test.cpp
@@ -0,0 +1,166 @@
+// What must always hold, over seeded schedules of faults: several homes, each with
+// the real monitor, gate, promoter and switchover, against a model of a group. The
+// checks stand in testing/support/groupworld.h: every acknowledged write is in every
+// later primary, no replaced primary's write is acknowledged, a term has one primary,
+// a watermark proves the age it claims, reads that rely on it miss nothing, and
+// writes are confirmed again once all faults are healed.
+
+#define BOOST_TEST_MODULE Group
+#include <boost/test/unit_test.hpp>
+
+#include "testing/support/groupworld.h"
+
+#include <rapidcheck.h>
+
+#include <chrono>
+
+using namespace egrettide;
+using namespace egrettide::testing;
+
+namespace
+{
+
+constexpr std::uint64_t schedulesPerCase = 10;
+
+// Sums over many schedules.
+struct Totals {
+    std::size_t schedules = 0;
+    std::size_t acknowledged = 0;
+    std::size_t promotions = 0;
+    std::size_t planned = 0;
+    std::size_t unknown = 0;
+    std::size_t watermarks = 0;
+    std::size_t reads = 0;
+    std::size_t lost = 0;
+
+    void add(const World &world)
+    {
+        ++schedules;
+        acknowledged += world.acknowledged();
+        promotions += world.promotions();
+        planned += world.plannedDone();
+        unknown += world.unknownOutcomes();
+        watermarks += world.watermarks();
+        reads += world.provenReads();
+        lost += world.lostAcknowledged();
+    }
+};
+
+void report(const char *what, const Totals &totals, std::chrono::steady_clock::time_point began)
+{
+    const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
+    BOOST_TEST_MESSAGE(what << ": " << totals.schedules << " schedules, " << static_cast<double>(totals.schedules) / seconds
+                            << " a second; " << totals.acknowledged << " acknowledged, " << totals.unknown << " unknown, "
+                            << totals.promotions << " promotions, " << totals.planned << " planned, " << totals.watermarks
+                            << " watermarks, " << totals.reads << " proven reads");
+}
+
+using Configure = std::function<WorldOptions(std::uint64_t seed)>;
+
+// Runs schedules from seeds that RapidCheck draws; a failure prints seed and story.
+Totals checkSchedules(const char *claim, const Configure &configure)
+{
+    Totals totals;
+    const auto began = std::chrono::steady_clock::now();
+    BOOST_TEST(rc::check(claim, [&] {
+        const std::uint64_t first = *rc::gen::arbitrary<std::uint64_t>();
+        for (std::uint64_t seed = first; seed < first + schedulesPerCase; ++seed) {
+            World world(configure(seed));
+            const std::string violation = world.run();
+            totals.add(world);
+            if (!violation.empty()) {
+                RC_FAIL(violation + "\n" + world.story());
+            }
+        }
+    }));
+    report(claim, totals, began);
+    return totals;
+}
+
+WorldOptions anyWorld(std::uint64_t seed)
+{
+    WorldOptions options = quickWorld(seed);
+    options.members = seed % 8 == 0 ? 5 : 3;
+    options.fencedKeepsCopying = seed % 3 != 0;
+    options.storeOut = seed % 10 == 1;
+    return options;
+}
+
+WorldOptions withoutTrouble(std::uint64_t seed)
+{
+    WorldOptions options = quickWorld(seed);
+    options.lossOneIn = 0;
+    options.duplicateOneIn = 0;
+    options.delayOneIn = 0;
+    options.ambushFenceOneIn = 0;
+    options.ambushPromotionOneIn = 0;
+    options.writesAtHomeOnly = true;
+    return options;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Groups)
+
+BOOST_AUTO_TEST_CASE(KeepEveryAcknowledgedWriteWhateverFails)
+{
+    const Totals totals = checkSchedules("what must always hold does, and writes come back", anyWorld);
+    BOOST_TEST(totals.promotions > totals.schedules / 2, "the schedules hardly ever fail over; they prove little");
+    BOOST_TEST(totals.reads > totals.schedules, "hardly any read was proven; the freshness check proves little");
+}
+
+BOOST_AUTO_TEST_CASE(NeverAcknowledgeForAReplacedPrimaryEvenWithoutDurability)
+{
+    checkSchedules("primary-only durability acknowledges nothing for a replaced primary", [](std::uint64_t seed) {
+        WorldOptions options = anyWorld(seed);
+        options.durability = Durability::PrimaryOnly;
+        return options;
+    });
+}
+
+BOOST_AUTO_TEST_CASE(LoseNothingAndLeaveNothingOpenInPlannedChanges)
+{
+    const Totals totals = checkSchedules("planned changes leave no outcome unknown", [](std::uint64_t seed) {
+        WorldOptions options = withoutTrouble(seed);
+        options.planned = true;
+        return options;
+    });
+    BOOST_TEST(totals.planned > totals.schedules);
+    BOOST_TEST(totals.unknown == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(DoNotPromoteInSteadyRunsWithSpikesOfLatency)
+{
+    const Totals totals = checkSchedules("steady runs have no promotion", [](std::uint64_t seed) {
+        WorldOptions options = quickWorld(seed);
+        options.faults = 0;
+        options.recoverySpan = std::chrono::seconds(2);
+        options.writeSpacing = std::chrono::milliseconds(100);
+        return options;
+    });
+    BOOST_TEST(totals.promotions == 0U, "a promotion without a failure; see docs/design/detection.md for the settings");
+}
+
+// Symptom: after a failover an acknowledged write is gone.
+// Sequence: a database is set to primary-only durability; its primary dies while the
+// replicas lag.
+// Cause: that setting's trade, shown here so that nobody chooses it unknowingly. The
+// same seeds lose nothing under majority durability.
+BOOST_AUTO_TEST_CASE(MayLoseAcknowledgedWritesUnderPrimaryOnlyDurability)
+{
+    std::size_t lost = 0;
+    for (std::uint64_t seed = 1; seed <= 300 && lost == 0; ++seed) {
+        WorldOptions options = quickWorld(seed);
+        options.durability = Durability::PrimaryOnly;
+        World fast(options);
+        fast.run();
+        lost += fast.lostAcknowledged();
+        options.durability = Durability::Majority;
+        World safe(options);
+        BOOST_TEST(safe.run() == "");
+        BOOST_TEST(safe.lostAcknowledged() == 0U);
+    }
+    BOOST_TEST(lost > 0U, "no schedule lost a write; the durability setting has no effect");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
