Drive the freshness proof through the router, keep unknown outcomes

BEGIN no longer makes an unknown arrival known: its answer shows nothing that covers what the session did elsewhere. RouteAttempts::startOver lets a front wait for a primary without forgetting that an attempt may have run.

--- a/include/egrettide/core/router.h
+++ b/include/egrettide/core/router.h
@@ -121,6 +121,10 @@
     // The upstream that holds the request now; empty before the first.
     std::string_view current() const;
     bool tried(std::string_view upstream, Term term) const;
+    // Forgets what was tried, for a request that waits for a primary and then goes
+    // round again. Keeps whether an attempt ended without a known outcome: a plain
+    // new object would let a later refusal claim that nothing ran.
+    void startOver();
 
 private:
     friend class Router;
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -91,6 +91,14 @@
                        [&](const Try &each) { return each.upstream == upstream && each.term >= term; });
 }
 
+void RouteAttempts::startOver()
+{
+    m_tries.clear();
+    m_refusal.reset();
+    m_routeReason.reset();
+    m_askOthers = true;
+}
+
 Router::Router(RouterOptions options, SpendRetryHook spendRetry)
     : m_options(std::move(options)), m_spendRetry(std::move(spendRetry))
 {
--- a/src/core/sessionstate.cpp
+++ b/src/core/sessionstate.cpp
@@ -378,8 +378,11 @@
 {
     const std::string before = token();
     raiseFloor(mark);
-    // An acknowledged write lies behind all that was acknowledged before it.
-    if (asked.latest || kind == StatementKind::Write || kind == StatementKind::Commit) {
+    // BEGIN proves much and shows nothing: the mark that covers its transaction
+    // comes with COMMIT. An acknowledged write lies behind all that was
+    // acknowledged before it.
+    const bool latestRead = kind == StatementKind::Read && asked.latest;
+    if (latestRead || kind == StatementKind::Write || kind == StatementKind::Commit) {
         m_unknownArrival = false;
     }
     return token() != before;
--- a/tests/core/router_test.cpp
+++ b/tests/core/router_test.cpp
@@ -267,6 +267,26 @@
     }));
 }
 
+// Symptom: a caller is told "not run" and charges again, and the family pays twice.
+// Sequence: an idempotent charge is lost, the front waits for a primary, starts over and is refused.
+// Cause: starting over forgot the lost attempt.
+BOOST_AUTO_TEST_CASE(StartingOverKeepsAnUnknownOutcome)
+{
+    Fixture fixture;
+    StatementRequest charge = request(StatementKind::Write);
+    charge.idempotent = true;
+    fixture.choose(charge);
+    StatementReply lost = refusal(ErrorKind::UnknownOutcome, true);
+    lost.hint = hint(2, "b");
+    BOOST_TEST(fixture.after(charge, lost) == "b");
+    fixture.attempts.startOver();
+    BOOST_TEST(fixture.router.choose(charge, fixture.attempts, start, fixture.random).value().upstream == "b");
+    const auto last = fixture.router.afterReply(charge, refusal(ErrorKind::Overloaded), fixture.attempts, start, fixture.random);
+    BOOST_REQUIRE(std::holds_alternative<Finish>(last));
+    BOOST_REQUIRE(std::get<Finish>(last).instead.has_value());
+    BOOST_TEST((std::get<Finish>(last).instead->kind == ErrorKind::UnknownOutcome));
+}
+
 BOOST_AUTO_TEST_CASE(NeverTriesAnUpstreamTwiceInOneTerm)
 {
     BOOST_TEST(rc::check("one try for each upstream and term", [] {
--- a/tests/core/sessionstate_test.cpp
+++ b/tests/core/sessionstate_test.cpp
@@ -65,6 +65,9 @@
     BOOST_TEST(!state.onSeen(LogMark{2, 50}, Freshness{}, StatementKind::Read));
     BOOST_TEST(state.unknownArrival());
     BOOST_TEST(state.freshnessFor(StatementKind::Read).latest);
+    const Freshness begin = state.freshnessFor(StatementKind::Begin);
+    BOOST_TEST(!state.onSeen(LogMark{2, 50}, begin, StatementKind::Begin));
+    BOOST_TEST(state.unknownArrival());
     state.onSeen(LogMark{2, 60}, Freshness{}, StatementKind::Write);
     BOOST_TEST(!state.unknownArrival());
 }
