--- a/src/runtime/front.h
+++ b/src/runtime/front.h
@@ -7,7 +7,6 @@
 #include "egrettide/core/configuration.h"
 #include "egrettide/core/error.h"
 #include "egrettide/core/request.h"
-#include "egrettide/core/router.h"
 #include "egrettide/core/types.h"
 
 #include <boost/asio/io_context.hpp>
@@ -39,8 +38,8 @@
     std::string upstream;
     // True when the primary answered.
     bool byPrimary = false;
-    // Why a read went to the primary; set only then.
-    std::optional<PrimaryReason> primaryReason;
+    // Why a read went to the primary, as nameOf(PrimaryReason); empty for all else.
+    std::string primaryReason;
     // How many times it was handed to a home.
     int attempts = 0;
 };
@@ -57,7 +56,7 @@
     std::function<TimePoint()> now = [] { return Clock::now(); };
     // Takes one retry from the budget, or says that there is none left. Without
     // a budget a failover turns into a storm of retries.
-    SpendRetryHook spendRetry = [](TimePoint) { return true; };
+    std::function<bool()> takeRetry = [] { return true; };
     std::function<void(const RequestObservation &)> observe = [](const RequestObservation &) {};
 };
 
@@ -77,11 +76,13 @@
     // How long past its deadline a request may stay unanswered by its home before
     // the front answers the caller itself with an unknown outcome.
     milliseconds answerGrace{1000};
-    // Sign session tokens, see SessionTokenCodec; all hosts share them.
-    std::vector<std::string> tokenKeys;
+    // Signs session tokens, see SessionTokenCodec; all hosts share it. Empty: a
+    // checksum only.
+    std::string tokenKey;
     // True to report egrettide.session after each answer that moves the floor.
     bool reportSession = true;
-    RoutingPolicy routing = RoutingPolicy::Replicas;
+    // True for RoutingPolicy::Baseline, to measure against.
+    bool baselineRouting = false;
     // Seeds the choice among equal upstreams.
     std::uint64_t seed = 1;
     // What a caller that came before any configuration is told to wait.
--- a/src/runtime/requestrunner.cpp
+++ b/src/runtime/requestrunner.cpp
@@ -84,18 +84,25 @@
     m_timer.cancel();
     if (isPinned()) {
         m_shard->router.learn(reply.hint, m_request.upstream, m_shard->now());
+        if (m_request.kind == StatementKind::Read && !reply.error) {
+            m_shard->router.countPinnedRead(m_request.database, m_request.upstream);
+        }
         finish(std::move(reply));
         return;
     }
     const TimePoint now = m_shard->now();
     RouteDecision decision = m_shard->router.afterReply(m_request, reply, m_attempts, now, m_shard->random);
     auto *next = std::get_if<Route>(&decision);
-    if (next != nullptr && now < m_request.deadline && !m_canceled) {
+    if (next != nullptr && !m_canceled) {
         m_route = std::move(*next);
         m_request.upstream = m_route.upstream;
         send();
         return;
     }
+    const auto *last = std::get_if<Finish>(&decision);
+    if (last != nullptr && last->instead) {
+        reply.error = last->instead;
+    }
     if (reply.error && mayWaitForPrimary(*reply.error, reply.sent)) {
         waitForPrimary(std::move(reply));
         return;
@@ -209,8 +216,10 @@
     }
     observation.latency = std::chrono::duration_cast<std::chrono::microseconds>(m_shard->now() - m_startedAt);
     observation.byPrimary = isPinned() ? m_shard->router.primary(m_request.database) == m_request.upstream : m_route.primary;
-    if (m_request.kind == StatementKind::Read && observation.byPrimary) {
-        observation.primaryReason = isPinned() ? PrimaryReason::Transaction : m_route.reason;
+    const bool reads = m_request.kind == StatementKind::Read || m_request.kind == StatementKind::BeginReadOnly;
+    if (reads && observation.byPrimary) {
+        const auto reason = isPinned() ? std::optional(PrimaryReason::Transaction) : m_route.reason;
+        observation.primaryReason = reason ? nameOf(*reason) : std::string_view();
     }
     observation.attempts = m_sends;
     m_shard->common->hooks.observe(observation);
--- a/src/runtime/trafficshard.h
+++ b/src/runtime/trafficshard.h
@@ -17,6 +17,8 @@
 #include <cstdint>
 #include <memory>
 #include <random>
+#include <string>
+#include <vector>
 
 namespace egrettide::detail
 {
@@ -26,10 +28,15 @@
     FrontCommon(FrontOptions frontOptions, FrontHooks frontHooks)
         : options(std::move(frontOptions))
         , hooks(std::move(frontHooks))
-        , tokens(std::make_shared<const SessionTokenCodec>(options.tokenKeys))
+        , tokens(std::make_shared<const SessionTokenCodec>(keysOf(options)))
     {
     }
 
+    static std::vector<std::string> keysOf(const FrontOptions &frontOptions)
+    {
+        return frontOptions.tokenKey.empty() ? std::vector<std::string>() : std::vector<std::string>{frontOptions.tokenKey};
+    }
+
     const FrontOptions options;
     const FrontHooks hooks;
     const std::shared_ptr<const SessionTokenCodec> tokens;
@@ -45,7 +52,7 @@
     TrafficShard(boost::asio::io_context &shardContext, std::shared_ptr<FrontCommon> frontCommon, std::uint64_t seed)
         : context(shardContext)
         , common(std::move(frontCommon))
-        , router(RouterOptions{.zone = common->options.zone, .policy = common->options.routing}, common->hooks.spendRetry)
+        , router(routerOptions(common->options), [this](TimePoint) { return common->hooks.takeRetry(); })
         , random(seed)
     {
     }
@@ -78,6 +85,14 @@
     std::array<char, 65536> inbox{};
 
 private:
+    static RouterOptions routerOptions(const FrontOptions &options)
+    {
+        RouterOptions router;
+        router.zone = options.zone;
+        router.policy = options.baselineRouting ? RoutingPolicy::Baseline : RoutingPolicy::Replicas;
+        return router;
+    }
+
     std::shared_ptr<const Configuration> m_configuration;
 };
 
