--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -306,14 +306,14 @@
     FrontOptions options;
     options.zone = m_settings.zone;
     options.maxConnections = static_cast<std::size_t>(m_settings.maxCallers);
-    options.tokenKeys = {m_settings.sessionKey};
-    options.routing = m_settings.routingPolicy == "baseline" ? RoutingPolicy::Baseline : RoutingPolicy::Replicas;
+    options.tokenKey = m_settings.sessionKey;
+    options.baselineRouting = m_settings.routingPolicy == "baseline";
     options.seed = m_random();
     FrontHooks hooks;
     hooks.configuration = [this] { return routes()->configuration; };
     hooks.execute = [this](StatementRequest request, ReplyHandler handler) { execute(std::move(request), std::move(handler)); };
     hooks.cancel = [this](std::uint64_t id) { cancel(id); };
-    hooks.spendRetry = [this](TimePoint) {
+    hooks.takeRetry = [this] {
         const std::lock_guard<std::mutex> lock(m_retryMutex);
         return m_retries.mayRetry({});
     };
--- a/src/runtime/hostmetrics.cpp
+++ b/src/runtime/hostmetrics.cpp
@@ -63,7 +63,7 @@
             .counter("reads_total",
                      {{"database", observation.database},
                       {"served_by", observation.byPrimary ? "primary" : "replica"},
-                      {"reason", observation.primaryReason ? std::string(nameOf(*observation.primaryReason)) : std::string()}})
+                      {"reason", observation.primaryReason}})
             .add(1);
     }
 }
