--- a/testing/platform/platformstandin.cpp
+++ b/testing/platform/platformstandin.cpp
@@ -164,10 +164,12 @@
     milliseconds delay{0};
     int answersToLose = 0;
     int callsToFail = 0;
+    bool downAfterNextChange = false;
 
     // Decides one call; Wait means that `finish` is run later.
     Outcome handle(const Request &request, const std::function<void(Outcome)> &finish);
     void setDown(bool isDown);
+    void dropConnections();
     std::uint64_t put(const std::string &key, json value);
 
 private:
@@ -198,6 +200,8 @@
     tcp::acceptor m_acceptor;
     std::map<std::uint64_t, Watch> m_watches;
     std::uint64_t m_lastWatch = 0;
+    // Those that are gone are removed as new ones come.
+    std::vector<std::weak_ptr<Session>> m_sessions;
     std::thread m_thread;
 };
 
@@ -209,12 +213,22 @@
     {
     }
 
+    // Closes the connection unless a call is in progress.
+    void closeIfIdle()
+    {
+        if (m_idle) {
+            m_stream.close();
+        }
+    }
+
     void receive()
     {
+        m_idle = true;
         m_parser.emplace();
         m_parser->body_limit(BodyLimit);
         http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, std::size_t) {
             if (!error) {
+                self->m_idle = false;
                 self->m_request = self->m_parser->release();
                 self->delayed();
             }
@@ -273,6 +287,8 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     Request m_request;
     Response m_response;
+    // True while it waits for a call.
+    bool m_idle = false;
 };
 
 PlatformStandIn::Server::Server(const tcp::endpoint &listen) : m_acceptor(m_context, listen)
@@ -294,7 +310,10 @@
         if (!error) {
             error_code ignored;
             socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<Session>(std::move(socket), *this)->receive();
+            const auto session = std::make_shared<Session>(std::move(socket), *this);
+            std::erase_if(m_sessions, [](const std::weak_ptr<Session> &known) { return known.expired(); });
+            m_sessions.push_back(session);
+            session->receive();
         }
         accept();
     });
@@ -357,6 +376,7 @@
     delay = milliseconds(body.value("delayMs", delay.count()));
     answersToLose = body.value("loseNextAnswers", answersToLose);
     callsToFail = body.value("failNextCalls", callsToFail);
+    downAfterNextChange = body.value("downAfterNextChange", downAfterNextChange);
     if (body.contains("hostListLagMs")) {
         hostList.setLag(milliseconds(body.value("hostListLagMs", 0)));
     }
@@ -462,6 +482,9 @@
         return answer(http::status::conflict, {{"key", key}, {"version", result.version}});
     }
     wakeWatches(key);
+    if (std::exchange(downAfterNextChange, false)) {
+        setDown(true);
+    }
     if (answersToLose > 0) {
         --answersToLose;
         return {Outcome::Kind::Close, {}, {}};
@@ -539,6 +562,15 @@
     }
 }
 
+void PlatformStandIn::Server::dropConnections()
+{
+    for (const std::weak_ptr<Session> &known : m_sessions) {
+        if (const auto session = known.lock()) {
+            session->closeIfIdle();
+        }
+    }
+}
+
 std::uint64_t PlatformStandIn::Server::put(const std::string &key, json value)
 {
     const std::uint64_t version = store.write(key, std::move(value), std::nullopt).version;
@@ -577,6 +609,16 @@
     m_server->run([count](Server &server) { server.answersToLose = count; });
 }
 
+void PlatformStandIn::goDownAfterNextChange()
+{
+    m_server->run([](Server &server) { server.downAfterNextChange = true; });
+}
+
+void PlatformStandIn::dropConnections()
+{
+    m_server->run([](Server &server) { server.dropConnections(); });
+}
+
 void PlatformStandIn::failNextCalls(int count)
 {
     m_server->run([count](Server &server) { server.callsToFail = count; });
--- a/testing/platform/platformstandin.h
+++ b/testing/platform/platformstandin.h
@@ -10,8 +10,8 @@
 //   GET    /list?prefix=P                      [{"key","version"}]
 //   GET    /hosts                              [{"name","zone","address","state"}]
 //   PUT    /admin/hosts                        the same list; shows after the lag
-//   PUT    /admin/faults                       {"down","delayMs","loseNextAnswers","failNextCalls","hostListLagMs"}
-//   GET    /admin/calls                        calls received, by kind
+//   PUT    /admin/faults {"down","delayMs","loseNextAnswers","failNextCalls","hostListLagMs","downAfterNextChange"} GET
+//   /admin/calls                        calls received, by kind
 
 #pragma once
 
@@ -61,6 +61,11 @@
     void setDelay(milliseconds delay);
     // The next changes take effect, and their connections close without an answer.
     void loseNextAnswers(int count);
+    // The next change takes effect, is answered as loseNextAnswers says, and the
+    // platform is down from then on.
+    void goDownAfterNextChange();
+    // Closes the connections that wait for a call, as a restart would.
+    void dropConnections();
     // The next calls are refused with 503 and change nothing.
     void failNextCalls(int count);
     void setHosts(std::vector<PlatformHost> hosts);
--- /dev/null
+++ b/tests/runtime/platformapply_test.cpp
@@ -0,0 +1,186 @@
+// Operators race over real sockets against a platform that loses answers, refuses
+// calls and goes down: the apply decision, its runner, the store client and the
+// stand-in together.
+
+#define BOOST_TEST_MODULE PlatformApply
+#include <boost/test/unit_test.hpp>
+
+#include "runtime/applyrunner.h"
+#include "testing/platform/platformstandin.h"
+
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace egrettide;
+using egrettide::standin::PlatformStandIn;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr std::chrono::seconds Generous{30};
+const std::string Key(ConfigurationKey);
+
+// One operator with a client of its own.
+struct Operator {
+    Operator(boost::asio::io_context &context, const PlatformStandIn &platform, const std::string &name,
+             std::optional<std::uint64_t> ifVersion, json file)
+        : id(name)
+        , store(context, platform.endpoint())
+        , runner(context, store, {name, "operator of " + name, ifVersion, {}}, std::move(file))
+    {
+    }
+
+    std::string id;
+    StoreClient store;
+    ApplyRunner runner;
+    std::optional<ApplyFinished> finished;
+};
+
+// Some operators, their files marked with their ids, and one thread for them all.
+class Operators
+{
+public:
+    explicit Operators(const PlatformStandIn &platform) : m_platform(platform)
+    {
+    }
+
+    void add(const std::string &id, std::optional<std::uint64_t> ifVersion)
+    {
+        add(id, ifVersion, json{{"marker", id}});
+    }
+
+    void add(const std::string &id, std::optional<std::uint64_t> ifVersion, json file)
+    {
+        all.push_back(std::make_unique<Operator>(m_context, m_platform, id, ifVersion, std::move(file)));
+    }
+
+    // Lets all of them apply at once; returns when each has its verdict.
+    void run(milliseconds bound = Generous)
+    {
+        std::size_t open = all.size();
+        for (const auto &one : all) {
+            one->runner.start(Clock::now() + bound, [&one, &open](const ApplyFinished &result) {
+                one->finished = result;
+                --open;
+            });
+        }
+        while (open > 0) {
+            BOOST_REQUIRE_MESSAGE(m_context.run_one_for(Generous) > 0, open << " operators got no verdict");
+        }
+    }
+
+private:
+    const PlatformStandIn &m_platform;
+    boost::asio::io_context m_context;
+
+public:
+    // Goes before the context that it uses.
+    std::vector<std::unique_ptr<Operator>> all;
+};
+
+// One operator's verdict after running alone.
+ApplyFinished runAlone(const PlatformStandIn &platform, milliseconds bound = Generous, json file = json::object())
+{
+    Operators operators(platform);
+    operators.add("mine", std::nullopt, std::move(file));
+    operators.run(bound);
+    return *operators.all.front()->finished;
+}
+
+// Every apply id that was ever accepted, by the object's own history.
+std::set<std::string> acceptedIds(const PlatformStandIn &platform)
+{
+    const auto object = platform.object(Key);
+    BOOST_REQUIRE(object.has_value());
+    const auto head = parseConfigurationHead(object->value);
+    BOOST_REQUIRE(head.has_value());
+    std::set<std::string> ids{head->applyId};
+    for (const AppliedEntry &entry : head->earlier) {
+        ids.insert(entry.applyId);
+    }
+    return ids;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformApply)
+
+BOOST_AUTO_TEST_CASE(ExactlyOneOfManyRacingOperatorsWinsThoughAnswersAreLost)
+{
+    // Symptom: two operators both believe that their file is in force, or neither does.
+    // Sequence: they apply over the same version; answers are lost after the write.
+    // Cause: a repeat that does not know its own earlier write.
+    std::mt19937_64 random(11);
+    for (int round = 0; round < 20; ++round) {
+        PlatformStandIn platform;
+        Operators operators(platform);
+        for (int index = 0; index < 5; ++index) {
+            operators.add("id" + std::to_string(index), 0);
+        }
+        platform.loseNextAnswers(static_cast<int>(random() % 3));
+        platform.failNextCalls(static_cast<int>(random() % 8));
+        operators.run();
+        const std::set<std::string> accepted = acceptedIds(platform);
+        BOOST_TEST(accepted.size() == 1u);
+        for (const auto &one : operators.all) {
+            const bool won = accepted.contains(one->id);
+            // Who reads only after the winner wrote is told at once that version 0 is gone.
+            const ApplyVerdict expected = won ? ApplyVerdict::Applied : ApplyVerdict::LostRace;
+            BOOST_TEST((one->finished->verdict == expected),
+                       one->id << " got verdict " << static_cast<int>(one->finished->verdict) << " and "
+                               << (won ? "won" : "lost"));
+        }
+        BOOST_TEST(platform.object(Key)->value["file"]["marker"].get<std::string>() == *accepted.begin());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AppliesThroughARunOfFaults)
+{
+    PlatformStandIn platform;
+    platform.put(Key, configurationObject({"base", "ann", {}}, json::object()));
+    platform.failNextCalls(3);
+    platform.loseNextAnswers(1);
+    const ApplyFinished finished = runAlone(platform);
+    BOOST_TEST((finished.verdict == ApplyVerdict::Applied));
+    BOOST_TEST(finished.version == platform.object(Key)->version);
+    BOOST_TEST(platform.calls().writes == 1u, "an accepted file was written again");
+}
+
+BOOST_AUTO_TEST_CASE(SaysThatNothingChangedWhenTheStoreIsOut)
+{
+    PlatformStandIn platform;
+    platform.setDown(true);
+    BOOST_TEST((runAlone(platform, milliseconds(300)).verdict == ApplyVerdict::StoreUnavailable));
+    BOOST_TEST(!platform.object(Key).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(SaysUnknownWhenTheStoreGoesOutAfterTheWrite)
+{
+    // Symptom: the operator of an accepted file is told that nothing changed.
+    // Sequence: the write takes effect, its answer is lost, the store goes down.
+    // Cause: taking "cannot find out" for "did not happen".
+    PlatformStandIn platform;
+    platform.loseNextAnswers(1);
+    platform.goDownAfterNextChange();
+    BOOST_TEST((runAlone(platform, milliseconds(500)).verdict == ApplyVerdict::Unknown));
+    BOOST_TEST(platform.object(Key).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(LeavesAForeignObjectAlone)
+{
+    PlatformStandIn platform;
+    platform.put(Key, {{"someone", "else"}});
+    BOOST_TEST((runAlone(platform).verdict == ApplyVerdict::Refused));
+    BOOST_TEST(platform.object(Key)->value == json({{"someone", "else"}}));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAFileThatIsTooLarge)
+{
+    PlatformStandIn platform;
+    BOOST_TEST((runAlone(platform, Generous, std::string(2 * 1024 * 1024, 'x')).verdict == ApplyVerdict::Refused));
+    BOOST_TEST(!platform.object(Key).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
