--- a/tests/core/freshness_test.cpp
+++ b/tests/core/freshness_test.cpp
@@ -42,6 +42,84 @@
     return std::nullopt;
 }
 
+// An ordinary day of three seconds: steady writes, replicas a few milliseconds
+// behind with pauses of 30 ms, callers that move now and then, half of them without a token.
+Schedule steadySchedule(std::uint32_t seed)
+{
+    constexpr int milliseconds = 3000;
+    constexpr std::uint8_t session = 0;
+    constexpr std::uint8_t latest = 2;
+    constexpr std::uint8_t age60 = 5;
+    std::mt19937 random(seed);
+    const auto chance = [&random](std::uint32_t percent) { return random() % 100 < percent; };
+    const auto any = [&random] { return static_cast<std::uint8_t>(random()); };
+    Schedule schedule;
+    for (int time = 0; time < milliseconds; ++time) {
+        schedule.push_back({Op::Pass, 0, 0, 0});
+        if (chance(30)) {
+            schedule.push_back({Op::WriteByOthers, 0, 0, 0});
+        }
+        for (std::uint8_t replica = 1; replica < Group::size; ++replica) {
+            schedule.push_back({Op::Replicate, replica, 3, 0});
+            const bool pauses = time % 400 < 30 && replica == 1 + (time / 400) % 2;
+            if (!pauses && chance(40)) {
+                schedule.push_back({Op::Replay, replica, 3, 0});
+            }
+            schedule.push_back({Op::Confirm, replica, 0, 0});
+        }
+        schedule.push_back({Op::Acknowledge, 0, 0, 0});
+        if (chance(5)) {
+            schedule.push_back({Op::Write, 0, any(), 0});
+        }
+        if (chance(3)) {
+            // Even: the token goes along; b % 8 == 1 would be a bogus one.
+            schedule.push_back({Op::Move, any(), static_cast<std::uint8_t>(chance(50) ? 0 : 3), 0});
+        }
+        const std::uint8_t wish = chance(70) ? session : chance(33) ? latest : age60;
+        schedule.push_back({Op::RoutedRead, 0, any(), wish});
+    }
+    return schedule;
+}
+
+struct PolicyResult {
+    RoutingCounters routing;
+    double meanWait = 0; // milliseconds
+};
+
+PolicyResult runSteadyDay(const Policy &policy)
+{
+    constexpr std::uint32_t days = 3;
+    PolicyResult result;
+    Instant waited = 0;
+    std::size_t reads = 0;
+    for (std::uint32_t seed = 0; seed < days; ++seed) {
+        World world(Mutation{}, policy);
+        const auto violation = world.run(steadySchedule(seed));
+        BOOST_REQUIRE_MESSAGE(!violation, "seed " << seed << ": " << violation->details);
+        const RoutingCounters one = world.routing();
+        result.routing.readsByReplica += one.readsByReplica;
+        for (std::size_t i = 0; i < primaryReasonCount; ++i) {
+            result.routing.readsByPrimary[i] += one.readsByPrimary[i];
+        }
+        waited += world.counts().waited;
+        reads += world.counts().reads;
+    }
+    result.meanWait = static_cast<double>(waited) / static_cast<double>(reads);
+    return result;
+}
+
+std::string describe(const PolicyResult &result)
+{
+    std::ostringstream out;
+    out << "replica share " << result.routing.replicaShare() << ", mean wait " << result.meanWait << " ms, to the primary:";
+    for (std::size_t i = 0; i < primaryReasonCount; ++i) {
+        if (result.routing.readsByPrimary[i] > 0) {
+            out << " " << static_cast<PrimaryReason>(i) << " " << result.routing.readsByPrimary[i];
+        }
+    }
+    return out.str();
+}
+
 void expectCaught(const Mutation &mutation, const std::set<Claim> &claims)
 {
     BOOST_TEST(findViolation(mutation, claims).has_value(),
@@ -106,6 +184,18 @@
     BOOST_TEST(total.terms > 2 * mutationSeeds);
 }
 
+BOOST_AUTO_TEST_CASE(KeepsMoreReadsOffThePrimaryThanTheBaseline)
+{
+    const PolicyResult baseline = runSteadyDay({RoutingPolicy::Baseline, WaitPolicy::Never, true});
+    const PolicyResult unwaiting = runSteadyDay({RoutingPolicy::Replicas, WaitPolicy::Never, true});
+    const PolicyResult ours = runSteadyDay({RoutingPolicy::Replicas, WaitPolicy::Predict, true});
+    BOOST_TEST_MESSAGE("baseline: " << describe(baseline));
+    BOOST_TEST_MESSAGE("replicas, never waiting: " << describe(unwaiting));
+    BOOST_TEST_MESSAGE("replicas, predicted waits: " << describe(ours));
+    BOOST_TEST(ours.routing.replicaShare() > baseline.routing.replicaShare());
+    BOOST_TEST(ours.routing.replicaShare() > unwaiting.routing.replicaShare());
+}
+
 BOOST_AUTO_TEST_CASE(NoticesAnIgnoredFloor)
 {
     Mutation mutation;
--- a/tests/core/freshnessworld.h
+++ b/tests/core/freshnessworld.h
@@ -119,6 +119,8 @@
     std::size_t moves = 0;
     std::size_t acknowledged = 0;
     std::size_t terms = 0;
+    // From receipt to the gate's permission, over all reads.
+    Instant waited = 0;
 };
 
 // A probe on its way: the member is asked at `takeAt`, its answer is in at `answerAt`.
@@ -540,6 +542,7 @@
         const Log shown = member.shown();
         check(caller, read, shown);
         ++m_counts.reads;
+        m_counts.waited += read.decidedAt - read.receivedAt;
         m_counts.byReplica += member.role == UpstreamRole::Primary ? 0 : 1;
         m_counts.aged += read.request.freshness.maxAge ? 1 : 0;
         m_counts.latest += read.request.freshness.latest ? 1 : 0;
