--- a/include/egrettide/core/slotscheduler.h
+++ b/include/egrettide/core/slotscheduler.h
@@ -40,8 +40,8 @@
     TimeShare,
     // The last slots stay empty for the reserved class, rounded up.
     HoldBack,
-    // TimeShare while borrowers give slots back quickly, HoldBack while they do
-    // not and the reserved class was seen lately.
+    // TimeShare while borrowers give slots back quickly. While they do not and the
+    // reserved class was seen lately, its whole slots, at least one, stay empty.
     Lend,
 };
 
@@ -87,7 +87,8 @@
     milliseconds initialServiceTime{10};
     // The queueing delay that a standing queue is held to under overload.
     milliseconds standingTarget{200};
-    // How long the queueing delay must exceed the target to count as overload.
+    // How long waits must exceed the target, while more is asked for than there are
+    // slots, to count as overload.
     milliseconds standingInterval{200};
     // A slot lent for longer than this is not lent while its owner is about.
     milliseconds lendingBound{50};
--- a/src/core/classqueue.cpp
+++ b/src/core/classqueue.cpp
@@ -76,18 +76,20 @@
     m_credit = std::clamp(m_credit - slotSeconds, -m_creditBound, m_creditBound);
 }
 
-void ClassQueue::noteWait(std::chrono::nanoseconds waited, milliseconds target, TimePoint now)
+void ClassQueue::noteArrival(bool waitsTooLong, bool asksTooMuch, milliseconds interval, TimePoint now)
 {
-    if (waited <= target) {
+    if (!waitsTooLong) {
         m_standingSince = TimePoint::max();
-    } else if (m_standingSince == TimePoint::max()) {
-        m_standingSince = now;
+        m_overloaded = m_overloaded && asksTooMuch;
+        return;
+    }
+    if (!asksTooMuch) {
+        return;
+    }
+    m_standingSince = std::min(m_standingSince, now);
+    if (now >= m_standingSince + interval) {
+        m_overloaded = true;
     }
-}
-
-bool ClassQueue::isStanding(milliseconds interval, TimePoint now) const
-{
-    return m_standingSince != TimePoint::max() && now >= m_standingSince + interval;
 }
 
 } // namespace egrettide::detail
--- a/src/core/classqueue.h
+++ b/src/core/classqueue.h
@@ -68,10 +68,15 @@
     }
     void spend(double slotSeconds);
 
-    // Notes how long a ticket had waited when it was admitted, for isStanding().
-    void noteWait(std::chrono::nanoseconds waited, milliseconds target, TimePoint now);
-    // True when waits exceeded the target throughout the interval.
-    bool isStanding(milliseconds interval, TimePoint now) const;
+    // Notes, on an arrival, whether it would wait longer than a standing queue may
+    // and whether arrivals ask for more slots than there are.
+    void noteArrival(bool waitsTooLong, bool asksTooMuch, milliseconds interval, TimePoint now);
+    // True from when both held throughout the interval until neither does. Arrivals
+    // alone decide the end: a short queue is what refusals bring about.
+    bool isOverloaded() const
+    {
+        return m_overloaded;
+    }
 
     // Statements in use now.
     int inUse = 0;
@@ -94,8 +99,9 @@
     double m_credit = 0;
     double m_creditBound = 0;
     TimePoint m_accruedAt = TimePoint::min();
-    // Since when every admitted ticket waited too long; max() while they don't.
+    // Since when arrivals wait too long; max() while they don't.
     TimePoint m_standingSince = TimePoint::max();
+    bool m_overloaded = false;
 };
 
 } // namespace egrettide::detail
--- a/src/core/concurrencylimit.cpp
+++ b/src/core/concurrencylimit.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 // Service times vary by themselves; only beyond this is the upstream called slow.
-constexpr double tolerance = 2.0;
+constexpr double tolerance = 1.3;
 // One slow answer among many must not halve the limit.
 constexpr double aimdDecrease = 0.98;
 constexpr double gradientSmoothing = 0.05;
@@ -55,7 +55,7 @@
 
 double ConcurrencyLimit::floor() const
 {
-    return std::max(1.0, m_slots / 2.0);
+    return std::max(1.0, m_slots / 4.0);
 }
 
 void ConcurrencyLimit::sampleAimd(double slowdown)
--- a/src/core/slotscheduler.cpp
+++ b/src/core/slotscheduler.cpp
@@ -109,7 +109,6 @@
     // Admission.
     bool isDuplicate(const StatementTicket &ticket) const;
     std::optional<Error> refusalFor(ClassQueue &queue, const StatementTicket &ticket, TimePoint now);
-    bool isOverloaded(const ClassQueue &queue, TimePoint now) const;
     Error overloaded(ClassQueue &queue, double waitSeconds, TimePoint deadline, TimePoint now, std::string_view cause);
     milliseconds retryAfter(ClassQueue &queue, double waitSeconds, TimePoint deadline, TimePoint now);
 
@@ -240,8 +239,9 @@
     const Lane lane = detail::laneOf(ticket);
     queue.lane(lane).insert({ticket, {ticket.deadline, m_nextSequence++}, now});
     m_places.emplace(ticket.id, std::make_pair(queue.spec().name, lane));
-    ++m_queued;
-    m_nextRecheck = std::max(m_nextRecheck, now + recheckInterval);
+    if (m_queued++ == 0) {
+        m_nextRecheck = now + recheckInterval;
+    }
 
     // Only this ticket may go here, as the caller learns of no other. Should another
     // have become admissible by the mere passing of time, expire() is due at once.
@@ -280,27 +280,25 @@
     }
     const double wait =
         std::max(expectedWaitSeconds(queue, lane, ticket.deadline, now), tenantWaitSeconds(queue, lane, ticket.tenant, now));
+    // A backlog that shrinks, as after a pause, is no overload: its tickets and the
+    // arrivals behind them are all answered in time.
+    const bool waitsTooLong = Seconds(wait) > m_options.standingTarget;
+    const bool asksTooMuch = queue.offered.average(now) > slotsFor(queue, now);
+    queue.noteArrival(waitsTooLong, asksTooMuch, m_options.standingInterval, now);
     if (wait <= 0) {
         return std::nullopt;
     }
-    const bool newestFirst = m_options.discipline == QueueDiscipline::NewestWhenOverloaded && isOverloaded(queue, now);
+    const bool newestFirst = m_options.discipline == QueueDiscipline::NewestWhenOverloaded && queue.isOverloaded();
     if (!newestFirst && now + toNanoseconds(wait + serviceSeconds(queue)) > ticket.deadline) {
         return overloaded(queue, wait, ticket.deadline, now, "no slot frees within the deadline");
     }
-    const bool bounded = m_options.discipline == QueueDiscipline::BoundedStanding && isOverloaded(queue, now);
-    if (bounded && Seconds(wait) > m_options.standingTarget) {
+    const bool bounded = m_options.discipline == QueueDiscipline::BoundedStanding && queue.isOverloaded();
+    if (bounded && waitsTooLong) {
         return overloaded(queue, wait, now + m_options.standingTarget, now, "more arrives than the upstream can answer");
     }
     return std::nullopt;
 }
 
-bool SlotScheduler::Impl::isOverloaded(const ClassQueue &queue, TimePoint now) const
-{
-    // A backlog that shrinks, as after a pause, is no overload: its tickets and the
-    // arrivals behind them are all answered in time.
-    return queue.isStanding(m_options.standingInterval, now) && queue.offered.average(now) > slotsFor(queue, now);
-}
-
 Error SlotScheduler::Impl::overloaded(ClassQueue &queue, double waitSeconds, TimePoint deadline, TimePoint now,
                                       std::string_view cause)
 {
@@ -503,7 +501,7 @@
 const WaitingTicket *SlotScheduler::Impl::candidate(ClassQueue &queue, TimePoint now)
 {
     const auto standsBackNow = [this, now](const std::string &tenant) { return standsBack(tenant, now); };
-    const bool newestFirst = m_options.discipline == QueueDiscipline::NewestWhenOverloaded && isOverloaded(queue, now);
+    const bool newestFirst = m_options.discipline == QueueDiscipline::NewestWhenOverloaded && queue.isOverloaded();
     const WaitingTicket *best = nullptr;
     bool bestStandsBack = false;
     for (const Lane lane : detail::allLanes) {
@@ -545,9 +543,6 @@
         ++queue.openTransactions;
         ++m_openTransactions;
     }
-    if (lane != Lane::Continuation) {
-        queue.noteWait(now - taken.enqueuedAt, m_options.standingTarget, now);
-    }
     m_inUse.emplace(id, InUse{queue.spec().name, taken.tenant(), charged, pick.fromReservation});
     if (!m_options.faults.dropTickets || id % 7 != 0) {
         actions.admitted.push_back(id);
@@ -610,7 +605,8 @@
         if (&owner == &queue || owner.spec().reservedShare <= 0 || (lend && !about)) {
             continue;
         }
-        const int reserved = static_cast<int>(std::ceil(owner.spec().reservedShare * m_limit.current()));
+        const double share = owner.spec().reservedShare * m_limit.current();
+        const int reserved = lend ? std::max(1, static_cast<int>(share)) : static_cast<int>(std::ceil(share));
         held += std::max(0, reserved - owner.inUse);
     }
     return std::min(held, m_limit.current() - 1);
@@ -669,6 +665,7 @@
             slots -= std::min(used, other.spec().reservedShare * limit);
         }
     }
+    slots = std::min(slots, limit - heldBackFrom(queue, now));
     return std::max({slots, queue.spec().reservedShare * limit, leastPart * limit});
 }
 
@@ -755,7 +752,7 @@
 
 void SlotScheduler::Impl::refusePredicted(ClassQueue &queue, SlotActions &actions, TimePoint now)
 {
-    const bool newestFirst = m_options.discipline == QueueDiscipline::NewestWhenOverloaded && isOverloaded(queue, now);
+    const bool newestFirst = m_options.discipline == QueueDiscipline::NewestWhenOverloaded && queue.isOverloaded();
     if (newestFirst || m_options.faults.ignoreDeadlines || queue.size() == 0) {
         return;
     }
