Pass over flooding tenants in predictions, hand a home's settled term on once

A tenant beyond its share no longer makes others of its class look late. A hand back is given out once, so that two successors can't settle on it. Newest-first queues are gone: they hold what they pass over until its deadline.

--- a/bench/overload_model.cpp
+++ b/bench/overload_model.cpp
@@ -70,9 +70,7 @@
 {
     printHead("Queue disciplines, " + std::to_string(slots) + " slots");
     const std::vector<std::pair<std::string, QueueDiscipline>> disciplines{
-        {"earliest deadline", QueueDiscipline::EarliestDeadline},
-        {"newest when overloaded", QueueDiscipline::NewestWhenOverloaded},
-        {"bounded standing queue", QueueDiscipline::BoundedStanding}};
+        {"earliest deadline", QueueDiscipline::EarliestDeadline}, {"bounded standing queue", QueueDiscipline::BoundedStanding}};
     for (const double load : {0.95, 1.5, 3.0, 5.0}) {
         for (const auto &[name, discipline] : disciplines) {
             SlotSchedulerOptions options = schedulerOptions(slots);
--- a/include/egrettide/core/connectionbudget.h
+++ b/include/egrettide/core/connectionbudget.h
@@ -12,6 +12,8 @@
 
 #include "egrettide/core/types.h"
 
+#include <optional>
+
 namespace egrettide
 {
 
@@ -118,8 +120,10 @@
     // The share that a home has before it is settled.
     int takeoverConnections() const;
     HomeState state(TimePoint now) const;
-    // What to tell the successor once no data connection is open here.
-    HandBack handBack() const;
+    // What to tell the successor once no data connection is open here: to be sent to
+    // one host only, so it is given out once for each term as home. Empty while home,
+    // and when there is nothing (more) to hand back.
+    std::optional<HandBack> takeHandBack();
     // When allowance() or target() may change by itself; TimePoint::max() if never.
     TimePoint nextEventAt(TimePoint now) const;
 
@@ -144,8 +148,9 @@
     int m_peak = 0;
     int m_lastPeak = 0;
     TimePoint m_windowEndsAt = TimePoint::min();
-    // What handBack() tells: this host's term as home was settled at its end.
-    bool m_resignedSettled = false;
+    // Not yet taken by takeHandBack(). Given out twice, two successors could settle
+    // on the same connections.
+    std::optional<HandBack> m_handBack;
 };
 
 } // namespace egrettide
--- a/include/egrettide/core/slotscheduler.h
+++ b/include/egrettide/core/slotscheduler.h
@@ -48,8 +48,6 @@
 // Which ticket of one class goes first.
 enum class QueueDiscipline {
     EarliestDeadline,
-    // Earliest deadline first until a standing queue has formed; then newest first.
-    NewestWhenOverloaded,
     // Earliest deadline first; while a standing queue lasts, arrivals that would
     // wait longer than the standing target are refused at once.
     BoundedStanding,
--- a/src/core/connectionbudget.cpp
+++ b/src/core/connectionbudget.cpp
@@ -3,6 +3,7 @@
 #include "egrettide/core/connectionbudget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace egrettide
 {
@@ -42,6 +43,7 @@
         return;
     }
     m_isHome = true;
+    m_handBack.reset();
     m_confirmedUntil = TimePoint::min();
     restartTakeover(now);
 }
@@ -57,7 +59,7 @@
     if (!m_isHome) {
         return;
     }
-    m_resignedSettled = state(now) == HomeState::Settled;
+    m_handBack = HandBack{state(now) == HomeState::Settled};
     m_isHome = false;
     m_settlesAt = TimePoint::max();
     m_loweredAt = now;
@@ -161,9 +163,12 @@
     return isConfirmed && now >= m_settlesAt ? HomeState::Settled : HomeState::Takeover;
 }
 
-HandBack ConnectionBudget::handBack() const
+std::optional<HandBack> ConnectionBudget::takeHandBack()
 {
-    return {m_resignedSettled};
+    if (m_isHome) {
+        return std::nullopt;
+    }
+    return std::exchange(m_handBack, std::nullopt);
 }
 
 TimePoint ConnectionBudget::nextEventAt(TimePoint now) const
--- a/src/core/slotscheduler.cpp
+++ b/src/core/slotscheduler.cpp
@@ -107,6 +107,9 @@
     void applyTenants();
 
     // Admission.
+    void place(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now);
+    WaitingTicket unplace(ClassQueue &queue, Lane lane, std::uint64_t id);
+    bool isShareLimited(const std::string &tenant) const;
     bool isDuplicate(const StatementTicket &ticket) const;
     std::optional<Error> refusalFor(ClassQueue &queue, const StatementTicket &ticket, TimePoint now);
     Error overloaded(ClassQueue &queue, double waitSeconds, TimePoint deadline, TimePoint now, std::string_view cause);
@@ -134,7 +137,8 @@
     double tenantWaitSeconds(const ClassQueue &queue, Lane lane, const std::string &tenant, TimePoint now) const;
     TimePoint latestStart(const ClassQueue &queue, Lane lane, TimePoint deadline) const;
     double slotsFor(const ClassQueue &queue, TimePoint now) const;
-    double workAhead(const ClassQueue &queue, Lane lane, TimePoint deadline) const;
+    std::size_t countAhead(const TicketLane &tickets, TimePoint deadline, TimePoint now) const;
+    double workAhead(const ClassQueue &queue, Lane lane, TimePoint deadline, TimePoint now) const;
     double unreservedSlots() const;
     void refuseHopeless(SlotActions &actions, TimePoint now);
     void refuseExpired(ClassQueue &queue, Lane lane, SlotActions &actions, TimePoint now);
@@ -147,6 +151,8 @@
     absl::flat_hash_map<std::string, TenantState> m_tenants;
     // Where each waiting ticket is.
     absl::flat_hash_map<std::uint64_t, std::pair<std::string, Lane>> m_places;
+    // Waiting tickets of each tenant whose share is limited.
+    absl::flat_hash_map<std::string, int> m_limitedQueued;
     std::uint64_t m_nextSequence = 0;
     int m_openTransactions = 0;
     // The last time a slot was taken or given back; a stall counts from here.
@@ -237,11 +243,10 @@
         return {AdmissionState::Refused, std::move(error)};
     }
     const Lane lane = detail::laneOf(ticket);
-    queue.lane(lane).insert({ticket, {ticket.deadline, m_nextSequence++}, now});
-    m_places.emplace(ticket.id, std::make_pair(queue.spec().name, lane));
-    if (m_queued++ == 0) {
+    if (m_queued == 0) {
         m_nextRecheck = now + recheckInterval;
     }
+    place(queue, lane, ticket, now);
 
     // Only this ticket may go here, as the caller learns of no other. Should another
     // have become admissible by the mere passing of time, expire() is due at once.
@@ -259,6 +264,34 @@
     return {AdmissionState::Admitted, std::nullopt};
 }
 
+void SlotScheduler::Impl::place(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now)
+{
+    queue.lane(lane).insert({ticket, {ticket.deadline, m_nextSequence++}, now});
+    m_places.emplace(ticket.id, std::make_pair(queue.spec().name, lane));
+    ++m_queued;
+    if (isShareLimited(ticket.tenant)) {
+        ++m_limitedQueued[ticket.tenant];
+    }
+}
+
+WaitingTicket SlotScheduler::Impl::unplace(ClassQueue &queue, Lane lane, std::uint64_t id)
+{
+    WaitingTicket taken = *queue.lane(lane).take(id);
+    m_places.erase(id);
+    --m_queued;
+    const auto limited = m_limitedQueued.find(taken.tenant());
+    if (limited != m_limitedQueued.end() && --limited->second <= 0) {
+        m_limitedQueued.erase(limited);
+    }
+    return taken;
+}
+
+bool SlotScheduler::Impl::isShareLimited(const std::string &tenant) const
+{
+    const TenantSpec *spec = tenantSpec(tenant);
+    return spec != nullptr && spec->share < 1;
+}
+
 std::optional<Error> SlotScheduler::Impl::refusalFor(ClassQueue &queue, const StatementTicket &ticket, TimePoint now)
 {
     if (m_options.faults.ignoreDeadlines) {
@@ -288,8 +321,7 @@
     if (wait <= 0) {
         return std::nullopt;
     }
-    const bool newestFirst = m_options.discipline == QueueDiscipline::NewestWhenOverloaded && queue.isOverloaded();
-    if (!newestFirst && now + toNanoseconds(wait + serviceSeconds(queue)) > ticket.deadline) {
+    if (now + toNanoseconds(wait + serviceSeconds(queue)) > ticket.deadline) {
         return overloaded(queue, wait, ticket.deadline, now, "no slot frees within the deadline");
     }
     const bool bounded = m_options.discipline == QueueDiscipline::BoundedStanding && queue.isOverloaded();
@@ -387,9 +419,8 @@
     if (found == m_places.end()) {
         return false;
     }
-    classOf(found->second.first).lane(found->second.second).take(id);
-    m_places.erase(found);
-    --m_queued;
+    const auto [className, lane] = found->second;
+    unplace(classOf(className), lane, id);
     return true;
 }
 
@@ -501,7 +532,6 @@
 const WaitingTicket *SlotScheduler::Impl::candidate(ClassQueue &queue, TimePoint now)
 {
     const auto standsBackNow = [this, now](const std::string &tenant) { return standsBack(tenant, now); };
-    const bool newestFirst = m_options.discipline == QueueDiscipline::NewestWhenOverloaded && queue.isOverloaded();
     const WaitingTicket *best = nullptr;
     bool bestStandsBack = false;
     for (const Lane lane : detail::allLanes) {
@@ -509,7 +539,7 @@
             continue;
         }
         const TicketLane &tickets = queue.lane(lane);
-        const WaitingTicket *waiting = newestFirst ? tickets.newestFair(standsBackNow) : tickets.firstFair(standsBackNow);
+        const WaitingTicket *waiting = tickets.firstFair(standsBackNow);
         const bool waitingStandsBack = standsBackNow(waiting->tenant());
         const bool earlier = best == nullptr || (waitingStandsBack == bestStandsBack && waiting->key < best->key);
         if (earlier || (bestStandsBack && !waitingStandsBack)) {
@@ -525,9 +555,7 @@
     ClassQueue &queue = *pick.queue;
     const std::uint64_t id = pick.waiting->id();
     const Lane lane = detail::laneOf(pick.waiting->ticket);
-    const WaitingTicket taken = *queue.lane(lane).take(id);
-    m_places.erase(id);
-    --m_queued;
+    const WaitingTicket taken = unplace(queue, lane, id);
     m_progressAt = now;
 
     const double charged = serviceSeconds(queue);
@@ -614,10 +642,10 @@
 
 bool SlotScheduler::Impl::standsBack(const std::string &tenant, TimePoint now) const
 {
-    const TenantSpec *spec = tenantSpec(tenant);
-    if (spec == nullptr || spec->share >= 1) {
+    if (!isShareLimited(tenant)) {
         return false;
     }
+    const TenantSpec *spec = tenantSpec(tenant);
     const auto found = m_tenants.find(tenant);
     if (found == m_tenants.end()) {
         return false;
@@ -669,7 +697,21 @@
     return std::max({slots, queue.spec().reservedShare * limit, leastPart * limit});
 }
 
-double SlotScheduler::Impl::workAhead(const ClassQueue &queue, Lane lane, TimePoint deadline) const
+std::size_t SlotScheduler::Impl::countAhead(const TicketLane &tickets, TimePoint deadline, TimePoint now) const
+{
+    // Tickets of a tenant that stands back are passed over. Counting them would turn
+    // other tenants away because of one that floods the queue.
+    std::size_t passedOver = 0;
+    for (const auto &[tenant, count] : m_limitedQueued) {
+        if (standsBack(tenant, now)) {
+            passedOver += tickets.countOf(tenant);
+        }
+    }
+    const std::size_t due = tickets.countUpTo(deadline);
+    return due - std::min(due, passedOver);
+}
+
+double SlotScheduler::Impl::workAhead(const ClassQueue &queue, Lane lane, TimePoint deadline, TimePoint now) const
 {
     double work = 0;
     for (const auto &[name, other] : m_classes) {
@@ -683,7 +725,7 @@
             if (goesFirst && lane != Lane::Continuation) {
                 work += static_cast<double>(tickets.size()) * service;
             } else if (other.spec().priority == queue.spec().priority) {
-                work += static_cast<double>(tickets.countUpTo(deadline)) * service;
+                work += static_cast<double>(countAhead(tickets, deadline, now)) * service;
             }
         }
     }
@@ -699,14 +741,14 @@
     }
     // Slots that gave nothing back for long are slower than their last answers say.
     const double untilNextSlot = std::max(m_service.recent() / limit, stalledSeconds(now));
-    const double unreserved = workAhead(queue, lane, deadline) / slotsFor(queue, now);
+    const double unreserved = workAhead(queue, lane, deadline, now) / slotsFor(queue, now);
     if (!queue.isInCredit()) {
         return untilNextSlot + unreserved;
     }
     double own = 0;
     for (const Lane ownLane : detail::allLanes) {
         if (isLaneOpen(queue, ownLane)) {
-            own += static_cast<double>(queue.lane(ownLane).countUpTo(deadline)) * serviceSeconds(queue);
+            own += static_cast<double>(countAhead(queue.lane(ownLane), deadline, now)) * serviceSeconds(queue);
         }
     }
     return untilNextSlot + std::min(unreserved, own / (queue.spec().reservedShare * limit));
@@ -752,8 +794,7 @@
 
 void SlotScheduler::Impl::refusePredicted(ClassQueue &queue, SlotActions &actions, TimePoint now)
 {
-    const bool newestFirst = m_options.discipline == QueueDiscipline::NewestWhenOverloaded && queue.isOverloaded();
-    if (newestFirst || m_options.faults.ignoreDeadlines || queue.size() == 0) {
+    if (m_options.faults.ignoreDeadlines || queue.size() == 0) {
         return;
     }
     std::vector<std::pair<const WaitingTicket *, Lane>> waiting;
@@ -784,9 +825,7 @@
 
 void SlotScheduler::Impl::refuse(ClassQueue &queue, std::uint64_t id, Lane lane, Error error, SlotActions &actions)
 {
-    queue.lane(lane).take(id);
-    m_places.erase(id);
-    --m_queued;
+    unplace(queue, lane, id);
     actions.refused.push_back({id, std::move(error)});
 }
 
--- a/src/core/ticketlane.cpp
+++ b/src/core/ticketlane.cpp
@@ -64,21 +64,6 @@
     return first();
 }
 
-const WaitingTicket *TicketLane::newestFair(const TenantPredicate &standsBack) const
-{
-    const WaitingTicket *newest = nullptr;
-    const WaitingTicket *newestOfAll = nullptr;
-    for (const WaitingTicket &waiting : m_tickets.get<ByDeadline>()) {
-        if (newestOfAll == nullptr || waiting.key.sequence > newestOfAll->key.sequence) {
-            newestOfAll = &waiting;
-        }
-        if ((newest == nullptr || waiting.key.sequence > newest->key.sequence) && !standsBack(waiting.ticket.tenant)) {
-            newest = &waiting;
-        }
-    }
-    return newest != nullptr ? newest : newestOfAll;
-}
-
 std::vector<const WaitingTicket *> TicketLane::inOrder() const
 {
     std::vector<const WaitingTicket *> tickets;
--- a/src/core/ticketlane.h
+++ b/src/core/ticketlane.h
@@ -74,8 +74,6 @@
     // The first ticket of a tenant that need not stand back; of all tickets when
     // every tenant has to. Costs one step for each tenant that stands back.
     const WaitingTicket *firstFair(const TenantPredicate &standsBack) const;
-    // Likewise, but the latest arrival. Walks past tickets of tenants that stand back.
-    const WaitingTicket *newestFair(const TenantPredicate &standsBack) const;
     // All tickets in order of service.
     std::vector<const WaitingTicket *> inOrder() const;
 
