--- a/testing/upstream/groupmember.cpp
+++ b/testing/upstream/groupmember.cpp
@@ -187,7 +187,8 @@
     // An old primary that woke up still serves its log. Taking its entries would
     // add to a log that a promoter has already counted.
     const bool isFollowed = m_followingTerm != 0 && answer.senderTerm == m_followingTerm && answer.senderTerm >= m_promisedTerm;
-    if (m_role != UpstreamRole::Replica || (!isFollowed && !m_faults.takesOldEntries)) {
+    const bool isTaken = isFollowed || (m_faults.takesOldEntries && answer.senderTerm != 0);
+    if (m_role != UpstreamRole::Replica || !isTaken) {
         return false;
     }
     if (!answer.matched) {
@@ -196,8 +197,13 @@
     if (after.position > m_log.size() || markAt(after.position) != after) {
         return false;
     }
-    truncate(after.position);
     for (const LogEntry &entry : answer.entries) {
+        if (entry.mark.position <= m_log.size() && markAt(entry.mark.position) == entry.mark) {
+            continue;
+        }
+        // Only at a conflict: an answer that comes late must not take back entries
+        // that a newer one has brought.
+        truncate(entry.mark.position - 1);
         m_log.push_back(entry);
         m_receivedAt.push_back(now);
     }
