--- a/tests/runtime/groupmember_test.cpp
+++ b/tests/runtime/groupmember_test.cpp
@@ -28,15 +28,17 @@
 using egrettide::Term;
 using egrettide::TimePoint;
 using egrettide::UpstreamRole;
-using egrettide::testing::Change;
-using egrettide::testing::encodeChanges;
 using egrettide::testing::executeStatement;
 using egrettide::testing::GroupFaults;
 using egrettide::testing::GroupMember;
 using egrettide::testing::LogAnswer;
+using egrettide::testing::LogEntry;
+using egrettide::testing::ParsedText;
 using egrettide::testing::parseStatements;
+using egrettide::testing::Row;
 using egrettide::testing::SqlError;
 using egrettide::testing::Transaction;
+using egrettide::testing::Value;
 
 constexpr std::size_t memberCount = 3;
 constexpr std::size_t majority = 2;
@@ -71,7 +73,7 @@
         for (std::size_t i = 0; i < promoterCount; ++i) {
             m_promoters[i].token = "promoter " + std::to_string(i);
         }
-        write(0, "CREATE TABLE booking (slot int8 PRIMARY KEY)");
+        write(0, parseStatements("CREATE TABLE booking (slot int8 PRIMARY KEY)"), {});
     }
 
     void step(const Step &step)
@@ -82,7 +84,7 @@
         switch (kind % 12) {
         case 0:
         case 1:
-            return write(member, "INSERT INTO booking VALUES (" + std::to_string(++m_slots) + ")");
+            return write(member, m_book, {Value(++m_slots)});
         case 2:
         case 3:
         case 4:
@@ -109,12 +111,12 @@
     std::string violation() const
     {
         const GroupMember *leader = highestPrimary();
-        for (const auto &[mark, changes] : m_confirmed) {
-            if (leader != nullptr && leader->followingTerm() >= mark.term && !holds(*leader, mark, changes)) {
+        for (const auto &[mark, written] : m_confirmed) {
+            if (leader != nullptr && leader->followingTerm() >= mark.term && !holds(*leader, mark, written)) {
                 return "the primary of term " + std::to_string(leader->followingTerm()) + " lacks a confirmed commit";
             }
             const auto holders = std::count_if(m_members.begin(), m_members.end(),
-                                               [&](const auto &member) { return holds(*member, mark, changes); });
+                                               [&](const auto &member) { return holds(*member, mark, written); });
             if (static_cast<std::size_t>(holders) < majority) {
                 return "a confirmed commit is left on " + std::to_string(holders) + " member";
             }
@@ -123,12 +125,12 @@
     }
 
 private:
-    void write(std::size_t member, const std::string &sql)
+    void write(std::size_t member, const ParsedText &text, const std::vector<Value> &parameters)
     {
         GroupMember &target = *m_members[member];
         Transaction transaction = target.begin(false);
         try {
-            executeStatement(parseStatements(sql).statements.front(), {}, target, transaction);
+            executeStatement(text.statements.front(), parameters, target, transaction);
             target.commit(transaction);
         } catch (const SqlError &) {
             // Refused: not a primary, or a primary without the table.
@@ -163,8 +165,9 @@
             const MemberStatus status = member->status();
             return status.promisedTerm == leader.followingTerm() && status.received >= mark;
         });
-        if (static_cast<std::size_t>(stands) >= majority) {
-            m_confirmed.emplace_back(mark, encodeChanges(leader.log().back().changes));
+        const bool isKnown = !m_confirmed.empty() && m_confirmed.back().first == mark;
+        if (static_cast<std::size_t>(stands) >= majority && !isKnown) {
+            m_confirmed.emplace_back(mark, writtenBy(leader.log().back()));
         }
     }
 
@@ -220,17 +223,23 @@
         return highest;
     }
 
-    static bool holds(const GroupMember &member, LogMark mark, const std::string &changes)
+    // The row that tells one write from every other, empty for the start of a term.
+    static Row writtenBy(const LogEntry &entry)
+    {
+        return entry.changes.empty() ? Row() : entry.changes.front().values;
+    }
+
+    static bool holds(const GroupMember &member, LogMark mark, const Row &written)
     {
         const auto &log = member.log();
-        return mark.position <= log.size() && log[mark.position - 1].mark == mark
-            && encodeChanges(log[mark.position - 1].changes) == changes;
+        return mark.position <= log.size() && log[mark.position - 1].mark == mark && writtenBy(log[mark.position - 1]) == written;
     }
 
     std::vector<std::unique_ptr<GroupMember>> m_members;
     std::array<Promoter, promoterCount> m_promoters;
-    std::vector<std::pair<LogMark, std::string>> m_confirmed;
-    int m_slots = 0;
+    std::vector<std::pair<LogMark, Row>> m_confirmed;
+    const ParsedText m_book = parseStatements("INSERT INTO booking VALUES ($1)");
+    std::int64_t m_slots = 0;
 };
 
 std::string violationOf(const std::vector<Step> &steps, GroupFaults faults)
