--- a/testing/upstream/session.cpp
+++ b/testing/upstream/session.cpp
@@ -688,7 +688,7 @@
     m_state = 'I';
     if (commits && transaction) {
         m_server.member().commit(*transaction);
-        ++m_server.counters().commits;
+        m_server.counters().commits += transaction->hasWrites() ? 1 : 0;
     }
     return {{}, {}, commits ? "COMMIT" : "ROLLBACK"};
 }
@@ -761,6 +761,7 @@
     const Transaction transaction = std::move(*m_transaction);
     m_transaction.reset();
     m_server.member().commit(transaction);
+    m_server.counters().commits += transaction.hasWrites() ? 1 : 0;
 }
 
 void Session::fail(const SqlError &error)
--- a/testing/upstream/upstreamstandin.h
+++ b/testing/upstream/upstreamstandin.h
@@ -74,6 +74,7 @@
     int queue = 0;
     int maxQueue = 0;
     std::uint64_t statements = 0;
+    // Transactions that wrote, single statements included.
     std::uint64_t commits = 0;
     std::uint64_t conflicts = 0;
     std::uint64_t cancels = 0;
