--- a/testing/upstream/server.cpp
+++ b/testing/upstream/server.cpp
@@ -249,9 +249,9 @@
     }
     if (m_nextBurst == TimePoint::max() || now >= m_nextBurst) {
         const bool isDue = m_nextBurst != TimePoint::max();
-        m_burstUntil = isDue ? now + m_options.burstLength : m_burstUntil;
+        m_burstUntil = isDue ? now + m_options.burstLength : now;
         std::exponential_distribution<double> gap(1.0 / static_cast<double>(m_options.burstEvery.count()));
-        m_nextBurst = now + m_options.burstLength + milliseconds(static_cast<std::int64_t>(gap(m_random)));
+        m_nextBurst = m_burstUntil + milliseconds(static_cast<std::int64_t>(gap(m_random)));
     }
     return now < m_burstUntil ? std::max(m_options.burstLag, m_options.replicationLag) : m_options.replicationLag;
 }
--- a/tests/runtime/upstreamstandin_test.cpp
+++ b/tests/runtime/upstreamstandin_test.cpp
@@ -411,6 +411,24 @@
     BOOST_TEST(b.status().replayed == written);
 }
 
+BOOST_AUTO_TEST_CASE(ABurstHoldsReplayUp)
+{
+    UpstreamOptions options = replicaOptions("d");
+    options.burstEvery = milliseconds{1};
+    options.burstLength = milliseconds{3600000};
+    options.burstLag = milliseconds{3600000};
+    UpstreamStandIn bursty(options);
+    bursty.start();
+    const Connection caller = connected(primary);
+    // Some entries are replayed before the first burst begins; then none is.
+    BOOST_TEST(eventually([&] {
+        mustRun(caller, "INSERT INTO booking VALUES (1, 'Roy', 0) ON CONFLICT DO NOTHING");
+        mustRun(caller, "DELETE FROM booking WHERE slot = 1");
+        return bursty.status().received.position > bursty.status().replayed.position + 10;
+    }));
+    BOOST_REQUIRE(caughtUp(b, primary));
+}
+
 BOOST_AUTO_TEST_CASE(StatusHasTheColumnsOfTheArchitecture)
 {
     const LogMark mark = primary.status().received;
