--- a/include/egrettide/core/failuredetector.h
+++ b/include/egrettide/core/failuredetector.h
@@ -18,11 +18,12 @@
 enum class ProbeFailure { Refused, Reset, Timeout };
 
 struct FailureDetectorOptions {
-    // The shortest silence that raises a suspicion, however steady the link is.
-    milliseconds floor{150};
+    // The shortest silence that raises a suspicion, however steady the link is. The
+    // default is weighed in docs/design/detection.md.
+    milliseconds floor{500};
     // The longest silence that is borne, however noisy the link is.
-    milliseconds ceiling{1000};
-    // Multiplies the mean deviation of the round trips.
+    milliseconds ceiling{2000};
+    // Multiplies the mean deviation of the round trips; 0 fixes the timeout.
     double deviations = 6;
     // Probes in a row that have to stay unanswered before silence counts.
     std::size_t silentProbes = 2;
--- a/include/egrettide/core/groupmonitor.h
+++ b/include/egrettide/core/groupmonitor.h
@@ -87,6 +87,13 @@
     Term term = 0;
 };
 
+// Whether every majority of the one list shares a member with every majority of
+// the other. Hosts take a new configuration at different moments; without an
+// overlap one of them could confirm a commit that another one's promotion does not
+// find. Adding or removing one upstream at a time keeps the overlap, replacing one
+// in a single step does not.
+bool majoritiesOverlap(const std::vector<std::string> &before, const std::vector<std::string> &after);
+
 class GroupMonitor
 {
 public:
@@ -106,6 +113,10 @@
     // A promoter announced a primary: it is used at once and confirmed by the next
     // rounds, which follow soon.
     void onAnnounced(Term term, const std::string &primary, TimePoint now);
+    // A request to a member was reset or refused: the next round is due at once,
+    // so that the loss of an upstream under load is noticed before the next idle
+    // round. It raises no suspicion by itself.
+    void onTrouble(TimePoint now);
     // Ends probes that have been unanswered for too long. Call it at least
     // whenever a round begins.
     void onTimer(TimePoint now);
@@ -205,6 +216,7 @@
     bool m_confirmed = false;
     // Set while m_primary is empty, from the first round on.
     std::optional<TimePoint> m_noPrimarySince;
+    std::optional<TimePoint> m_troubleAt;
     // Rounds follow closely until then, or until a primary is confirmed.
     TimePoint m_hurryUntil;
     // Set while the members' promises are split.
--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -239,7 +239,8 @@
     // collected for it is used; the next suspicion starts from new probes.
     PromoterActions onClockGap(TimePoint now);
     // Promotes `preferred` if it is among the promisers and none is more advanced,
-    // for a planned change: no opinions are asked, since the primary is well.
+    // for a planned change: no opinions are asked, since the primary is well. Gives
+    // up at once, with attempt 0, while another attempt runs.
     PromoterActions startPlanned(const std::string &preferred, Term highestPromised, TimePoint now);
     // A configuration changed the members; a running attempt is dropped.
     PromoterActions setMembers(std::vector<MemberSpec> members, TimePoint now);
@@ -331,6 +332,9 @@
     std::size_t m_failures = 0;
     // Terms that the running attempt has spent on candidates that fell silent.
     std::size_t m_retries = 0;
+    // An attempt that fenced members and failed is repeated after its backoff,
+    // unless a primary appears: the group may have none until somebody finishes.
+    bool m_unfinished = false;
 
     // The primary that members are told to follow; only the promoter that made it
     // and the home of the primary itself give such orders.
--- a/src/core/groupmonitor.cpp
+++ b/src/core/groupmonitor.cpp
@@ -27,8 +27,23 @@
     return status.role == UpstreamRole::Primary && status.promisedTerm == status.followingTerm;
 }
 
+// How many members of `list` each majority of it must take from `common`.
+std::size_t neededFromCommon(std::size_t list, std::size_t common)
+{
+    const std::size_t majority = list / 2 + 1;
+    const std::size_t others = list - common;
+    return majority > others ? majority - others : 0;
+}
+
 } // namespace
 
+bool majoritiesOverlap(const std::vector<std::string> &before, const std::vector<std::string> &after)
+{
+    const auto shared = [&after](const std::string &upstream) { return std::ranges::find(after, upstream) != after.end(); };
+    const auto common = static_cast<std::size_t>(std::ranges::count_if(before, shared));
+    return neededFromCommon(before.size(), common) + neededFromCommon(after.size(), common) > common;
+}
+
 GroupMonitor::GroupMonitor(std::string database, std::vector<MemberSpec> members, const GroupMonitorOptions &options)
     : m_database(std::move(database)), m_options(options)
 {
@@ -129,6 +144,11 @@
     changed();
 }
 
+void GroupMonitor::onTrouble(TimePoint now)
+{
+    m_troubleAt = now;
+}
+
 void GroupMonitor::onTimer(TimePoint now)
 {
     for (Member &each : m_members) {
@@ -207,7 +227,8 @@
     }
     const Member *const primary = member(m_primary);
     // A round without the primary proves nothing, so it is not worth hurrying.
-    if (waitersPresent && !(primary && saturated(*primary))) {
+    const bool trouble = m_troubleAt && *m_troubleAt >= *m_lastRoundAt;
+    if ((waitersPresent || trouble) && !(primary && saturated(*primary))) {
         return *m_lastRoundAt + m_options.busyInterval;
     }
     const bool refusing = primary && primary->detector.refusing() && !primary->detector.refused();
--- a/src/core/promoter.cpp
+++ b/src/core/promoter.cpp
@@ -51,7 +51,9 @@
 PromoterActions Promoter::startPlanned(const std::string &preferred, Term highestPromised, TimePoint now)
 {
     if (running()) {
-        return {};
+        // Writes are paused for this change; it must not wait for an attempt that
+        // was started for another reason.
+        return {GiveUp{0, GiveUpReason::ClaimedElsewhere, now}};
     }
     beginAttempt(highestPromised, now);
     m_suspicion = Suspicion{};
@@ -169,6 +171,8 @@
     if (const auto reason = running() ? overtaken(snapshot) : std::nullopt) {
         actions = giveUp(*reason, now);
     }
+    const bool newPrimary = !snapshot.primary.empty() && snapshot.term > m_suspicion.term;
+    m_unfinished = m_unfinished && !newPrimary;
     // The primary need not be confirmed: it may lack a majority only because the
     // members that would make one have not been told to follow it yet, and if the
     // promoter that made it is gone, nobody else tells them. A primary of a term
@@ -192,7 +196,9 @@
 PromoterActions Promoter::onTimer(TimePoint now)
 {
     PromoterActions actions = sendDueOrders(now);
-    if (m_phase == Phase::Fencing) {
+    if (m_phase == Phase::Idle && m_unfinished && now >= m_backoffUntil) {
+        append(actions, onSuspicion(m_suspicion, m_highestPromised, now));
+    } else if (m_phase == Phase::Fencing) {
         append(actions, onFenceTimer(now));
     } else if (m_phase == Phase::Promoting) {
         append(actions, onPromoteTimer(now));
@@ -213,6 +219,7 @@
     m_leader.clear();
     m_strandedSince.reset();
     m_renewal = false;
+    m_unfinished = false;
     return running() ? giveUp(GiveUpReason::ClockGap, now) : PromoterActions{};
 }
 
@@ -233,6 +240,9 @@
     };
     consider(m_resendAt);
     consider(m_graceUntil);
+    if (m_unfinished && !running()) {
+        consider(m_backoffUntil);
+    }
     for (const Order &order : m_orders) {
         consider(order.dueAt);
     }
@@ -273,6 +283,7 @@
 void Promoter::beginAttempt(Term highestPromised, TimePoint now)
 {
     m_highestPromised = std::max(m_highestPromised, highestPromised);
+    m_unfinished = false;
     m_startedAt = now;
     m_retries = 0;
     m_preferred.clear();
@@ -492,6 +503,8 @@
 PromoterActions Promoter::giveUp(GiveUpReason reason, TimePoint now)
 {
     m_backoffUntil = now + backoff(reason);
+    const bool fenced = m_phase == Phase::Fencing || m_phase == Phase::Promoting;
+    m_unfinished = fenced && !planned() && reason != GiveUpReason::ClockGap;
     endAttempt();
     return {GiveUp{m_attempt, reason, m_backoffUntil}};
 }
--- a/src/core/switchover.cpp
+++ b/src/core/switchover.cpp
@@ -3,6 +3,7 @@
 #include "egrettide/core/switchover.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace egrettide
 {
@@ -16,6 +17,15 @@
     return found == snapshot.members.end() ? nullptr : &*found;
 }
 
+// Builds the list in place: an initializer list would copy each action.
+template <typename... Each> SwitchoverActions actionsOf(Each... each)
+{
+    SwitchoverActions actions;
+    actions.reserve(sizeof...(each));
+    (actions.emplace_back(std::move(each)), ...);
+    return actions;
+}
+
 } // namespace
 
 Switchover::Switchover(const SwitchoverOptions &options) : m_options(options)
@@ -30,7 +40,7 @@
     }
     const MemberView *const member = find(snapshot, successor);
     if (!snapshot.primaryConfirmed || !member || !member->reachable) {
-        return {SwitchoverDone{SwitchoverFailure::GroupChanged}};
+        return actionsOf(SwitchoverDone{SwitchoverFailure::GroupChanged});
     }
     m_phase = Phase::Draining;
     m_term = snapshot.term;
@@ -53,7 +63,7 @@
         return {};
     }
     startCatchUp(now);
-    return {WatchMarks{}};
+    return actionsOf(WatchMarks{});
 }
 
 SwitchoverActions Switchover::onSnapshot(const GroupSnapshot &snapshot, TimePoint now)
@@ -82,7 +92,7 @@
     }
     m_phase = Phase::Promoting;
     m_deadline = now + m_options.promotionTimeout;
-    return {StartPromotion{m_successor}};
+    return actionsOf(StartPromotion{m_successor});
 }
 
 SwitchoverActions Switchover::onAnnounced(Term term, const std::string &primary, TimePoint)
@@ -152,21 +162,17 @@
 {
     m_phase = Phase::Idle;
     m_deadline.reset();
-    return {ResumeWrites{}, SwitchoverDone{failure}};
+    return actionsOf(ResumeWrites{}, SwitchoverDone{failure});
 }
 
 SwitchoverActions Switchover::finish(Term term, const std::string &primary)
 {
     m_phase = Phase::Idle;
     m_deadline.reset();
-    SwitchoverActions actions;
     if (primary == m_primary) {
-        actions.push_back(ResumeWrites{});
-    } else {
-        actions.push_back(HandOver{term, primary});
+        return actionsOf(ResumeWrites{}, SwitchoverDone{});
     }
-    actions.push_back(SwitchoverDone{});
-    return actions;
+    return actionsOf(HandOver{term, primary}, SwitchoverDone{});
 }
 
 } // namespace egrettide
--- a/tests/core/groupmonitor_test.cpp
+++ b/tests/core/groupmonitor_test.cpp
@@ -178,6 +178,15 @@
     BOOST_TEST((monitor.nextProbeAt(at(60), false) == at(60)), "after a gap the next proof is urgent");
 }
 
+BOOST_AUTO_TEST_CASE(AreDueAtOnceAfterTrouble)
+{
+    settledRound(0, 7);
+    monitor.onTrouble(at(10));
+    BOOST_TEST((monitor.nextProbeAt(at(10), false) <= at(10)));
+    settledRound(11, 7);
+    BOOST_TEST((monitor.nextProbeAt(at(13), false) == at(61)), "one round answers the trouble");
+}
+
 BOOST_AUTO_TEST_CASE(KeepFewWatermarksAndJudgeAgesOfSeconds)
 {
     for (int i = 0; i < 5000; ++i) {
@@ -279,6 +288,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(Majorities)
+
+BOOST_AUTO_TEST_CASE(OverlapWhenOneUpstreamComesOrGoes)
+{
+    BOOST_TEST(majoritiesOverlap({"a", "b", "c"}, {"a", "b", "c"}));
+    BOOST_TEST(majoritiesOverlap({"a", "b", "c"}, {"a", "b", "c", "d"}));
+    BOOST_TEST(majoritiesOverlap({"a", "b", "c", "d"}, {"b", "c", "d"}));
+}
+
+BOOST_AUTO_TEST_CASE(DoNotOverlapWhenOneUpstreamReplacesAnother)
+{
+    // {a, c} of the old list and {b, d} of the new one share nobody.
+    BOOST_TEST(!majoritiesOverlap({"a", "b", "c"}, {"b", "c", "d"}));
+    BOOST_TEST(!majoritiesOverlap({"a", "b", "c"}, {"d", "e", "f"}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Order)
 
 BOOST_AUTO_TEST_CASE(OfAnswersDoesNotChangeWhatIsProven)
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -297,6 +297,35 @@
     BOOST_TEST(term == 9U);
 }
 
+// Symptom: writes are gone for half a second after a failover in a store outage.
+// Sequence: two homes fence at the same moment and refuse each other; both back off;
+// both wait until their monitors have missed a primary for long enough.
+// Cause: only the monitor's patience started the next attempt, not the backoff.
+BOOST_AUTO_TEST_CASE(ThatAreOutbidAreRepeatedAfterTheBackoffUnlessAPrimaryAppears)
+{
+    reachFences();
+    promoter.onFence(attempt, refused("b", 8), at(2));
+    const auto ended = only<GiveUp>(promoter.onFence(attempt, refused("c", 8), at(2)));
+    BOOST_REQUIRE_EQUAL(ended.size(), 1U);
+    BOOST_TEST((promoter.nextTimerAt() == ended[0].until));
+    GroupSnapshot snapshot;
+    snapshot.term = 4;
+    promoter.onGroup(snapshot, {}, at(3));
+    BOOST_TEST(only<AskOpinions>(promoter.onTimer(ended[0].until)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ThatAreOutbidAreNotRepeatedOnceAPrimaryAppears)
+{
+    reachFences();
+    promoter.onFence(attempt, refused("b", 8), at(2));
+    const auto ended = only<GiveUp>(promoter.onFence(attempt, refused("c", 8), at(2)));
+    GroupSnapshot snapshot;
+    snapshot.term = 8;
+    snapshot.primary = "c";
+    promoter.onGroup(snapshot, {}, at(3));
+    BOOST_TEST(only<AskOpinions>(promoter.onTimer(ended.at(0).until)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(OfADroppedAttemptAreIgnored)
 {
     reachFences();
