--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -203,9 +203,10 @@
     std::string database;
     // The upstream whose home this is; homes are named by their upstreams.
     std::string home;
-    // Unique among hosts and among starts of one host, such as "10.0.0.7/18cf03".
-    // Tokens are made from it: two promoters with equal incarnations would share
-    // promises, and with them a term.
+    // Unique among all promoters that were ever made, on any host and in any start
+    // of it: host, start and a count of the promoters made in it, such as
+    // "10.0.0.7/18cf03/4". Tokens are made from it: two promoters with equal
+    // incarnations would share promises, and with them a term.
     std::string incarnation;
 };
 
@@ -242,6 +243,9 @@
     // for a planned change: no opinions are asked, since the primary is well. Gives
     // up at once, with attempt 0, while another attempt runs.
     PromoterActions startPlanned(const std::string &preferred, Term highestPromised, TimePoint now);
+    // The upstreams whose home this host is now; its own home counts always. Their
+    // followers are looked after here while one of them is the primary.
+    void setHomes(std::set<std::string> homes);
     // A configuration changed the members; a running attempt is dropped.
     PromoterActions setMembers(std::vector<MemberSpec> members, TimePoint now);
 
@@ -296,6 +300,7 @@
     PromoterActions sendDueOrders(TimePoint now);
 
     PromoterIdentity m_identity;
+    std::set<std::string> m_homes;
     std::vector<MemberSpec> m_members;
     PromoterOptions m_options;
     std::mt19937_64 m_random;
--- a/src/core/promoter.cpp
+++ b/src/core/promoter.cpp
@@ -177,7 +177,7 @@
     // members that would make one have not been told to follow it yet, and if the
     // promoter that made it is gone, nobody else tells them. A primary of a term
     // exists only after a majority promised that term, so following it is safe.
-    const bool responsible = snapshot.primary == m_identity.home || snapshot.primary == m_leader;
+    const bool responsible = m_homes.contains(snapshot.primary) || snapshot.primary == m_leader;
     if (snapshot.primary.empty() || !responsible || snapshot.term < m_leaderTerm) {
         return actions;
     }
@@ -223,6 +223,12 @@
     return running() ? giveUp(GiveUpReason::ClockGap, now) : PromoterActions{};
 }
 
+void Promoter::setHomes(std::set<std::string> homes)
+{
+    m_homes = std::move(homes);
+    m_homes.insert(m_identity.home);
+}
+
 PromoterActions Promoter::setMembers(std::vector<MemberSpec> members, TimePoint now)
 {
     m_members = std::move(members);
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -473,6 +473,8 @@
 {
     const std::vector<MemberStatus> statuses{member("a", 4, 4, UpstreamRole::Primary), member("c", 5, 5, UpstreamRole::Primary)};
     BOOST_TEST(promoter.onGroup(ledBy("c", 5, true), statuses, at(0)).empty());
+    promoter.setHomes({"c"});
+    BOOST_TEST(only<SendFollow>(promoter.onGroup(ledBy("c", 5, true), statuses, at(0))).size() == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
