--- a/src/core/promoter.cpp
+++ b/src/core/promoter.cpp
@@ -29,7 +29,7 @@
 } // namespace
 
 Promoter::Promoter(PromoterIdentity identity, std::vector<MemberSpec> members, std::uint64_t seed, const PromoterOptions &options)
-    : m_identity(std::move(identity)), m_members(std::move(members)), m_options(options), m_random(seed)
+    : m_identity(std::move(identity)), m_homes{m_identity.home}, m_members(std::move(members)), m_options(options), m_random(seed)
 {
 }
 
