Give up a fence that is outbid without waiting for the dead primary

In a store outage two homes could hold one promise each and wait for the dead primary until their time was over.

--- a/include/egrettide/core/failuredetector.h
+++ b/include/egrettide/core/failuredetector.h
@@ -20,7 +20,7 @@
 struct FailureDetectorOptions {
     // The shortest silence that raises a suspicion, however steady the link is. The
     // default is weighed in docs/design/detection.md.
-    milliseconds floor{500};
+    milliseconds floor{400};
     // The longest silence that is borne, however noisy the link is.
     milliseconds ceiling{2000};
     // Multiplies the mean deviation of the round trips; 0 fixes the timeout.
--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -284,6 +284,7 @@
     PromoterActions beginFence(TimePoint now);
     PromoterActions sendFences() const;
     PromoterActions judgePromises(TimePoint now);
+    bool outbid() const;
     bool settled(TimePoint now) const;
     const MemberStatus *choose() const;
     bool better(const MemberStatus &candidate, const MemberStatus &best) const;
--- a/src/core/promoter.cpp
+++ b/src/core/promoter.cpp
@@ -394,7 +394,7 @@
 
 PromoterActions Promoter::judgePromises(TimePoint now)
 {
-    if (m_members.size() - m_refusing.size() < majority()) {
+    if (outbid()) {
         return giveUp(GiveUpReason::Outbid, now);
     }
     if (m_promises.size() < (m_options.faults.withoutMajority ? 1 : majority())) {
@@ -406,6 +406,22 @@
     return settled(now) ? sendPromote(now) : PromoterActions{};
 }
 
+// Whether another promoter has the members that would make a majority. Neither the
+// suspected primary nor failed members are waited for then: two promoters that hold
+// one promise each of a group with a dead primary would both wait out their time.
+bool Promoter::outbid() const
+{
+    if (m_refusing.empty()) {
+        return false;
+    }
+    const auto hoped = std::ranges::count_if(m_members, [this](const MemberSpec &member) {
+        const std::string &upstream = member.upstream;
+        const bool silent = upstream == m_suspicion.primary || m_failed.contains(upstream);
+        return m_promises.contains(upstream) || (!silent && !m_refusing.contains(upstream));
+    });
+    return static_cast<std::size_t>(hoped) < majority();
+}
+
 // Whether waiting for more promises is over. The majority is enough for every
 // acknowledged write; a member that is still missing may hold later ones.
 bool Promoter::settled(TimePoint now) const
