--- a/src/core/promoter.cpp
+++ b/src/core/promoter.cpp
@@ -29,7 +29,7 @@
 } // namespace
 
 Promoter::Promoter(PromoterIdentity identity, std::vector<MemberSpec> members, std::uint64_t seed, const PromoterOptions &options)
-    : m_identity(std::move(identity)), m_members(std::move(members)), m_options(options), m_random(seed)
+    : m_identity(std::move(identity)), m_homes{m_identity.home}, m_members(std::move(members)), m_options(options), m_random(seed)
 {
 }
 
@@ -51,7 +51,9 @@
 PromoterActions Promoter::startPlanned(const std::string &preferred, Term highestPromised, TimePoint now)
 {
     if (running()) {
-        return {};
+        // Writes are paused for this change; it must not wait for an attempt that
+        // was started for another reason.
+        return {GiveUp{0, GiveUpReason::ClaimedElsewhere, now}};
     }
     beginAttempt(highestPromised, now);
     m_suspicion = Suspicion{};
@@ -169,11 +171,13 @@
     if (const auto reason = running() ? overtaken(snapshot) : std::nullopt) {
         actions = giveUp(*reason, now);
     }
+    const bool newPrimary = !snapshot.primary.empty() && snapshot.term > m_suspicion.term;
+    m_unfinished = m_unfinished && !newPrimary;
     // The primary need not be confirmed: it may lack a majority only because the
     // members that would make one have not been told to follow it yet, and if the
     // promoter that made it is gone, nobody else tells them. A primary of a term
     // exists only after a majority promised that term, so following it is safe.
-    const bool responsible = snapshot.primary == m_identity.home || snapshot.primary == m_leader;
+    const bool responsible = m_homes.contains(snapshot.primary) || snapshot.primary == m_leader;
     if (snapshot.primary.empty() || !responsible || snapshot.term < m_leaderTerm) {
         return actions;
     }
@@ -192,7 +196,9 @@
 PromoterActions Promoter::onTimer(TimePoint now)
 {
     PromoterActions actions = sendDueOrders(now);
-    if (m_phase == Phase::Fencing) {
+    if (m_phase == Phase::Idle && m_unfinished && now >= m_backoffUntil) {
+        append(actions, onSuspicion(m_suspicion, m_highestPromised, now));
+    } else if (m_phase == Phase::Fencing) {
         append(actions, onFenceTimer(now));
     } else if (m_phase == Phase::Promoting) {
         append(actions, onPromoteTimer(now));
@@ -213,9 +219,16 @@
     m_leader.clear();
     m_strandedSince.reset();
     m_renewal = false;
+    m_unfinished = false;
     return running() ? giveUp(GiveUpReason::ClockGap, now) : PromoterActions{};
 }
 
+void Promoter::setHomes(std::set<std::string> homes)
+{
+    m_homes = std::move(homes);
+    m_homes.insert(m_identity.home);
+}
+
 PromoterActions Promoter::setMembers(std::vector<MemberSpec> members, TimePoint now)
 {
     m_members = std::move(members);
@@ -233,6 +246,9 @@
     };
     consider(m_resendAt);
     consider(m_graceUntil);
+    if (m_unfinished && !running()) {
+        consider(m_backoffUntil);
+    }
     for (const Order &order : m_orders) {
         consider(order.dueAt);
     }
@@ -273,6 +289,7 @@
 void Promoter::beginAttempt(Term highestPromised, TimePoint now)
 {
     m_highestPromised = std::max(m_highestPromised, highestPromised);
+    m_unfinished = false;
     m_startedAt = now;
     m_retries = 0;
     m_preferred.clear();
@@ -377,7 +394,7 @@
 
 PromoterActions Promoter::judgePromises(TimePoint now)
 {
-    if (m_members.size() - m_refusing.size() < majority()) {
+    if (outbid()) {
         return giveUp(GiveUpReason::Outbid, now);
     }
     if (m_promises.size() < (m_options.faults.withoutMajority ? 1 : majority())) {
@@ -389,6 +406,22 @@
     return settled(now) ? sendPromote(now) : PromoterActions{};
 }
 
+// Whether another promoter has the members that would make a majority. Neither the
+// suspected primary nor failed members are waited for then: two promoters that hold
+// one promise each of a group with a dead primary would both wait out their time.
+bool Promoter::outbid() const
+{
+    if (m_refusing.empty()) {
+        return false;
+    }
+    const auto hoped = std::ranges::count_if(m_members, [this](const MemberSpec &member) {
+        const std::string &upstream = member.upstream;
+        const bool silent = upstream == m_suspicion.primary || m_failed.contains(upstream);
+        return m_promises.contains(upstream) || (!silent && !m_refusing.contains(upstream));
+    });
+    return static_cast<std::size_t>(hoped) < majority();
+}
+
 // Whether waiting for more promises is over. The majority is enough for every
 // acknowledged write; a member that is still missing may hold later ones.
 bool Promoter::settled(TimePoint now) const
@@ -492,6 +525,8 @@
 PromoterActions Promoter::giveUp(GiveUpReason reason, TimePoint now)
 {
     m_backoffUntil = now + backoff(reason);
+    const bool fenced = m_phase == Phase::Fencing || m_phase == Phase::Promoting;
+    m_unfinished = fenced && !planned() && reason != GiveUpReason::ClockGap;
     endAttempt();
     return {GiveUp{m_attempt, reason, m_backoffUntil}};
 }
