Leave out replicas that lose reads, believe an upstream's own home

A broken link's replies carry no hint, so every read of a front was lost there first; a cut-off zone's home talked healthy replicas away. Statements by which drivers look for a writable server now go to the primary: a replica's answer would make them give up.

--- a/include/egrettide/core/router.h
+++ b/include/egrettide/core/router.h
@@ -66,6 +66,11 @@
     std::chrono::microseconds crossZoneCost{2000};
     // An upstream of the own zone with a longer wait competes with other zones.
     milliseconds localWaitLimit{2};
+    // A replica whose home refused or lost a read is left out for this long.
+    milliseconds avoidFor{200};
+    // What an upstream's own home says of its health outweighs other homes' for
+    // this long: a cut-off home calls everybody else unreachable.
+    milliseconds ownHomeTrust{1000};
     // The most upstreams that one request is sent to.
     int maxAttempts = 6;
 };
@@ -188,6 +193,10 @@
         MemberHint hint;
         TimePoint learnedAt;
         bool known = false;
+        // When its own home last answered for it.
+        std::optional<TimePoint> ownHintAt;
+        // Reads leave it out before this moment.
+        TimePoint avoidUntil;
         // Entries replayed a second, smoothed over hints; 0 when unknown.
         double replayRate = 0;
     };
@@ -216,7 +225,9 @@
     };
 
     const Group *group(std::string_view database) const;
-    static void learnMember(Member &member, const MemberHint &hint, bool fromOwnHome, TimePoint now);
+    void learnMember(Member &member, const MemberHint &hint, bool fromOwnHome, TimePoint now) const;
+    void noteRefusal(const StatementRequest &request, const StatementReply &reply, const std::string &upstream, TimePoint now);
+    static bool isHealthy(const Member &member, TimePoint now);
     Route route(const Group &group, RouteAttempts &attempts, std::string upstream, std::optional<PrimaryReason> reason) const;
     std::optional<Route> replicaRoute(const Case &about, RouteAttempts &attempts, std::mt19937_64 &random,
                                       PrimaryReason &reason) const;
--- a/src/core/builtinfunctions.cpp
+++ b/src/core/builtinfunctions.cpp
@@ -391,7 +391,7 @@
     "pg_indexam_has_property",
     "pg_options_to_table",
     "pg_relation_is_publishable",
-    "pg_is_in_recovery",
+
     "txid_current_if_assigned",
 };
 
--- a/src/core/classifier.cpp
+++ b/src/core/classifier.cpp
@@ -332,10 +332,21 @@
                                 "state it in BEGIN, or use SET LOCAL inside a transaction."));
 }
 
+// Drivers ask these to find a server that takes writes. A replica's answer would
+// make them give up on egrettide, which takes writes on every connection; for the
+// same reason pg_is_in_recovery() is not among the read-only functions.
+bool tellsRole(const std::string &name)
+{
+    return name == "transaction_read_only" || name == "default_transaction_read_only" || name == "in_hot_standby";
+}
+
 Finding findShow(const Json &node)
 {
     const std::string name = absl::AsciiStrToLower(textAt(node, "name"));
-    return isOwnSetting(name) ? settingFinding(SettingAction::Show, name) : plain(StatementKind::Read);
+    if (isOwnSetting(name)) {
+        return settingFinding(SettingAction::Show, name);
+    }
+    return plain(tellsRole(name) ? StatementKind::Write : StatementKind::Read);
 }
 
 bool isReadOnlyBegin(const Json &node)
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -158,8 +158,10 @@
     }
 }
 
-void Router::learnMember(Member &member, const MemberHint &hint, bool fromOwnHome, TimePoint now)
+void Router::learnMember(Member &member, const MemberHint &hint, bool fromOwnHome, TimePoint now) const
 {
+    const bool trusted = !fromOwnHome && member.ownHintAt && now - *member.ownHintAt < m_options.ownHomeTrust;
+    const bool reachable = hint.reachable || (trusted && member.hint.reachable);
     const milliseconds wait = fromOwnHome ? hint.expectedWait : member.hint.expectedWait;
     const std::chrono::duration<double> elapsed = now - member.learnedAt;
     const bool advanced = member.known && hint.replayed.position > member.hint.replayed.position && elapsed.count() > 0;
@@ -169,6 +171,10 @@
     }
     member.hint = hint;
     member.hint.expectedWait = wait;
+    member.hint.reachable = reachable;
+    if (fromOwnHome) {
+        member.ownHintAt = now;
+    }
     member.learnedAt = now;
     member.known = true;
 }
@@ -259,7 +265,7 @@
 {
     for (const std::string &name : about.group.order) {
         const Member &member = about.group.members.at(name);
-        const bool usable = !member.leaving && !(member.known && (member.hint.leaving || !member.hint.reachable));
+        const bool usable = isHealthy(member, TimePoint::max());
         if (usable && name != about.group.primary && !about.attempts.tried(name, about.group.term)) {
             return route(about.group, attempts, name, std::nullopt);
         }
@@ -267,9 +273,36 @@
     return std::nullopt;
 }
 
+bool Router::isHealthy(const Member &member, TimePoint now)
+{
+    const bool lost = member.known && (member.hint.leaving || !member.hint.reachable);
+    return !member.leaving && !lost && now >= member.avoidUntil;
+}
+
+// What goes wrong otherwise: the link to a home breaks, its replies carry no hint,
+// and every read of this front is lost there first until someone else says so.
+void Router::noteRefusal(const StatementRequest &request, const StatementReply &reply, const std::string &upstream, TimePoint now)
+{
+    Group &found = m_groups.at(request.database);
+    const auto member = found.members.find(upstream);
+    if (member == found.members.end()) {
+        return;
+    }
+    if (!reply.error) {
+        member->second.avoidUntil = TimePoint();
+        return;
+    }
+    const ErrorKind kind = reply.error->kind;
+    const bool unwell = kind == ErrorKind::Moved || kind == ErrorKind::Leaving || kind == ErrorKind::ConnectionLimit
+        || kind == ErrorKind::UnknownOutcome;
+    if (unwell && readsOnly(request.kind)) {
+        member->second.avoidUntil = now + m_options.avoidFor;
+    }
+}
+
 std::optional<PrimaryReason> Router::unfit(const Case &about, const Member &member) const
 {
-    if (member.leaving || (member.known && (member.hint.leaving || !member.hint.reachable))) {
+    if (!isHealthy(member, about.now)) {
         return PrimaryReason::Health;
     }
     if (m_options.policy == RoutingPolicy::Baseline) {
@@ -415,7 +448,11 @@
 {
     const std::string upstream(attempts.current());
     learn(reply.hint, upstream, now);
-    if (!reply.error || group(request.database) == nullptr) {
+    if (group(request.database) == nullptr) {
+        return finish(request, reply, attempts);
+    }
+    noteRefusal(request, reply, upstream, now);
+    if (!reply.error) {
         return finish(request, reply, attempts);
     }
     const ErrorKind kind = reply.error->kind;
--- a/tests/core/router_test.cpp
+++ b/tests/core/router_test.cpp
@@ -229,6 +229,37 @@
     BOOST_TEST(fixture.after(read, refusal(ErrorKind::NotFresh)) == "c");
 }
 
+// Symptom: every read of one front is late while one link between hosts is broken.
+// Sequence: reads are lost at that home one after the other; its replies carry no hint.
+// Cause: a lost read taught the router nothing.
+BOOST_AUTO_TEST_CASE(LeavesOutAReplicaThatLostAReadForAWhile)
+{
+    Fixture fixture;
+    const StatementRequest read = request(StatementKind::Read);
+    BOOST_TEST(fixture.choose(read).upstream == "b");
+    StatementReply lost;
+    lost.error = Error{ErrorKind::UnknownOutcome, "lost; try again.", milliseconds(0)};
+    BOOST_TEST(fixture.after(read, lost) == "c");
+    BOOST_TEST(fixture.choose(read).upstream == "c");
+    RouteAttempts later;
+    BOOST_TEST(fixture.router.choose(read, later, start + milliseconds(201), fixture.random).value().upstream == "b");
+}
+
+// Symptom: reads of a healthy zone go to the primary while another zone is cut off.
+// Sequence: the cut-off zone's home answers a front and calls all other upstreams unreachable.
+// Cause: its word replaced that of the upstreams' own homes.
+BOOST_AUTO_TEST_CASE(BelievesAnUpstreamsOwnHomeBeforeOthers)
+{
+    Fixture fixture;
+    GroupHint cutOff = hint(1, "a");
+    cutOff.members[1].reachable = false;
+    fixture.router.learn(hint(1, "a"), "b", start);
+    fixture.router.learn(cutOff, "a", start);
+    BOOST_TEST(fixture.choose(request(StatementKind::Read)).upstream == "b");
+    fixture.router.learn(cutOff, "a", start + milliseconds(1000));
+    BOOST_TEST(fixture.choose(request(StatementKind::Read)).upstream == "c");
+}
+
 // Symptom: a family is charged twice.
 // Sequence: the charge leaves for the primary, its answer is lost, the front sends it again.
 // Cause: a lost answer was taken for a request that had not run.
