Bound floors by confirmations made since the floor was fixed

A caller may send a read before the answer to its write: the floor then rises after the read's receipt, and a round between the two stood in for it. The home's own receipt (FreshnessRequest::floorSince) counts now; unset, nothing stands in.

--- a/include/egrettide/core/freshnessgate.h
+++ b/include/egrettide/core/freshnessgate.h
@@ -98,14 +98,18 @@
 // One read and how long it may wait.
 struct FreshnessRequest {
     Freshness freshness;
-    // Freshness::latest counts from here. Must not lie before the moment at which
-    // this process had the request: a cached clock reading would let a confirmation
-    // count that is older than the session's last write.
+    // Freshness::latest counts from here. Never a clock reading from before the
+    // request was there: an older confirmation would then count for it.
     TimePoint receivedAt;
     TimePoint deadline;
     // The last moment at which a replica may still make the read wait, by
     // DatabaseSpec::replicaWait. The primary, the last resort, waits until `deadline`.
     TimePoint replicaWaitUntil;
+    // A moment at which the floor was already fixed: the home's own receipt of the
+    // request. Not `receivedAt`: a caller may send a read before the answer to its
+    // write, and the floor then rises after the receipt. Unset, a floor that the
+    // group does not have is waited for until the deadline.
+    std::optional<TimePoint> floorSince;
 };
 
 // Decides; keeps nothing but its options.
--- a/src/core/freshnessgate.cpp
+++ b/src/core/freshnessgate.cpp
@@ -124,14 +124,18 @@
     return shows(floor, about);
 }
 
-// A floor above a mark confirmed after the request's receipt names entries that
-// the group does not have: forged, or from before a restored backup. An honest
-// floor never exceeds such a mark, so the confirmed mark is as good, and a bogus
-// floor cannot make a read wait for ever.
+// A floor above a mark confirmed after the floor was fixed names entries that the
+// group does not have: forged, or from before a restored backup. An honest floor
+// never exceeds such a mark, so the confirmed mark is as good, and a bogus floor
+// cannot make a read wait for ever.
 std::optional<FreshnessReason> FreshnessGate::floorObstacle(const Case &about) const
 {
     const auto &floor = about.request.freshness.floor;
-    if (!m_options.checks.floor || !floor || floorHolds(*floor, about) || confirmedSince(about.request.receivedAt, about)) {
+    if (!m_options.checks.floor || !floor || floorHolds(*floor, about)) {
+        return std::nullopt;
+    }
+    const auto &since = about.request.floorSince;
+    if (since && confirmedSince(*since, about)) {
         return std::nullopt;
     }
     return FreshnessReason::Floor;
--- a/src/core/sessionstate.cpp
+++ b/src/core/sessionstate.cpp
@@ -370,9 +370,7 @@
 
 TimePoint SessionState::freshSince(TimePoint receivedAt) const
 {
-    // A floor gained here is newer than the arrival; a confirmation made between the
-    // two says nothing about it.
-    const bool onlyArrival = m_unknownArrival && !m_floor && m_mode != FreshnessMode::Latest;
+    const bool onlyArrival = m_unknownArrival && m_mode != FreshnessMode::Latest;
     return onlyArrival ? m_arrivedAt : receivedAt;
 }
 
--- a/tests/core/freshness_test.cpp
+++ b/tests/core/freshness_test.cpp
@@ -277,6 +277,13 @@
     expectCaught(mutation, {Claim::ReadYourWrites, Claim::MonotonicReads, Claim::Latest});
 }
 
+BOOST_AUTO_TEST_CASE(NoticesConfirmationsThatAreOlderThanTheFloor)
+{
+    Mutation mutation;
+    mutation.floorSinceReceipt = true;
+    expectCaught(mutation, {Claim::ReadYourWrites, Claim::MonotonicReads});
+}
+
 // Symptom: a session sees a booking on one replica and not on the next.
 // Sequence: replay goes on between the observer's probe and the read; the floor rises to the probe's mark alone.
 // Cause: the floor took the lower bound of what the read showed.
