--- a/tests/core/freshness_test.cpp
+++ b/tests/core/freshness_test.cpp
@@ -33,7 +33,7 @@
 std::optional<Violation> findViolation(const Mutation &mutation, const std::set<Claim> &claims)
 {
     for (std::uint32_t seed = 0; seed < mutationSeeds; ++seed) {
-        const auto violation = World(mutation).run(randomSchedule(seed, scheduleLength));
+        auto violation = World(mutation).run(randomSchedule(seed, scheduleLength));
         if (violation && claims.contains(violation->claim)) {
             BOOST_TEST_MESSAGE("seed " << seed << ": " << violation->details);
             return violation;
