--- a/tests/core/freshnessworld.h
+++ b/tests/core/freshnessworld.h
@@ -39,6 +39,9 @@
     bool floorFromLowerBound = false;
     // Arrivals may use confirmations from before they arrived.
     bool arrivalFromThePast = false;
+    // Confirmations since the receipt of a read stand in for its floor, also when it
+    // was pipelined behind a write.
+    bool floorSinceReceipt = false;
 };
 
 enum class Op {
@@ -59,13 +62,14 @@
     Failover,
     Follow,
     Cut,
+    Gap,
 };
 
 // How often schedules hold each operation.
 constexpr std::pair<Op, int> weights[] = {
     {Op::Round, 16},  {Op::Pass, 16},       {Op::Replicate, 16}, {Op::Replay, 16},    {Op::Write, 4}, {Op::WriteByOthers, 4},
     {Op::Confirm, 8}, {Op::Acknowledge, 8}, {Op::Read, 16},      {Op::RoutedRead, 8}, {Op::Move, 3},  {Op::StartPromotion, 1},
-    {Op::Fence, 3},   {Op::Promote, 1},     {Op::Failover, 1},   {Op::Follow, 6},     {Op::Cut, 2}};
+    {Op::Fence, 3},   {Op::Promote, 1},     {Op::Failover, 1},   {Op::Follow, 6},     {Op::Cut, 2},   {Op::Gap, 1}};
 
 inline Op opAt(std::uint32_t number)
 {
@@ -119,7 +123,7 @@
     std::size_t moves = 0;
     std::size_t acknowledged = 0;
     std::size_t terms = 0;
-    // From receipt to the gate's permission, over all reads.
+    // From handing on to the gate's permission, over all reads.
     Instant waited = 0;
 };
 
@@ -139,12 +143,15 @@
     std::unique_ptr<GroupMonitor> monitor;
     std::unique_ptr<Router> router;
     std::chrono::hours offset{0};
+    // Time that its clock did not count while it stood still.
+    milliseconds lost{0};
+    bool stands = false;
     // By member: its probes get lost.
     std::array<bool, Group::size> cutOff{};
 
     TimePoint local(Instant now) const
     {
-        return TimePoint(std::chrono::hours(1000) + offset + milliseconds(now));
+        return TimePoint(std::chrono::hours(1000) + offset - lost + milliseconds(now));
     }
 };
 
@@ -154,6 +161,8 @@
     // False for reads that a test sends where it likes.
     bool routed = false;
     TimePoint replicaWaitUntil;
+    TimePoint floorSince;
+    Instant handedOnAt = 0;
     Instant receivedAt = 0;
     // Set once the gate let it go: when it runs.
     std::optional<Instant> runAt;
@@ -296,6 +305,8 @@
             return m_group.follow(member);
         case Op::Cut:
             return cut(command);
+        case Op::Gap:
+            return standStill(m_hosts[command.a % m_hosts.size()], 1 + command.c % 64);
         }
     }
 
@@ -337,7 +348,9 @@
             }
             carryProbes();
             for (Caller &caller : m_callers) {
-                carryRead(caller);
+                if (!m_hosts[caller.host].stands) {
+                    carryRead(caller);
+                }
             }
         }
     }
@@ -346,6 +359,9 @@
     void beginDueRounds()
     {
         for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            if (m_hosts[i].stands) {
+                continue;
+            }
             const bool waiters = std::any_of(m_callers.begin(), m_callers.end(), [i](const Caller &caller) {
                 return caller.host == i && caller.read && !caller.read->runAt;
             });
@@ -363,7 +379,7 @@
             if (!probe.status && probe.takeAt <= m_now) {
                 probe.status = m_group.member(probe.member).status();
             }
-            if (probe.answerAt <= m_now) {
+            if (isIn(probe)) {
                 GroupMonitor &monitor = *m_hosts[probe.host].monitor;
                 const TimePoint now = m_hosts[probe.host].local(m_now);
                 if (probe.lost) {
@@ -373,7 +389,12 @@
                 }
             }
         }
-        std::erase_if(m_probes, [this](const Probe &probe) { return probe.answerAt <= m_now; });
+        std::erase_if(m_probes, [this](const Probe &probe) { return isIn(probe); });
+    }
+
+    bool isIn(const Probe &probe) const
+    {
+        return probe.answerAt <= m_now && !m_hosts[probe.host].stands;
     }
 
     void arrive(Caller &caller, std::size_t host, const std::string &token)
@@ -414,6 +435,17 @@
         }
     }
 
+    // Stops a host and its clock, as a suspended virtual machine; others go on. What
+    // reached it meanwhile is taken in after it has noticed the gap.
+    void standStill(Host &host, Instant time)
+    {
+        host.stands = true;
+        pass(time);
+        host.stands = false;
+        host.lost += milliseconds(time);
+        host.monitor->onClockGap(host.local(m_now));
+    }
+
     void writeByOthers(std::size_t member, int count)
     {
         for (; count > 0; --count) {
@@ -444,12 +476,17 @@
         const TimePoint now = host.local(m_now);
         PendingRead read;
         read.routed = command.op == Op::RoutedRead;
-        read.receivedAt = m_now;
+        // A pipelined read was there before the answer to the statement before it.
+        const Instant pipelined = command.c % 4 == 0 ? command.b % 64 : 0;
+        read.receivedAt = std::max(caller.arrivedAt, m_now - pipelined);
         read.replicaWaitUntil = now + replicaWait;
+        read.handedOnAt = m_now;
+        read.floorSince = m_mutation.floorSinceReceipt ? host.local(read.receivedAt) : now;
         read.request.database = "db";
         read.request.kind = StatementKind::Read;
         read.request.freshness = caller.state->freshnessFor(StatementKind::Read);
-        read.request.receivedAt = caller.state->freshSince(now) - milliseconds(m_mutation.arrivalFromThePast ? 40 : 0);
+        read.request.receivedAt =
+            caller.state->freshSince(host.local(read.receivedAt)) - milliseconds(m_mutation.arrivalFromThePast ? 40 : 0);
         read.request.deadline = now + milliseconds(300);
         read.request.upstream = m_group.member(command.a % Group::size).name;
         if (read.routed) {
@@ -495,7 +532,7 @@
         const Host &host = m_hosts[caller.host];
         const auto snapshot = host.monitor->snapshot();
         const FreshnessRequest asked{read.request.freshness, read.request.receivedAt, read.request.deadline,
-                                     read.replicaWaitUntil};
+                                     read.replicaWaitUntil, read.floorSince};
         const GateDecision decision = m_gate.decide(asked, *snapshot, read.request.upstream, host.local(m_now));
         if (const auto *serve = std::get_if<Serve>(&decision)) {
             read.decidedAt = m_now;
@@ -542,7 +579,7 @@
         const Log shown = member.shown();
         check(caller, read, shown);
         ++m_counts.reads;
-        m_counts.waited += read.decidedAt - read.receivedAt;
+        m_counts.waited += read.decidedAt - read.handedOnAt;
         m_counts.byReplica += member.role == UpstreamRole::Primary ? 0 : 1;
         m_counts.aged += read.request.freshness.maxAge ? 1 : 0;
         m_counts.latest += read.request.freshness.latest ? 1 : 0;
