--- a/src/core/slotscheduler.cpp
+++ b/src/core/slotscheduler.cpp
@@ -849,7 +849,8 @@
     for (const auto &[name, queue] : m_classes) {
         continuationWaits = continuationWaits || !queue.lane(Lane::Continuation).empty();
         for (const Lane lane : detail::allLanes) {
-            if (const WaitingTicket *waiting = queue.lane(lane).first()) {
+            const WaitingTicket *waiting = queue.lane(lane).first();
+            if (waiting != nullptr && !m_options.faults.ignoreDeadlines) {
                 next = std::min(next, latestStart(queue, lane, waiting->key.deadline));
             }
         }
