--- a/include/egrettide/core/connectionbudget.h
+++ b/include/egrettide/core/connectionbudget.h
@@ -12,8 +12,6 @@
 
 #include "egrettide/core/types.h"
 
-#include <optional>
-
 namespace egrettide
 {
 
@@ -47,9 +45,10 @@
     milliseconds confirmationBound{2000};
     // How long a home may take to close what it holds above its allowance.
     milliseconds shedBound{10000};
-    // A home that nobody handed over to settles after this long. It has to exceed
-    // confirmationBound plus shedBound.
-    milliseconds takeoverBound{15000};
+    // A home that nobody handed over to settles once it was confirmed without a gap
+    // for this long. It has to exceed two shedBounds and three confirmationBounds,
+    // plus the time that a hand back may be on its way.
+    milliseconds takeoverBound{30000};
     // How long a refusal of the upstream holds the allowance down.
     milliseconds refusalBackoff{5000};
     // A connection is closed after it was above demand for one to two of these.
@@ -90,7 +89,8 @@
     // Stops being home by this host's view; nothing may be opened any more.
     void resign(TimePoint now);
     // The home before this one said that it holds nothing any more. Only to be
-    // called for the home that this host's own view named last.
+    // called for the home that this host's own view named last, and only for a
+    // message that was on its way for at most two confirmationBounds.
     void handedBack(const HandBack &handBack, TimePoint now);
     // A majority of the zone's known hosts, this one included, saw this host as home;
     // `askedAt` is when they were asked, so that a slow answer proves less.
@@ -106,8 +106,8 @@
     // How many data connections may be open now. A home that holds more closes
     // idle ones at once, and busy ones as they end or at shedsBy().
     int allowance(TimePoint now) const;
-    // When connections above the allowance have to be closed even if busy;
-    // TimePoint::max() while the allowance is the settled one.
+    // When connections above the allowance have to be closed even if busy; in the
+    // past when there should be none.
     TimePoint shedsBy(TimePoint now) const;
     // How many to keep open now, so that no request waits for an opening; never
     // above allowance().
@@ -120,37 +120,41 @@
     // The share that a home has before it is settled.
     int takeoverConnections() const;
     HomeState state(TimePoint now) const;
-    // What to tell the successor once no data connection is open here: to be sent to
-    // one host only, so it is given out once for each term as home. Empty while home,
-    // and when there is nothing (more) to hand back.
-    std::optional<HandBack> takeHandBack();
+    // What to tell the successor once no data connection is open here; to be sent to
+    // one host only. A settled term is handed back once, and not after shedBound
+    // since resign(): a later one could meet a home that settled by time.
+    HandBack handBack(TimePoint now);
     // When allowance() or target() may change by itself; TimePoint::max() if never.
     TimePoint nextEventAt(TimePoint now) const;
 
 private:
     int dataConnections() const;
     int shareOf(double share) const;
-    void restartTakeover(TimePoint now);
+    bool isConfirmed(TimePoint now) const;
+    void fall(TimePoint now);
 
     ConnectionBudgetOptions m_options;
     bool m_isHome = false;
-    // When this home settles unless it is handed over earlier; it counts as settled
-    // from then on. max() while not home.
+    // Meaningful while home: settled from then on, as far as it is confirmed.
     TimePoint m_settlesAt = TimePoint::max();
     // The confirmations received so far hold until then.
     TimePoint m_confirmedUntil = TimePoint::min();
+    // A hand back counts for a confirmation asked for until then.
+    TimePoint m_handedBackUntil = TimePoint::min();
+    // Connections above the takeover share have to be closed by then; this home was
+    // settled before.
+    TimePoint m_shedToTakeoverBy = TimePoint::min();
+    // All connections have to be closed by then; only counts while not home.
+    TimePoint m_shedAllBy = TimePoint::min();
+    // This host's last term was settled when it resigned and is not handed back yet.
+    bool m_resignedSettled = false;
     // A refusal of the upstream holds the allowance at m_refusedAllowance until then.
     TimePoint m_refusedUntil = TimePoint::min();
     int m_refusedAllowance = 0;
-    // The last moment at which the allowance fell, for shedsBy().
-    TimePoint m_loweredAt = TimePoint::min();
     // The highest demand of the running window and of the one before it.
     int m_peak = 0;
     int m_lastPeak = 0;
     TimePoint m_windowEndsAt = TimePoint::min();
-    // Not yet taken by takeHandBack(). Given out twice, two successors could settle
-    // on the same connections.
-    std::optional<HandBack> m_handBack;
 };
 
 } // namespace egrettide
--- a/src/core/connectionbudget.cpp
+++ b/src/core/connectionbudget.cpp
@@ -3,7 +3,6 @@
 #include "egrettide/core/connectionbudget.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace egrettide
 {
@@ -43,15 +42,20 @@
         return;
     }
     m_isHome = true;
-    m_handBack.reset();
+    m_resignedSettled = false;
     m_confirmedUntil = TimePoint::min();
-    restartTakeover(now);
+    m_handedBackUntil = TimePoint::min();
+    m_settlesAt = now + m_options.takeoverBound;
 }
 
-void ConnectionBudget::restartTakeover(TimePoint now)
+void ConnectionBudget::fall(TimePoint now)
 {
+    if (now >= m_settlesAt) {
+        // It fell when its confirmations ended, if that was earlier.
+        const TimePoint fellAt = isConfirmed(now) ? now : m_confirmedUntil;
+        m_shedToTakeoverBy = std::max(m_shedToTakeoverBy, fellAt + m_options.shedBound);
+    }
     m_settlesAt = now + m_options.takeoverBound;
-    m_loweredAt = now;
 }
 
 void ConnectionBudget::resign(TimePoint now)
@@ -59,10 +63,10 @@
     if (!m_isHome) {
         return;
     }
-    m_handBack = HandBack{state(now) == HomeState::Settled};
+    m_resignedSettled = state(now) == HomeState::Settled;
+    fall(now);
     m_isHome = false;
-    m_settlesAt = TimePoint::max();
-    m_loweredAt = now;
+    m_shedAllBy = now + m_options.shedBound;
 }
 
 void ConnectionBudget::handedBack(const HandBack &handBack, TimePoint now)
@@ -71,7 +75,11 @@
     // that one's connections. One would notice three homes' worth of connections
     // after two quick changes of view.
     const bool trusted = handBack.settled || m_options.faults.trustUnsettledHandBack;
-    if (m_isHome && trusted) {
+    if (!m_isHome || !trusted) {
+        return;
+    }
+    m_handedBackUntil = now + m_options.confirmationBound;
+    if (isConfirmed(now)) {
         m_settlesAt = std::min(m_settlesAt, now);
     }
 }
@@ -81,21 +89,25 @@
     if (!m_isHome) {
         return;
     }
-    const bool lapsed = m_confirmedUntil != TimePoint::min() && askedAt > m_confirmedUntil;
-    if (lapsed && !m_options.faults.keepShareUnconfirmed) {
+    if (askedAt >= m_confirmedUntil) {
         // While nobody confirmed this home, another one may have settled.
-        restartTakeover(askedAt);
+        fall(askedAt);
+        if (askedAt <= m_handedBackUntil) {
+            m_settlesAt = askedAt;
+        }
     }
     m_confirmedUntil = std::max(m_confirmedUntil, askedAt + m_options.confirmationBound);
 }
 
 void ConnectionBudget::suspended(TimePoint now)
 {
+    m_resignedSettled = false;
     if (!m_isHome || m_options.faults.keepShareUnconfirmed) {
         return;
     }
+    fall(now);
     m_confirmedUntil = std::min(m_confirmedUntil, now);
-    restartTakeover(now);
+    m_handedBackUntil = TimePoint::min();
 }
 
 void ConnectionBudget::refused(int open, TimePoint now)
@@ -110,7 +122,7 @@
     m_refusedAllowance = std::min({allowance(now), lower, takeoverConnections()});
     m_refusedUntil = now + m_options.refusalBackoff;
     if (m_isHome) {
-        restartTakeover(now);
+        fall(now);
     }
 }
 
@@ -136,11 +148,11 @@
 
 TimePoint ConnectionBudget::shedsBy(TimePoint now) const
 {
-    if (state(now) == HomeState::Settled && now >= m_refusedUntil) {
-        return TimePoint::max();
+    if (!m_isHome) {
+        return m_shedAllBy;
     }
-    const bool lapsed = m_isHome && now >= m_settlesAt && m_confirmedUntil != TimePoint::min();
-    return (lapsed ? m_confirmedUntil : m_loweredAt) + m_options.shedBound;
+    const bool lapsed = now >= m_settlesAt && !isConfirmed(now);
+    return lapsed ? m_confirmedUntil + m_options.shedBound : m_shedToTakeoverBy;
 }
 
 int ConnectionBudget::target(TimePoint now) const
@@ -159,16 +171,19 @@
     if (!m_isHome) {
         return HomeState::None;
     }
-    const bool isConfirmed = now < m_confirmedUntil || m_options.faults.keepShareUnconfirmed;
-    return isConfirmed && now >= m_settlesAt ? HomeState::Settled : HomeState::Takeover;
+    return isConfirmed(now) && now >= m_settlesAt ? HomeState::Settled : HomeState::Takeover;
 }
 
-std::optional<HandBack> ConnectionBudget::takeHandBack()
+bool ConnectionBudget::isConfirmed(TimePoint now) const
 {
-    if (m_isHome) {
-        return std::nullopt;
-    }
-    return std::exchange(m_handBack, std::nullopt);
+    return now < m_confirmedUntil || m_options.faults.keepShareUnconfirmed;
+}
+
+HandBack ConnectionBudget::handBack(TimePoint now)
+{
+    const bool settled = !m_isHome && m_resignedSettled && now <= m_shedAllBy;
+    m_resignedSettled = false;
+    return {settled};
 }
 
 TimePoint ConnectionBudget::nextEventAt(TimePoint now) const
--- a/src/core/requestledger.cpp
+++ b/src/core/requestledger.cpp
@@ -81,7 +81,8 @@
     if (found == m_attempts.end()) {
         return nullptr;
     }
-    return &m_entries.find(found->second)->second;
+    const auto entry = m_entries.find(found->second);
+    return entry == m_entries.end() ? nullptr : &entry->second;
 }
 
 LedgerAction RequestLedger::drop()
@@ -92,7 +93,9 @@
 
 void RequestLedger::detach(Entry &entry)
 {
-    m_attempts.erase(entry.attempt);
+    if (!m_faults.acceptAnyAttempt) {
+        m_attempts.erase(entry.attempt);
+    }
     const auto hop = m_hops.find(entry.hop);
     if (hop == m_hops.end()) {
         return;
