--- a/src/core/slotscheduler.cpp
+++ b/src/core/slotscheduler.cpp
@@ -111,6 +111,7 @@
     WaitingTicket unplace(ClassQueue &queue, Lane lane, std::uint64_t id);
     bool isShareLimited(const std::string &tenant) const;
     bool isDuplicate(const StatementTicket &ticket) const;
+    std::optional<Error> refusalWhileBlocked(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now);
     std::optional<Error> refusalFor(ClassQueue &queue, const StatementTicket &ticket, TimePoint now);
     Error overloaded(ClassQueue &queue, double waitSeconds, TimePoint deadline, TimePoint now, std::string_view cause);
     milliseconds retryAfter(ClassQueue &queue, double waitSeconds, TimePoint deadline, TimePoint now);
@@ -307,11 +308,14 @@
         const double wait = m_queued * m_service.recent() / m_limit.current();
         return overloaded(queue, wait, ticket.deadline, now, "the queue is full");
     }
-    if (lane == Lane::Continuation || !isLaneOpen(queue, lane)) {
+    if (lane == Lane::Continuation) {
         // An open transaction holds locks, so its next statement is never turned
-        // away by a guess; and no rate says when a blocked lane opens.
+        // away by a guess.
         return std::nullopt;
     }
+    if (!isLaneOpen(queue, lane)) {
+        return refusalWhileBlocked(queue, lane, ticket, now);
+    }
     const double wait =
         std::max(expectedWaitSeconds(queue, lane, ticket.deadline, now), tenantWaitSeconds(queue, lane, ticket.tenant, now));
     // A backlog that shrinks, as after a pause, is no overload: its tickets and the
@@ -332,6 +336,18 @@
     return std::nullopt;
 }
 
+std::optional<Error> SlotScheduler::Impl::refusalWhileBlocked(ClassQueue &queue, Lane lane, const StatementTicket &ticket,
+                                                              TimePoint now)
+{
+    // Nobody can say when a pause ends or a transaction does. But what could not be
+    // answered in time if it ended now is hopeless, and its caller hears so now.
+    const double wait = workAhead(queue, lane, ticket.deadline, now) / slotsFor(queue, now);
+    if (now + toNanoseconds(wait) <= latestStart(queue, lane, ticket.deadline)) {
+        return std::nullopt;
+    }
+    return overloaded(queue, wait, ticket.deadline, now, "too much waits for writes or transactions to go on");
+}
+
 Error SlotScheduler::Impl::overloaded(ClassQueue &queue, double waitSeconds, TimePoint deadline, TimePoint now,
                                       std::string_view cause)
 {
@@ -723,7 +739,8 @@
         const double service = serviceSeconds(other);
         for (const Lane otherLane : detail::allLanes) {
             const TicketLane &tickets = other.lane(otherLane);
-            if (tickets.empty() || !isLaneOpen(other, otherLane)) {
+            // What is blocked is ahead only of what is blocked as well.
+            if (tickets.empty() || (!isLaneOpen(other, otherLane) && isLaneOpen(queue, lane))) {
                 continue;
             }
             const bool goesFirst = otherLane == Lane::Continuation || other.spec().priority > queue.spec().priority;
--- a/tests/core/slotscheduler_test.cpp
+++ b/tests/core/slotscheduler_test.cpp
@@ -722,6 +722,24 @@
     BOOST_TEST(scheduler.queued() < 10, scheduler.queued() << " still wait two seconds after the pause");
 }
 
+BOOST_AUTO_TEST_CASE(HopelessBacklogIsRefusedDuringThePause)
+{
+    // Symptom: callers wait through a whole pause and are refused when it ends.
+    // Sequence: during a pause more writes arrive than could be answered in time
+    // even if it ended at once.
+    // Cause: while paused nothing was predicted.
+    SlotScheduler scheduler(desksAndParents(1));
+    scheduler.pause();
+    int queued = 0;
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        const Admission admission = scheduler.enqueue(ticket(id, "parents", 1s, StatementKind::Write), start);
+        queued += admission.state == AdmissionState::Queued ? 1 : 0;
+    }
+    BOOST_TEST(queued >= 90, "a second holds about a hundred statements of 10 ms; only " << queued << " queue");
+    BOOST_TEST(queued <= 110, queued << " queue for a second that holds about a hundred");
+    BOOST_TEST((scheduler.enqueue(ticket(1000, "parents", 1s), start).state == AdmissionState::Admitted));
+}
+
 BOOST_AUTO_TEST_CASE(DrainHandsBackWhatWasNeverSentAndNothingElse)
 {
     SlotScheduler scheduler(desksAndParents(1));
