--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -1,6 +1,6 @@
 // Which hosts are there: a SWIM-like failure detector over a sparse overlay.
 // Every host watches a fixed number of peers, chosen so that every host is also
-// watched by exactly as many; news travels piggybacked on the heartbeats. The
+// watched by about as many; news travels piggybacked on the heartbeats. The
 // traffic of one host therefore does not grow with the fleet.
 //
 // Pure: time and a seeded generator come in, messages to send come out.
@@ -112,7 +112,11 @@
     milliseconds tick{200};
     milliseconds largestTick{500};
     // How long a ping may go unanswered, directly and then through others.
-    milliseconds ackTimeout{150};
+    milliseconds ackTimeout{100};
+    // How long a suspect has to refute, in ticks per bit of the fleet's size: the
+    // suspicion has to reach it and its answer has to come back. Lower finds dead
+    // hosts sooner and takes more stalled ones for dead.
+    double suspicionTicksPerBit = 0.5;
     // Peers asked to confirm that a silent host does not answer them either.
     int helpers = 2;
     // Records that ride on one heartbeat at most, and in one Sync.
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -23,9 +23,6 @@
 constexpr int ticksPerLook = 5;
 // Such looks per missing host, over the whole fleet, each time.
 constexpr double looksPerMissing = 2;
-// How long a suspect has to refute, in ticks per bit of the fleet's size: the
-// suspicion has to reach it and its answer has to come back.
-constexpr double suspicionTicksPerBit = 0.75;
 // Messages that a record rides on, per bit of the fleet's size.
 constexpr double rumorsPerBit = 1;
 constexpr int rumorsAtLeast = 3;
@@ -196,7 +193,7 @@
 
 milliseconds Membership::State::suspicionTime() const
 {
-    const double ticks = suspicionTicksPerBit * bitsOf(m_table.livingCount());
+    const double ticks = m_options.suspicionTicksPerBit * bitsOf(m_table.livingCount());
     return std::chrono::duration_cast<milliseconds>(period() * std::max(1.0, ticks));
 }
 
