Tell suspects at once and do not pass on what a reconciliation brings

Cause: 1 false death in 120 s at 10% loss; a join made every host repeat the whole view. Change: a new suspicion goes to the suspect directly, a refutation to two more hosts, and reconciled records are no rumors.

--- a/bench/membership_scale.cpp
+++ b/bench/membership_scale.cpp
@@ -9,6 +9,7 @@
 #include <malloc.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <ctime>
 #include <string>
@@ -37,9 +38,9 @@
 struct Meter {
     std::uint64_t messages = 0;
     std::uint64_t bytes = 0;
-    std::map<std::string, std::uint64_t> bytesByHost;
+    std::array<std::uint64_t, 7> bytesByKind{};
 
-    void count(const std::string &from, const GossipSend &send)
+    void count(const GossipSend &send)
     {
         const std::string frame = hop::encodeFrame(hop::Gossip{send.message}, TimePoint{});
         const auto decoded = hop::decodeFrame(std::string_view(frame).substr(hop::frameHeaderBytes), TimePoint{});
@@ -48,7 +49,7 @@
         }
         ++messages;
         bytes += frame.size();
-        bytesByHost[from] += frame.size();
+        bytesByKind.at(static_cast<std::size_t>(send.message.kind)) += frame.size();
     }
 };
 
@@ -63,7 +64,7 @@
 Rate measure(GossipFleet &fleet, int hosts, seconds duration)
 {
     Meter meter;
-    fleet.onSend = [&meter](const std::string &from, const GossipSend &send) { meter.count(from, send); };
+    fleet.onSend = [&meter](const std::string &, const GossipSend &send) { meter.count(send); };
     const double before = processSeconds();
     fleet.runFor(duration);
     const double used = processSeconds() - before;
@@ -135,6 +136,15 @@
                 textOf(leaving).c_str(), textOf(crashed).c_str());
 }
 
+// Frame bytes per host and second, both directions, by kind of message.
+void printKinds(const Meter &meter, int hosts, double duration)
+{
+    const std::array<const char *, 7> names{"ping", "ack", "ping request", "indirect ack", "sync", "sync reply", "records"};
+    for (std::size_t kind = 0; kind < names.size(); ++kind) {
+        std::printf("       %-12s %8.0f\n", names[kind], 2 * static_cast<double>(meter.bytesByKind[kind]) / hosts / duration);
+    }
+}
+
 void reportPartition(int hosts)
 {
     GossipFleet fleet(43);
@@ -147,16 +157,19 @@
     }
     fleet.cut(region);
     Meter meter;
-    fleet.onSend = [&meter](const std::string &from, const GossipSend &send) { meter.count(from, send); };
+    fleet.onSend = [&meter](const std::string &, const GossipSend &send) { meter.count(send); };
     fleet.runFor(seconds{60});
     const double cutBytes =
         2 * static_cast<double>(meter.bytes) / hosts / 60 + 2 * static_cast<double>(meter.messages) / hosts / 60 * packetBytes;
+    std::printf("%5d hosts, half of the zones cut off, frame bytes/s a host:\n", hosts);
+    printKinds(meter, hosts, 60);
     fleet.cut({});
     meter = Meter{};
     const auto healed = fleet.runUntil(seconds{120}, [&] { return fleet.agreeOnAll(); });
     const double healSeconds = healed ? static_cast<double>(healed->count()) / 1000 : 120;
     const double healBytes =
         (2 * static_cast<double>(meter.bytes) + 2 * static_cast<double>(meter.messages) * packetBytes) / hosts / healSeconds;
+    printKinds(meter, hosts, healSeconds);
     std::printf("%5d: half of the zones cut off: %.0f bytes/s a host meanwhile; healed after %s ms at %.0f bytes/s a host\n",
                 hosts, cutBytes, textOf(healed).c_str(), healBytes);
 }
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <bit>
 #include <limits>
+#include <set>
 #include <utility>
 
 namespace egrettide
@@ -117,7 +118,7 @@
     void ping(const std::string &peer, const std::string &address, Sends &sends);
     void probe(const std::string &peer, TimePoint now, Sends &sends);
     void probeIndirectly(const std::string &peer, Probe &probe, TimePoint now, Sends &sends);
-    void suspect(const std::string &peer, TimePoint now);
+    void suspect(const std::string &peer, TimePoint now, Sends &sends);
     std::vector<std::string> chooseHelpers(const std::string &target);
 
     // Messages.
@@ -125,8 +126,9 @@
     void addNews(GossipMessage &message, const std::string &receiver);
     void send(const std::string &peer, const std::string &address, GossipMessage message, Sends &sends);
     void takeNews(const GossipMessage &message, TimePoint now);
+    int rumorsFor(const GossipMessage &message) const;
     bool isHearsay(const HostRecord &record, const std::string &teller) const;
-    void takeRecord(const HostRecord &record, const std::string &teller, TimePoint now);
+    void takeRecord(const HostRecord &record, const GossipMessage &message, TimePoint now);
     void takeOwnRecord(const HostRecord &record, TimePoint now);
     void hearFrom(const GossipMessage &message, TimePoint now);
     void buryPredecessors(const Member &successor, TimePoint now);
@@ -310,7 +312,7 @@
             probeIndirectly(it->first, it->second, now, sends);
             ++it;
         } else {
-            suspect(it->first, now);
+            suspect(it->first, now, sends);
             it = m_probes.erase(it);
         }
     }
@@ -474,7 +476,8 @@
     return helpers;
 }
 
-void Membership::State::suspect(const std::string &peer, TimePoint now)
+// Tells the suspect at once: the sooner it hears, the sooner it refutes.
+void Membership::State::suspect(const std::string &peer, TimePoint now, Sends &sends)
 {
     Member *member = m_table.find(peer);
     if (member == nullptr || member->record.health != HostHealth::Live) {
@@ -482,6 +485,7 @@
     }
     m_table.setHealth(*member, HostHealth::Suspect, now, rumorCount());
     member->suspicionEnds = now + suspicionTime();
+    ping(peer, member->record.peerAddress, sends);
 }
 
 // --- Messages -----------------------------------------------------------------
@@ -562,11 +566,11 @@
 void Membership::State::takeNews(const GossipMessage &message, TimePoint now)
 {
     for (const HostRecord &record : message.records) {
-        takeRecord(record, message.from, now);
+        takeRecord(record, message, now);
     }
     for (const HealthNote &note : message.healthNotes) {
         if (const auto record = m_table.recordOf(note)) {
-            takeRecord(*record, message.from, now);
+            takeRecord(*record, message, now);
         }
     }
     for (const VersionNote &note : message.versionNotes) {
@@ -586,17 +590,26 @@
         && known->record.health == HostHealth::Live && known->record.incarnation == record.incarnation;
 }
 
-void Membership::State::takeRecord(const HostRecord &record, const std::string &teller, TimePoint now)
+// What a reconciliation brings is old to most of the fleet; passing it on as news
+// would repeat the whole view to everybody when a host joins.
+int Membership::State::rumorsFor(const GossipMessage &message) const
+{
+    const bool reconciles =
+        message.kind == GossipKind::Sync || message.kind == GossipKind::SyncReply || message.kind == GossipKind::Records;
+    return reconciles ? 0 : rumorCount();
+}
+
+void Membership::State::takeRecord(const HostRecord &record, const GossipMessage &message, TimePoint now)
 {
     if (record.name == m_self.name) {
         takeOwnRecord(record, now);
         return;
     }
-    if (isHearsay(record, teller)) {
+    if (isHearsay(record, message.from)) {
         m_hearsay[record.name] = record.incarnation;
         return;
     }
-    if (!m_table.apply(record, now, rumorCount())) {
+    if (!m_table.apply(record, now, rumorsFor(message))) {
         return;
     }
     Member *member = m_table.find(record.name);
@@ -646,7 +659,10 @@
 {
     m_refuted = false;
     computeWatched();
-    for (const std::string &peer : m_watched) {
+    std::set<std::string> told(m_watched.begin(), m_watched.end());
+    const std::vector<std::string> others = chooseHelpers(m_self.name);
+    told.insert(others.begin(), others.end());
+    for (const std::string &peer : told) {
         ping(peer, m_table.find(peer)->record.peerAddress, sends);
     }
 }
