--- a/tests/core/gossipfleet.h
+++ b/tests/core/gossipfleet.h
@@ -6,6 +6,8 @@
 
 #include "egrettide/core/membership.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <cstdint>
 #include <functional>
@@ -37,7 +39,7 @@
 
     static std::string addressOf(int place)
     {
-        return "10.0." + std::to_string(place / 250) + "." + std::to_string(place % 250 + 1) + ":7400";
+        return absl::StrCat("10.0.", place / 250, ".", place % 250 + 1, ":7400");
     }
 
     // Starts a host at a place; `seeds` is what the platform's list shows it.
@@ -70,12 +72,12 @@
 
     static std::string nameOf(int i)
     {
-        return "h" + std::to_string(i);
+        return absl::StrCat("h", i);
     }
 
     static std::string zoneOf(int i, int zones)
     {
-        return "zone-" + std::to_string(i % zones);
+        return absl::StrCat("zone-", i % zones);
     }
 
     // The host is gone without a word; its kernel refuses links when asked to.
@@ -171,7 +173,9 @@
     // True when every running host holds exactly these hosts living.
     bool agree(const std::set<std::string> &living) const
     {
-        return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) { return livingIn(entry.first) == living; });
+        const auto sees = [&living](const auto &entry) { return entry.second.membership->liveCount() == living.size(); };
+        return std::all_of(m_hosts.begin(), m_hosts.end(), sees)
+            && std::all_of(m_hosts.begin(), m_hosts.end(), [&](const auto &entry) { return livingIn(entry.first) == living; });
     }
 
     bool agreeOnAll() const
