--- a/src/runtime/callerconnection.cpp
+++ b/src/runtime/callerconnection.cpp
@@ -429,7 +429,8 @@
     m_queue.pop_front();
     m_queuedBytes -= next.batch.bytes;
     if (next.batch.end == pg::BatchEnd::Terminate) {
-        end(false);
+        m_inputEnded = true;
+        endAfterOutput();
         return;
     }
     m_isBusy = true;
@@ -454,7 +455,7 @@
         return;
     }
     if (m_inputEnded) {
-        end(false);
+        endAfterOutput();
         return;
     }
     if (m_draining && m_session->isIdle() && !m_assembler.isMidBatch()) {
@@ -523,6 +524,18 @@
     read();
 }
 
+// Answers that are still to be written go out first.
+void CallerConnection::endAfterOutput()
+{
+    if (m_writing.empty()) {
+        end(false);
+        return;
+    }
+    m_phase = Phase::Farewell;
+    armTimer(m_shard->common->options.startupTimeout);
+    m_session->abandon(false);
+}
+
 // What goes wrong: closing a socket with unread input makes the kernel reset the
 // connection, and the caller sees the reset in place of the last words. So the
 // caller's input is read and dropped until it closes too, for a bounded time.
--- a/src/runtime/callerconnection.h
+++ b/src/runtime/callerconnection.h
@@ -81,6 +81,7 @@
     void onWritten(const boost::system::error_code &error);
     // Says the last words and closes once the caller had the time to read them.
     void sayFarewell(std::string_view sqlState, const Error &error);
+    void endAfterOutput();
     void linger();
     void end(bool stopRequest);
 
--- a/src/runtime/front.cpp
+++ b/src/runtime/front.cpp
@@ -209,7 +209,11 @@
 void FrontState::learn(const GroupHint &hint, const std::string &upstream)
 {
     for (const auto &shard : m_shards) {
-        boost::asio::post(shard->context, [shard, hint, upstream] { shard->router.learn(hint, upstream, shard->now()); });
+        boost::asio::post(shard->context, [shard, hint, upstream] {
+            // The router drops hints about databases that it does not know yet.
+            shard->configuration();
+            shard->router.learn(hint, upstream, shard->now());
+        });
     }
 }
 
--- a/src/runtime/front.h
+++ b/src/runtime/front.h
@@ -96,7 +96,7 @@
 
 // Accepts callers on one io_context and serves each on one of several others.
 // Its functions may be called from any thread, the destructor only after the
-// io_contexts have stopped running.
+// io_contexts have stopped running. The io_contexts have to outlive it.
 class Front
 {
 public:
--- a/src/runtime/requestrunner.cpp
+++ b/src/runtime/requestrunner.cpp
@@ -215,7 +215,8 @@
         observation.upstream = m_request.upstream;
     }
     observation.latency = std::chrono::duration_cast<std::chrono::microseconds>(m_shard->now() - m_startedAt);
-    observation.byPrimary = isPinned() ? m_shard->router.primary(m_request.database) == m_request.upstream : m_route.primary;
+    // The answer may have named the primary only now.
+    observation.byPrimary = m_shard->router.primary(m_request.database) == m_request.upstream;
     const bool reads = m_request.kind == StatementKind::Read || m_request.kind == StatementKind::BeginReadOnly;
     if (reads && observation.byPrimary) {
         const auto reason = isPinned() ? std::optional(PrimaryReason::Transaction) : m_route.reason;
--- a/tests/runtime/front_test.cpp
+++ b/tests/runtime/front_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <libpq-fe.h>
 
+#include <array>
 #include <atomic>
 
 using namespace egrettide;
@@ -99,12 +100,16 @@
         return front->openConnections() == count;
     }
 
+private:
+    // Before all that holds sockets and timers of theirs.
+    std::array<asio::io_context, 2> m_traffic;
+    asio::io_context m_accept;
+
+public:
     FakeHome home;
     std::unique_ptr<Front> front;
 
 private:
-    asio::io_context m_accept;
-    std::array<asio::io_context, 2> m_traffic;
     asio::executor_work_guard<asio::io_context::executor_type> m_acceptWork;
     std::vector<asio::executor_work_guard<asio::io_context::executor_type>> m_work;
     std::vector<std::thread> m_threads;
@@ -268,7 +273,7 @@
     BOOST_TEST(caller.value("SET egrettide.timeout = 'soon'") == "08P01");
     BOOST_TEST(caller.value("SET egrettide.class = 'parents'") == "SET");
     BOOST_TEST(caller.value("SET application_name = 'desk 4'") == "SET");
-    BOOST_TEST(caller.value("SHOW application_name") == "desk 4");
+    BOOST_TEST(PQparameterStatus(caller.connection(), "application_name") == std::string("desk 4"));
     BOOST_TEST(running.home.requests().empty());
     caller.run("SELECT 1");
     const auto requests = running.home.requests();
@@ -681,14 +686,19 @@
 {
     RunningFront running;
     const Caller idle(running);
+    // libpq takes what comes between requests for a notice.
+    std::string notices;
+    const auto collect = [](void *all, const char *message) { static_cast<std::string *>(all)->append(message); };
+    PQsetNoticeProcessor(idle.connection(), collect, &notices);
     const Caller busy(running);
     busy.run("BEGIN");
     running.front->beginDrain();
     BOOST_TEST(running.waitForConnections(1));
-    BOOST_TEST(PQconsumeInput(idle.connection()) >= 0);
-    const Result told(PQexec(idle.connection(), "INSERT INTO t VALUES (1)"), PQclear);
-    BOOST_TEST(std::string(PQerrorMessage(idle.connection())).find("egrettide host leaving") != std::string::npos,
-               "the idle caller was told: " << PQerrorMessage(idle.connection()));
+    PQconsumeInput(idle.connection());
+    BOOST_TEST(PQnotifies(idle.connection()) == nullptr); // has libpq parse what it read
+    BOOST_TEST(notices.find("connect again; egrettide host leaving") != std::string::npos,
+               "the idle caller was told: " << notices << "; see CallerConnection::sayFarewell");
+    BOOST_TEST(PQresultStatus(idle.run("INSERT INTO t VALUES (1)").get()) == PGRES_FATAL_ERROR);
     BOOST_TEST(busy.value("INSERT INTO t VALUES (2)") == "INSERT 0 1");
     BOOST_TEST(busy.value("COMMIT") == "COMMIT");
     BOOST_TEST(running.waitForConnections(0));
