--- a/src/runtime/cancelregistry.cpp
+++ b/src/runtime/cancelregistry.cpp
@@ -11,7 +11,7 @@
 
 CancelKey CancelRegistry::add(std::function<void()> cancel)
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     // Zero is skipped: drivers take it for "no process".
     do {
         ++m_lastProcessId;
@@ -23,7 +23,7 @@
 
 void CancelRegistry::remove(std::uint32_t processId)
 {
-    const absl::MutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     m_entries.erase(processId);
 }
 
@@ -31,7 +31,7 @@
 {
     std::function<void()> hook;
     {
-        const absl::ReaderMutexLock lock(&m_mutex);
+        const std::lock_guard<std::mutex> lock(m_mutex);
         const auto it = m_entries.find(key.processId);
         if (it == m_entries.end() || it->second.secretKey != key.secretKey) {
             return false;
--- a/src/runtime/cancelregistry.h
+++ b/src/runtime/cancelregistry.h
@@ -5,10 +5,10 @@
 #pragma once
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
 
 #include <cstdint>
 #include <functional>
+#include <mutex>
 #include <random>
 
 namespace egrettide
@@ -42,11 +42,12 @@
         std::function<void()> cancel;
     };
 
-    mutable absl::Mutex m_mutex;
-    // Keys must not be guessable, or one caller could cancel the requests of others.
-    std::random_device m_random ABSL_GUARDED_BY(m_mutex);
-    std::uint32_t m_lastProcessId ABSL_GUARDED_BY(m_mutex) = 0;
-    absl::flat_hash_map<std::uint32_t, Entry> m_entries ABSL_GUARDED_BY(m_mutex);
+    // A std::mutex, because ThreadSanitizer cannot see into the packaged absl::Mutex.
+    mutable std::mutex m_mutex;
+    // All below is guarded by m_mutex. Keys must not be guessable, or one caller could cancel the requests of others.
+    std::random_device m_random;
+    std::uint32_t m_lastProcessId = 0;
+    absl::flat_hash_map<std::uint32_t, Entry> m_entries;
 };
 
 } // namespace egrettide
--- a/src/runtime/front.cpp
+++ b/src/runtime/front.cpp
@@ -6,10 +6,11 @@
 #include "runtime/trafficshard.h"
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/synchronization/mutex.h>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
+#include <mutex>
+
 namespace egrettide
 {
 
@@ -68,9 +69,11 @@
     std::size_t m_nextShard = 0;
     std::uint16_t m_port = 0;
 
-    mutable absl::Mutex m_mutex;
-    std::uint64_t m_lastConnection ABSL_GUARDED_BY(m_mutex) = 0;
-    Connections m_connections ABSL_GUARDED_BY(m_mutex);
+    // A std::mutex, because ThreadSanitizer cannot see into the packaged absl::Mutex.
+    mutable std::mutex m_mutex;
+    // Both guarded by m_mutex.
+    std::uint64_t m_lastConnection = 0;
+    Connections m_connections;
 };
 
 tl::expected<void, Error> FrontState::listen(const std::string &address, std::uint16_t port)
@@ -135,7 +138,7 @@
     std::optional<Error> refusal;
     std::shared_ptr<CallerConnection> connection;
     {
-        const absl::MutexLock lock(&m_mutex);
+        const std::lock_guard<std::mutex> lock(m_mutex);
         const std::size_t limit = m_common->options.maxConnections;
         if (m_connections.size() >= limit + refusedConnections) {
             return;
@@ -148,7 +151,7 @@
         const std::uint64_t number = ++m_lastConnection;
         auto closed = [weakSelf = weak_from_this(), number] {
             if (const auto self = weakSelf.lock()) {
-                const absl::MutexLock closedLock(&self->m_mutex);
+                const std::lock_guard<std::mutex> closedLock(self->m_mutex);
                 self->m_connections.erase(number);
             }
         };
@@ -170,7 +173,7 @@
 std::vector<std::shared_ptr<CallerConnection>> FrontState::connections() const
 {
     std::vector<std::shared_ptr<CallerConnection>> open;
-    const absl::ReaderMutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     for (const auto &[number, weakConnection] : m_connections) {
         if (auto connection = weakConnection.lock()) {
             open.push_back(std::move(connection));
@@ -202,7 +205,7 @@
 
 std::size_t FrontState::openConnections() const
 {
-    const absl::ReaderMutexLock lock(&m_mutex);
+    const std::lock_guard<std::mutex> lock(m_mutex);
     return m_connections.size();
 }
 
