Send unnamed statements along and answer unknown names here

A text that runs once got a name of its own and stayed with the upstream's connections until they had to be replaced. A name that the caller never prepared went to the upstream, where it made the home forget what its connection has.

--- a/src/wire/batchassembler.cpp
+++ b/src/wire/batchassembler.cpp
@@ -17,8 +17,9 @@
 constexpr std::size_t maxStatements = 4096;
 constexpr std::size_t contentNameBytes = 16;
 constexpr std::string_view contentPrefix = "egr_";
-constexpr std::string_view unknownPrefix = "unknown ";
 constexpr std::string_view probePortal = "egr_probe";
+constexpr std::string_view missingPortal = "egr_missing";
+constexpr std::string_view unknownStatementSqlState = "26000";
 
 Error invalid(std::string text)
 {
@@ -219,7 +220,7 @@
     static bool preparesAny(const CallerBatch &batch)
     {
         return std::any_of(batch.messages.begin(), batch.messages.end(),
-                           [](const Message &message) { return message.type == 'P'; });
+                           [](const Message &message) { return message.type == 'P' && !message.payload.starts_with('\0'); });
     }
 
     void addProbe()
@@ -295,10 +296,17 @@
         if (!value) {
             return tl::unexpected(value.error());
         }
-        if (!value->local) {
+        ReplyStep step = localStep(constantAnswer('1'));
+        const bool goesAlong = name->empty() && !value->local;
+        if (goesAlong) {
+            step.kind = ReplyStep::Kind::Parse;
+            appendMessage(m_plan.batch, 'P', message.payload);
+        } else if (!value->local) {
             refer(*value->statement);
         }
-        ReplyStep step = localStep(constantAnswer('1'));
+        if (name->empty()) {
+            m_unnamedGoesAlong = goesAlong;
+        }
         step.definesStatement = true;
         step.name = *name;
         step.value = std::move(*value);
@@ -322,6 +330,8 @@
         ReplyStep step;
         if (value.local) {
             step = localStep(constantAnswer('2'));
+        } else if (!value.statement) {
+            step = missingStatementStep(*name);
         } else {
             step.kind = ReplyStep::Kind::Bind;
             std::string payload;
@@ -354,6 +364,10 @@
             m_plan.steps.push_back(localStep([local = value.local, isStatement] { return describeLocal(*local, isStatement); }));
             return {};
         }
+        if (isStatement && !value.statement) {
+            m_plan.steps.push_back(missingStatementStep(target->second));
+            return {};
+        }
         ReplyStep step;
         step.kind = isStatement ? ReplyStep::Kind::DescribeStatement : ReplyStep::Kind::DescribePortal;
         std::string payload(1, target->first);
@@ -397,6 +411,7 @@
         ReplyStep step;
         step.name = target->second;
         if (target->first == 'S') {
+            m_unnamedGoesAlong = m_unnamedGoesAlong && !step.name.empty();
             // The shared statement stays with the upstream's connections.
             step.local = constantAnswer('3');
             step.definesStatement = true;
@@ -463,14 +478,27 @@
         return statement;
     }
 
-    // The name to send. A name that the caller never prepared goes on as it is,
-    // so that the upstream itself says that it does not exist, in its place and
-    // with its effect on the transaction; unless it is one of the shared names.
+    // A step that fails at the upstream, in its place and with its effect on the
+    // transaction, and tells the caller that it never prepared the statement. The
+    // name itself stays here: it could be the one that another text goes under.
+    ReplyStep missingStatementStep(std::string_view callerName)
+    {
+        ReplyStep step;
+        step.kind = ReplyStep::Kind::DescribePortal;
+        std::string payload(1, 'P');
+        appendCString(payload, missingPortal);
+        appendMessage(m_plan.batch, 'D', payload);
+        const std::string name(callerName);
+        appendErrorResponse(step.errorInstead, unknownStatementSqlState, "prepared statement \"" + name + "\" does not exist",
+                            "Prepare it in this session first.");
+        return step;
+    }
+
+    // The name to send.
     std::string upstreamName(const BoundStatement &value, std::string_view callerName)
     {
-        if (!value.statement) {
-            const bool isShared = callerName.starts_with(contentPrefix);
-            return (isShared ? std::string(unknownPrefix) : std::string()).append(callerName);
+        if (callerName.empty() && m_unnamedGoesAlong) {
+            return {};
         }
         refer(*value.statement);
         return value.statement->contentName;
@@ -510,6 +538,8 @@
     const SessionStatements &m_session;
     const LocalHook &m_localHook;
     BatchPlan m_plan;
+    // True while the unnamed statement is one that this batch itself parses.
+    bool m_unnamedGoesAlong = false;
 };
 
 tl::expected<BatchPlan, Error> SessionStatements::plan(const CallerBatch &batch, const LocalHook &localHook) const
@@ -632,7 +662,12 @@
         if (!m_answer.failed && !m_isWithinStep && !failedToPrepare) {
             answerLocalSteps();
         }
-        pass(message);
+        const bool hasStep = m_answer.answeredSteps < m_plan.steps.size();
+        if (!m_answer.failed && hasStep && !m_plan.steps[m_answer.answeredSteps].errorInstead.empty()) {
+            m_answer.bytes.append(m_plan.steps[m_answer.answeredSteps].errorInstead);
+        } else {
+            pass(message);
+        }
         m_answer.failed = true;
     }
 
@@ -681,6 +716,8 @@
     {
         const bool isDescription = type == 'T' || type == 'n';
         switch (kind) {
+        case ReplyStep::Kind::Parse:
+            return type == '1' ? Fit::End : Fit::No;
         case ReplyStep::Kind::Bind:
             return type == '2' ? Fit::End : Fit::No;
         case ReplyStep::Kind::Close:
--- a/src/wire/batchassembler.h
+++ b/src/wire/batchassembler.h
@@ -8,6 +8,13 @@
 // connection lacks. The caller must not notice: each Parse and each Close that
 // the front keeps back is answered in its place among the upstream's answers.
 //
+// An unnamed statement goes along in its batch as it came. Drivers use it for texts
+// that run once; under a name of its own each of these would stay with the upstream's
+// connections. Only when a later batch uses it does it get a derived name too.
+//
+// The home prepares before it sends the batch, so a named statement cannot refer to
+// a table that the same batch creates; the upstream's error says so.
+//
 // Nothing here does I/O: bytes in, batches, plans and answers out.
 
 #pragma once
@@ -122,6 +129,7 @@
         // the home could prepare all statements, so that a later error is not taken
         // for a failed Parse.
         Probe,
+        Parse,
         Bind,
         DescribeStatement,
         DescribePortal,
@@ -136,6 +144,8 @@
     bool definesPortal = false;
     std::string name;
     BoundStatement value;
+    // Takes the place of the upstream's ErrorResponse when it fails this step.
+    std::string errorInstead;
 };
 
 // A batch as it goes to the home, with all that is needed to compose its answer.
--- a/tests/core/batchassembler_test.cpp
+++ b/tests/core/batchassembler_test.cpp
@@ -311,7 +311,23 @@
         SessionStatements().plan(batchesOf({bindTo("", plan->prepared.front().name) + syncMessage}).front(), nothingLocal);
     BOOST_REQUIRE(guessed.has_value());
     BOOST_TEST(guessed->prepared.empty());
-    BOOST_TEST(guessed->batch.find("unknown egr_") != std::string::npos);
+    BOOST_TEST(guessed->batch.find(plan->prepared.front().name) == std::string::npos);
+}
+
+// Symptom: the upstream's connections collect a statement for each text ever run.
+// Sequence: a driver runs texts with their values in them, each as the unnamed statement.
+// Cause: every text got a name of its own.
+BOOST_AUTO_TEST_CASE(UnnamedStatementsLeaveNothingBehind)
+{
+    SessionStatements session;
+    const auto first = batchesOf({parse("", "SELECT 1") + bindTo("", "") + execute("") + syncMessage}).front();
+    const auto plan = session.plan(first, nothingLocal);
+    BOOST_REQUIRE(plan.has_value());
+    BOOST_TEST(plan->prepared.empty());
+    session.commit(*plan, plan->steps.size(), false);
+    const auto later = session.plan(batchesOf({bindTo("", "") + execute("") + syncMessage}).front(), nothingLocal);
+    BOOST_REQUIRE(later.has_value());
+    BOOST_TEST(later->prepared.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(EqualTextsShareANameAndOthersDoNot)
--- a/tests/runtime/fakeupstream.h
+++ b/tests/runtime/fakeupstream.h
@@ -93,15 +93,20 @@
         pg::appendReadyForQuery(out, m_state);
     }
 
-    void fail(std::string &out, std::string_view sqlState, std::string_view text)
+    void fail(std::string &out, std::string_view sqlState, std::string_view text, std::string_view hint = {})
     {
-        pg::appendErrorResponse(out, sqlState, text, {});
+        pg::appendErrorResponse(out, sqlState, text, hint);
         m_skipping = true;
         if (m_state == 'T') {
             m_state = 'E';
         }
     }
 
+    void failUnknown(std::string &out, const std::string &name)
+    {
+        fail(out, "26000", "prepared statement \"" + name + "\" does not exist", "Prepare it in this session first.");
+    }
+
     void takeQuery(const std::string &text, std::string &out)
     {
         std::size_t at = 0;
@@ -137,7 +142,7 @@
         const std::string name(*reader.cString());
         const auto statement = m_statements.find(name);
         if (statement == m_statements.end()) {
-            fail(out, "26000", "prepared statement does not exist");
+            failUnknown(out, name);
             return;
         }
         m_portals[portal] = {statement->second, firstArgument(reader)};
@@ -164,7 +169,11 @@
         const auto statement = m_statements.find(name);
         const auto portal = m_portals.find(name);
         if (kind == 'S' ? statement == m_statements.end() : portal == m_portals.end()) {
-            fail(out, kind == 'S' ? "26000" : "34000", "does not exist");
+            if (kind == 'S') {
+                failUnknown(out, name);
+            } else {
+                fail(out, "34000", "portal does not exist");
+            }
             return;
         }
         if (kind == 'S') {
