--- a/src/runtime/requestrunner.cpp
+++ b/src/runtime/requestrunner.cpp
@@ -76,7 +76,7 @@
 
 void RequestRunner::onReply(std::uint64_t id, StatementReply reply)
 {
-    if (id != m_outstanding) {
+    if (id != m_outstanding && !m_shard->common->options.faults.takesLateReplies) {
         onLateReply(std::move(reply));
         return;
     }
@@ -100,7 +100,7 @@
         return;
     }
     const auto *last = std::get_if<Finish>(&decision);
-    if (last != nullptr && last->instead) {
+    if (last != nullptr && last->instead && !m_shard->common->options.faults.trustsNotRun) {
         reply.error = last->instead;
     }
     if (reply.error && mayWaitForPrimary(*reply.error, reply.sent)) {
@@ -193,7 +193,8 @@
     m_timer.cancel();
     // "Not run" may be said only of what never left. For a read it does not matter.
     const bool claimsNotRun = reply.error && outcomeOf(reply.error->kind) == Outcome::NotRun;
-    if (claimsNotRun && reply.sent && m_request.kind != StatementKind::Read) {
+    const bool trusts = m_shard->common->options.faults.trustsNotRun;
+    if (claimsNotRun && reply.sent && m_request.kind != StatementKind::Read && !trusts) {
         reply.error->kind = ErrorKind::UnknownOutcome;
     }
     observe(reply);
@@ -215,7 +216,8 @@
         observation.upstream = m_request.upstream;
     }
     observation.latency = std::chrono::duration_cast<std::chrono::microseconds>(m_shard->now() - m_startedAt);
-    observation.byPrimary = isPinned() ? m_shard->router.primary(m_request.database) == m_request.upstream : m_route.primary;
+    // The answer may have named the primary only now.
+    observation.byPrimary = m_shard->router.primary(m_request.database) == m_request.upstream;
     const bool reads = m_request.kind == StatementKind::Read || m_request.kind == StatementKind::BeginReadOnly;
     if (reads && observation.byPrimary) {
         const auto reason = isPinned() ? std::optional(PrimaryReason::Transaction) : m_route.reason;
