--- a/src/runtime/groupcontrol.cpp
+++ b/src/runtime/groupcontrol.cpp
@@ -140,6 +140,16 @@
         asio::post(m_context, [self = shared_from_this()] { self->pump(); });
     }
 
+    // Ends without calling anybody; see UpstreamConnection::abandon.
+    void abandon()
+    {
+        m_closed = true;
+        m_queue.clear();
+        if (m_connection) {
+            m_connection->abandon();
+        }
+    }
+
     void close()
     {
         m_closed = true;
@@ -265,7 +275,9 @@
 
 GroupControl::~GroupControl()
 {
-    close();
+    for (const auto &[upstream, channel] : m_channels) {
+        channel->abandon();
+    }
 }
 
 void GroupControl::close()
--- a/src/runtime/upstreamconnection.cpp
+++ b/src/runtime/upstreamconnection.cpp
@@ -411,7 +411,13 @@
         giveUp();
         return;
     }
+    abandon();
+}
+
+void UpstreamConnection::abandon()
+{
     m_state = State::Closed;
+    m_work.reset();
     m_openHandler = nullptr;
     m_idleLoss = nullptr;
     m_timer.cancel();
--- a/src/runtime/upstreamconnection.h
+++ b/src/runtime/upstreamconnection.h
@@ -108,6 +108,11 @@
 
     void close();
 
+    // Closes without a word to anybody: no handler is called, nothing is sent.
+    // For destructors, which may run while the io_context itself is being torn
+    // down and can't start operations any more.
+    void abandon();
+
     // True when a batch may be run on it now.
     bool usable() const;
     bool busy() const;
--- a/src/runtime/upstreampool.cpp
+++ b/src/runtime/upstreampool.cpp
@@ -29,7 +29,15 @@
 UpstreamPool::~UpstreamPool()
 {
     m_alive.reset();
-    close();
+    for (const Connection &connection : m_opening) {
+        connection->abandon();
+    }
+    for (const Connection &connection : m_spare) {
+        connection->abandon();
+    }
+    for (const Connection &connection : m_taken) {
+        connection->abandon();
+    }
 }
 
 UpstreamPool::Connection UpstreamPool::take()
--- /dev/null
+++ b/tests/runtime/groupobserver_test.cpp
@@ -0,0 +1,266 @@
+// Observers of three hosts over one group: failover, a primary that wakes up, and
+// a planned change, seen from callers that write all the while.
+
+#define BOOST_TEST_MODULE GroupObserver
+#include <boost/test/unit_test.hpp>
+
+#include "tests/runtime/homecluster.h"
+
+#include <set>
+
+using namespace egrettide;
+using namespace egrettide::testing;
+
+namespace
+{
+
+std::string insert(int id)
+{
+    return "INSERT INTO pitch VALUES (" + std::to_string(id) + ", 'v')";
+}
+
+// Writes one row after the other, as a caller with a driver would.
+class Writer
+{
+public:
+    Writer(Cluster &cluster, int firstId) : m_cluster(cluster), m_nextId(firstId), m_thread([this] { run(); })
+    {
+    }
+    ~Writer()
+    {
+        stop();
+    }
+    Writer(const Writer &) = delete;
+    Writer &operator=(const Writer &) = delete;
+
+    void stop()
+    {
+        m_stopped = true;
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+    // After stop() only.
+    std::set<std::string> acknowledged;
+    std::vector<std::string> failures;
+    std::atomic<int> count{0};
+
+private:
+    void run()
+    {
+        while (!m_stopped) {
+            const int id = m_nextId++;
+            const StatementReply reply = m_cluster.write(insert(id));
+            if (!reply.error && sqlStateIn(reply).empty()) {
+                acknowledged.insert(std::to_string(id));
+                ++count;
+            } else {
+                failures.push_back(textOf(reply));
+            }
+        }
+    }
+
+    Cluster &m_cluster;
+    std::atomic<bool> m_stopped{false};
+    int m_nextId;
+    std::thread m_thread;
+};
+
+void requireAllPresent(Cluster &cluster, const std::set<std::string> &acknowledged)
+{
+    const auto rows = cluster.idsAtPrimary();
+    const std::set<std::string> present(rows.begin(), rows.end());
+    BOOST_TEST(present.size() == rows.size(), "a row is there twice: a write was applied twice");
+    for (const std::string &id : acknowledged) {
+        BOOST_TEST(present.contains(id), "the acknowledged write " << id << " is lost");
+    }
+}
+
+void awaitSuccessor(Cluster &cluster, Term above)
+{
+    cluster.awaitSnapshot([above](const GroupSnapshot &view) { return view.primaryConfirmed && view.term > above; },
+                          "a confirmed successor at every host");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Failover)
+
+// Symptom: bookings that were confirmed to families are gone after the primary's
+// host has died.
+// Sequence: callers write; the primary dies between two writes; a replica is
+// promoted and serves on.
+// Cause: an answer was given before a majority held the write, or a replica that
+// lagged behind was promoted.
+BOOST_AUTO_TEST_CASE(AKilledPrimaryIsSucceededWithEveryAcknowledgedWrite)
+{
+    Cluster cluster;
+    cluster.createTable();
+    Writer first(cluster, 0);
+    Writer second(cluster, 100000);
+    Cluster::awaitTrue([&] { return first.count > 20 && second.count > 20; }, "writes before the failure");
+    cluster.upstream("a").kill();
+    awaitSuccessor(cluster, 1);
+    const int before = first.count;
+    Cluster::awaitTrue([&] { return first.count > before + 20; }, "writes at the successor");
+    first.stop();
+    second.stop();
+    BOOST_TEST(cluster.view()->primary != "a");
+    requireAllPresent(cluster, first.acknowledged);
+    requireAllPresent(cluster, second.acknowledged);
+    BOOST_TEST(first.failures.size() <= 1U,
+               "a writer with one statement at a time had " << first.failures.size() << " writes without an answer");
+}
+
+// Symptom: two branches sell the same hour.
+// Sequence: the primary stands still, a successor is promoted, the old primary
+// wakes up and goes on with the writes it had received.
+// Cause: the old primary's answer was believed although a majority had promised a
+// higher term.
+BOOST_AUTO_TEST_CASE(AFrozenPrimaryThatWakesUpAcknowledgesNothing)
+{
+    Cluster cluster;
+    cluster.createTable();
+    BOOST_REQUIRE(!cluster.write(insert(1)).error);
+    cluster.upstream("a").freeze(true);
+    auto pending = cluster.send(cluster.request("a", StatementKind::Write, insert(2), milliseconds{8000}));
+    awaitSuccessor(cluster, 1);
+    BOOST_REQUIRE(!cluster.write(insert(3)).error);
+    cluster.upstream("a").freeze(false);
+    const StatementReply reply = Cluster::await(std::move(pending));
+    const auto rows = cluster.idsAtPrimary();
+    const bool present = std::ranges::find(rows, "2") != rows.end();
+    BOOST_TEST((reply.error.has_value() || present), "the woken primary's write was acknowledged and is not in the successor");
+    if (reply.error && reply.sent) {
+        BOOST_TEST((outcomeOf(reply.error->kind) == Outcome::Unknown),
+                   "a write that was sent is called not run: " << textOf(reply));
+    }
+    // The old primary comes back as a replica.
+    Cluster::awaitTrue([&] { return cluster.upstream("a").status().followingTerm == cluster.view()->term; },
+                       "the old primary to follow the new one");
+    BOOST_TEST((cluster.upstream("a").status().role == UpstreamRole::Replica));
+}
+
+BOOST_AUTO_TEST_CASE(AnUnconfirmedWriteOfACutOffPrimaryIsNeverAcknowledged)
+{
+    Cluster cluster;
+    cluster.createTable();
+    Writer writer(cluster, 0);
+    Cluster::awaitTrue([&] { return writer.count > 10; }, "writes before the cut");
+    cluster.upstream("a").cut(true);
+    awaitSuccessor(cluster, 1);
+    const int before = writer.count;
+    Cluster::awaitTrue([&] { return writer.count > before + 10; }, "writes at the successor");
+    cluster.upstream("a").cut(false);
+    std::this_thread::sleep_for(milliseconds{50});
+    writer.stop();
+    requireAllPresent(cluster, writer.acknowledged);
+}
+
+// Symptom: a healthy primary is replaced because one host lost its network.
+// Sequence: one host can't reach the primary; the other homes can.
+// Cause: a promotion was started on one host's word.
+BOOST_AUTO_TEST_CASE(AReplicasDeathChangesNothing)
+{
+    Cluster cluster;
+    cluster.createTable();
+    cluster.upstream("c").kill();
+    for (int id = 0; id < 30; ++id) {
+        const StatementReply reply = cluster.write(insert(id));
+        BOOST_TEST(!reply.error.has_value(), textOf(reply));
+        std::this_thread::sleep_for(milliseconds{10});
+    }
+    BOOST_TEST(cluster.view()->term == 1U);
+    BOOST_TEST(cluster.view()->primary == "a");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(PlannedChange)
+
+namespace
+{
+
+tl::expected<void, Error> switchover(Cluster &cluster, const std::string &from, const std::string &to)
+{
+    const auto promise = std::make_shared<std::promise<tl::expected<void, Error>>>();
+    auto future = promise->get_future();
+    cluster.home(from).switchover(databaseName, to, [promise](const auto &result) { promise->set_value(result); });
+    BOOST_REQUIRE_MESSAGE(future.wait_for(patience) == std::future_status::ready, "the planned change never ended");
+    return future.get();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(FailsNoWriteAndLosesNone)
+{
+    Cluster cluster;
+    cluster.createTable();
+    std::vector<std::unique_ptr<Writer>> writers;
+    for (int i = 0; i < 4; ++i) {
+        writers.push_back(std::make_unique<Writer>(cluster, i * 100000));
+    }
+    Cluster::awaitTrue([&] { return writers.front()->count > 20; }, "writes before the change");
+    const auto changed = switchover(cluster, "a", "b");
+    BOOST_REQUIRE_MESSAGE(changed.has_value(), "the change failed: " << changed.error().message);
+    awaitSuccessor(cluster, 1);
+    BOOST_TEST(cluster.view()->primary == "b");
+    const int before = writers.front()->count;
+    Cluster::awaitTrue([&] { return writers.front()->count > before + 20; }, "writes after the change");
+    for (auto &writer : writers) {
+        writer->stop();
+        for (const std::string &failure : writer->failures) {
+            BOOST_TEST(false, "a planned change failed a write: " << failure);
+        }
+        requireAllPresent(cluster, writer->acknowledged);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(LetsOpenTransactionsEnd)
+{
+    Cluster cluster;
+    cluster.createTable();
+    const StatementReply begun = cluster.run("a", StatementKind::Begin, "BEGIN");
+    BOOST_REQUIRE(begun.transaction != 0U);
+    auto change = std::async(std::launch::async, [&] { return switchover(cluster, "a", "b"); });
+    std::this_thread::sleep_for(milliseconds{50});
+    StatementRequest inside = cluster.request("a", StatementKind::Write, insert(1));
+    inside.transaction = begun.transaction;
+    BOOST_TEST(!cluster.run(inside).error.has_value());
+    StatementRequest commit = cluster.request("a", StatementKind::Commit, "COMMIT");
+    commit.transaction = begun.transaction;
+    const StatementReply committed = cluster.run(commit);
+    BOOST_TEST(!committed.error.has_value(), textOf(committed));
+    const auto changed = change.get();
+    BOOST_REQUIRE_MESSAGE(changed.has_value(), "the change failed: " << changed.error().message);
+    awaitSuccessor(cluster, 1);
+    requireAllPresent(cluster, {"1"});
+}
+
+BOOST_AUTO_TEST_CASE(IsRefusedWhereThePrimaryIsNotAtHome)
+{
+    Cluster cluster;
+    const auto changed = switchover(cluster, "b", "c");
+    BOOST_REQUIRE(!changed.has_value());
+    BOOST_TEST((changed.error().kind == ErrorKind::Moved), changed.error().message);
+}
+
+BOOST_AUTO_TEST_CASE(HappensByItselfWhenThePrimaryIsLeaving)
+{
+    Cluster cluster;
+    cluster.createTable();
+    Writer writer(cluster, 0);
+    Configuration next = *cluster.currentConfiguration();
+    next.version = 2;
+    next.databases.front().upstreams.front().leaving = true;
+    cluster.configure(next);
+    awaitSuccessor(cluster, 1);
+    const int before = writer.count;
+    Cluster::awaitTrue([&] { return writer.count > before + 10; }, "writes after the change");
+    writer.stop();
+    BOOST_TEST(cluster.view()->primary != "a");
+    BOOST_TEST(writer.failures.empty(), "a leaving primary failed a write: " << writer.failures.front());
+    requireAllPresent(cluster, writer.acknowledged);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/runtime/home_test.cpp
+++ b/tests/runtime/home_test.cpp
@@ -4,7 +4,7 @@
 #define BOOST_TEST_MODULE Home
 #include <boost/test/unit_test.hpp>
 
-#include "runtime/homecluster.h"
+#include "tests/runtime/homecluster.h"
 
 #include <set>
 
@@ -227,7 +227,7 @@
     Cluster cluster;
     StatementRequest request = cluster.request("b", StatementKind::Read, "");
     PreparedStatement statement{"s1", ""};
-    pg::appendParse(statement.parseMessage, "s1", "SELECT 7", "");
+    pg::appendParse(statement.parseMessage, "s1", "SELECT 7", std::string(2, '\0'));
     request.prepared.push_back(statement);
     request.batch.clear();
     const std::string bind = std::string("\0s1\0", 4) + std::string("\0\0\0\0\0\0", 6);
--- a/tests/runtime/homecluster.h
+++ b/tests/runtime/homecluster.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <functional>
