--- a/tests/runtime/homecluster.h
+++ b/tests/runtime/homecluster.h
@@ -20,6 +20,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -232,10 +233,12 @@
         return run(request(upstreamName, kind, sql, timeout));
     }
 
+    // Called from writers' threads, too, where Boost.Test may not be used.
     static StatementReply await(std::future<StatementReply> future)
     {
-        BOOST_REQUIRE_MESSAGE(future.wait_for(patience) == std::future_status::ready,
-                              "a request got no answer at all; every request must be answered by its deadline");
+        if (future.wait_for(patience) != std::future_status::ready) {
+            throw std::runtime_error("a request got no answer at all; every request must be answered by its deadline");
+        }
         return future.get();
     }
 
