Pass on only real changes of members; replace a home whose upstream moved

Every accepted configuration and change of placement reset all proofs of a group, so commits waited for a new round and a running promotion was dropped.

--- a/src/runtime/groupobserver.cpp
+++ b/src/runtime/groupobserver.cpp
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <tuple>
 #include <utility>
 #include <variant>
 
@@ -48,6 +49,16 @@
     return names;
 }
 
+// What an observer has to know of a database's members, to be compared.
+std::vector<std::tuple<std::string, std::string, std::string, bool>> describe(const DatabaseSpec &database)
+{
+    std::vector<std::tuple<std::string, std::string, std::string, bool>> members;
+    for (const UpstreamSpec &upstream : database.upstreams) {
+        members.emplace_back(upstream.name, upstream.zone, upstream.address, upstream.leaving);
+    }
+    return members;
+}
+
 Error switchoverError(SwitchoverFailure failure)
 {
     switch (failure) {
@@ -109,19 +120,24 @@
         resolve(m_gate.abandonAll());
     }
 
+    // Most configurations change nothing here, and a change of members forgets
+    // every proof and any running attempt: only real changes are passed on.
     void update(const DatabaseSpec &database, const std::set<std::string> &homes)
     {
-        const TimePoint now = Clock::now();
+        const bool sameMembers = describe(database) == describe(m_database);
+        const bool promoterStays = homes.contains(m_promoterHome) || homes == m_homes;
         m_database = database;
         m_homes = homes;
-        m_control.update(database);
-        m_monitor.setMembers(membersOf(database));
-        if (homes.contains(m_promoterHome)) {
-            perform(m_promoter->setMembers(membersOf(database), now));
-        } else {
+        resolve(m_gate.configure(namesOf(database), database.durability));
+        if (!sameMembers) {
+            m_control.update(database);
+            m_monitor.setMembers(membersOf(database));
+        }
+        if (!promoterStays) {
             makePromoter();
+        } else if (!sameMembers) {
+            perform(m_promoter->setMembers(membersOf(database), Clock::now()));
         }
-        resolve(m_gate.configure(namesOf(database), database.durability));
         tick();
     }
 
@@ -266,7 +282,8 @@
             perform(m_switchover.onSnapshot(*view, now));
             startOwnChange(*view, now);
         }
-        if (const auto suspicion = m_monitor.suspicion(now)) {
+        const auto suspicion = m_monitor.suspicion(now);
+        if (suspicion && !m_homes.empty()) {
             perform(m_promoter->onSuspicion(*suspicion, m_monitor.highestPromised(), now));
         }
     }
--- a/src/runtime/homeservice.cpp
+++ b/src/runtime/homeservice.cpp
@@ -30,6 +30,8 @@
 struct HomeEntry {
     std::shared_ptr<UpstreamHome> home;
     asio::io_context *context = nullptr;
+    // Where its connections go.
+    std::string address;
     // True when this host is not home any more and only finishes its work.
     bool draining = false;
 };
@@ -111,6 +113,9 @@
     const HomeServiceHooks m_hooks;
     std::size_t m_nextTraffic = 0;
 
+    // Held while homes come and go, so that an observer is not dropped with the
+    // last drained home of a database while a new home is made for it.
+    std::mutex m_updateMutex;
     // Guards the two maps, not what they point to.
     mutable std::mutex m_mutex;
     std::map<HomeKey, HomeEntry> m_homes;
@@ -122,6 +127,7 @@
 
 void HomeService::Impl::update(const std::shared_ptr<const Configuration> &configuration, const HomePredicate &isHome)
 {
+    const std::scoped_lock updating(m_updateMutex);
     std::map<std::string, std::set<std::string>> homes;
     for (const DatabaseSpec &database : configuration->databases) {
         for (const UpstreamSpec &upstream : database.upstreams) {
@@ -145,13 +151,19 @@
     }
 }
 
+// Observers whose homes here all drain stay for these, but promote nobody.
 void HomeService::Impl::updateObservers(const Configuration &configuration,
                                         const std::map<std::string, std::set<std::string>> &homes)
 {
-    for (const auto &[name, upstreams] : homes) {
-        const DatabaseSpec &database = *configuration.database(name);
+    for (const DatabaseSpec &database : configuration.databases) {
+        const std::string &name = database.name;
+        const auto found = homes.find(name);
+        const std::set<std::string> upstreams = found == homes.end() ? std::set<std::string>{} : found->second;
         ObserverPointer observer = observerOf(name);
         const bool isNew = !observer;
+        if (isNew && upstreams.empty()) {
+            continue;
+        }
         if (isNew) {
             observer = makeObserver(database, upstreams);
             const std::scoped_lock lock(m_mutex);
@@ -205,24 +217,30 @@
 
 void HomeService::Impl::updateHome(const HomeKey &key, const std::shared_ptr<const Configuration> &configuration)
 {
+    const std::string &address = configuration->database(key.database)->upstream(key.upstream)->address;
     const std::scoped_lock lock(m_mutex);
     const auto found = m_homes.find(key);
-    if (found == m_homes.end()) {
-        asio::io_context &context = *m_traffic[m_nextTraffic++ % m_traffic.size()];
-        const ObserverPointer observer = m_observers.at(key.database);
-        HomeEntry entry{makeHome(key, context, configuration, observer), &context, false};
-        onHome(entry, [view = observer->snapshot()](UpstreamHome &home) { home.onSnapshot(view); });
-        m_homes.emplace(key, std::move(entry));
+    if (found != m_homes.end() && found->second.address == address) {
+        HomeEntry &entry = found->second;
+        const bool returns = std::exchange(entry.draining, false);
+        onHome(entry, [configuration, returns](UpstreamHome &home) {
+            if (returns) {
+                home.takeBack();
+            }
+            home.update(configuration);
+        });
         return;
     }
-    HomeEntry &entry = found->second;
-    const bool returns = std::exchange(entry.draining, false);
-    onHome(entry, [configuration, returns](UpstreamHome &home) {
-        if (returns) {
-            home.takeBack();
-        }
-        home.update(configuration);
-    });
+    if (found != m_homes.end()) {
+        // The upstream has moved: what goes on at the old address may end there.
+        onHome(found->second, [](UpstreamHome &home) { home.drain([] {}); });
+        m_homes.erase(found);
+    }
+    asio::io_context &context = *m_traffic[m_nextTraffic++ % m_traffic.size()];
+    const ObserverPointer observer = m_observers.at(key.database);
+    HomeEntry entry{makeHome(key, context, configuration, observer), &context, address, false};
+    onHome(entry, [view = observer->snapshot()](UpstreamHome &home) { home.onSnapshot(view); });
+    m_homes.emplace(key, std::move(entry));
 }
 
 std::shared_ptr<UpstreamHome> HomeService::Impl::makeHome(const HomeKey &key, asio::io_context &context,
@@ -274,8 +292,7 @@
 
 void HomeService::Impl::removeDrained(const HomeKey &key, const std::shared_ptr<UpstreamHome> &home)
 {
-    ObserverPointer unused;
-    const std::scoped_lock lock(m_mutex);
+    const std::scoped_lock lock(m_updateMutex, m_mutex);
     const auto found = m_homes.find(key);
     if (found == m_homes.end() || found->second.home != home || !found->second.draining) {
         return;
--- a/src/runtime/upstreamhome.cpp
+++ b/src/runtime/upstreamhome.cpp
@@ -97,6 +97,7 @@
         StatementReply reply;
         reply.id = request.id;
         reply.error = std::move(refusal);
+        keepTransaction(reply, request.transaction, frontKey);
         replyTo(std::move(handler), std::move(reply), request.className);
         settle();
         return;
@@ -652,8 +653,7 @@
     if (error) {
         reply.bytes.clear();
         reply.seen.reset();
-        reply.transaction =
-            m_transactions.contains(pending.request.transaction) ? pending.request.transaction : reply.transaction;
+        keepTransaction(reply, pending.request.transaction, pending.frontKey);
     }
     reply.error = std::move(error);
     reply.sent = reply.sent || pending.sent;
@@ -674,6 +674,16 @@
     }
 }
 
+// A refused statement leaves the transaction that it belongs to as it was.
+void UpstreamHome::keepTransaction(StatementReply &reply, std::uint64_t id, const std::string &frontKey) const
+{
+    const auto found = m_transactions.find(id);
+    if (found != m_transactions.end() && found->second.frontKey == frontKey) {
+        reply.transaction = id;
+        reply.transactionState = found->second.connection->transactionState();
+    }
+}
+
 void UpstreamHome::replyTo(ReplyHandler handler, StatementReply reply, const std::string &className)
 {
     reply.hint = hint(className);
@@ -811,15 +821,13 @@
     if (m_closed) {
         return;
     }
+    // A timer that is set too early costs one look; setting it anew for each
+    // request would cost more.
     const TimePoint next = nextEventAt(Clock::now());
-    if (next == m_armedFor) {
+    if (next >= m_armedFor) {
         return;
     }
     m_armedFor = next;
-    if (next == TimePoint::max()) {
-        m_timer.cancel();
-        return;
-    }
     m_timer.expires_at(next);
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &cancelled) {
         const auto self = weak.lock();
--- a/src/runtime/upstreamhome.h
+++ b/src/runtime/upstreamhome.h
@@ -177,6 +177,7 @@
     void giveUp(Ticket ticket, const Error &reason);
     void finish(Ticket ticket, std::optional<Error> error);
     void release(Ticket ticket, HomeRequest &pending, std::chrono::nanoseconds serviceTime);
+    void keepTransaction(StatementReply &reply, std::uint64_t id, const std::string &frontKey) const;
     void replyTo(ReplyHandler handler, StatementReply reply, const std::string &className);
     void countReply(const StatementReply &reply);
     GroupHint hint(const std::string &className) const;
