--- a/tests/runtime/peernetwork_test.cpp
+++ b/tests/runtime/peernetwork_test.cpp
@@ -459,7 +459,7 @@
 BOOST_AUTO_TEST_CASE(CarriesMessagesBothWaysOverOneLink)
 {
     Pair pair;
-    pair.front.send("home", pair.address(), hop::Release{"booking-1"});
+    pair.front.send("home", pair.address(), hop::Release{"booking-1", "bookings", true});
     pair.await("the message", [&] { return pair.homeMessages.size() == 1; });
     BOOST_TEST(std::get<hop::Release>(pair.homeMessages[0]).upstream == "booking-1");
     pair.home.send("front", "127.0.0.1:1", hop::ConfigOffer{3});
