Roll back a transaction with the request that was given up

Cause: the statement of an open transaction that outlived its deadline was answered 'not run' and could still be committed; telling the home that the whole front is gone would cut its other transactions. Change: the network sends a ROLLBACK for just that transaction on the same link; texts of several statements count as possibly committed.

--- a/src/runtime/peernetwork.cpp
+++ b/src/runtime/peernetwork.cpp
@@ -3,6 +3,7 @@
 #include "runtime/peernetwork.h"
 
 #include "runtime/peerlink.h"
+#include "wire/pgwire.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -37,6 +38,9 @@
 constexpr int silentIdleTimeouts = 2;
 constexpr milliseconds overloadedRetry{100};
 constexpr int listenBacklog = 512;
+// Numbers of rollbacks that the network sends by itself, apart from any front's.
+constexpr std::uint64_t rollbackIds = 1ULL << 63U;
+constexpr std::chrono::seconds rollbackTimeout{10};
 
 tl::expected<tcp::endpoint, Error> parseEndpoint(const std::string &address)
 {
@@ -70,6 +74,18 @@
     return bytes;
 }
 
+// True when a simple query goes on after a semicolon; one within a string counts
+// too, which errs on the safe side.
+bool isTextOfSeveral(const std::string &batch)
+{
+    const std::size_t semicolon = batch.find(';');
+    if (batch.empty() || batch.front() != 'Q' || semicolon == std::string::npos) {
+        return false;
+    }
+    return std::any_of(batch.begin() + static_cast<std::ptrdiff_t>(semicolon) + 1, batch.end(),
+                       [](char c) { return c != '\0' && c != ' ' && c != ';' && c != '\n' && c != '\r' && c != '\t'; });
+}
+
 // Transactions that are open at the home over one link, as both ends can tell
 // from the answers that went over it.
 class OpenTransactions
@@ -113,11 +129,19 @@
     ReplyHandler handler;
     // Invariant: true from the moment at which its frame was handed to the socket.
     bool sent = false;
+    // Kept apart, since the batch is dropped once it is sent.
+    bool mayHaveCommitted = false;
     std::size_t queuedBytes = 0;
     // Its entry among the deadlines, which goes when the request goes.
     Deadlines::iterator deadline;
 };
 
+// Where a transaction lives that nobody here will use.
+struct TransactionPlace {
+    std::string database;
+    std::string upstream;
+};
+
 // A host that we dial.
 struct Outbound {
     std::string host;
@@ -140,7 +164,7 @@
     std::deque<hop::HopMessage> messages;
     OpenTransactions transactions;
     // Requests given up whose late answer may still open a transaction.
-    absl::flat_hash_map<std::uint64_t, std::string> abandoned;
+    absl::flat_hash_map<std::uint64_t, TransactionPlace> abandoned;
     milliseconds backoff{0};
     TimePoint nextAttempt;
     std::uint64_t pingNumber = 0;
@@ -170,7 +194,7 @@
 
 Error lostError(const PendingRequest &pending, const std::string &reason, milliseconds retryAfter, bool admitsUnknown)
 {
-    if (admitsUnknown && pending.sent && detail::mayHaveCommitted(pending.request)) {
+    if (admitsUnknown && pending.sent && pending.mayHaveCommitted) {
         return Error{ErrorKind::UnknownOutcome,
                      "The request had left for another host when " + reason
                          + "; it may have run. Check its effect before sending it again.",
@@ -181,7 +205,7 @@
 
 Error deadlineError(const PendingRequest &pending)
 {
-    if (pending.sent && detail::mayHaveCommitted(pending.request)) {
+    if (pending.sent && pending.mayHaveCommitted) {
         return Error{ErrorKind::UnknownOutcome,
                      "The deadline passed while the request was at its home; it may have run. "
                      "Check its effect before sending it again.",
@@ -199,7 +223,7 @@
     if (request.kind == StatementKind::Commit) {
         return true;
     }
-    return request.kind == StatementKind::Write && request.transaction == 0;
+    return request.kind == StatementKind::Write && (request.transaction == 0 || isTextOfSeveral(request.batch));
 }
 
 class PeerNetwork::State : public std::enable_shared_from_this<PeerNetwork::State>
@@ -260,6 +284,7 @@
     void failAll(Outbound &to, const std::string &reason);
     void answer(Outbound &to, std::uint64_t id, Error error);
     void giveUp(Outbound &to, std::uint64_t id);
+    void rollBack(Outbound &to, const TransactionPlace &place, std::uint64_t transaction);
     void post(ReplyHandler handler, StatementReply reply);
     void refuse(const StatementRequest &request, ReplyHandler handler, Error error);
 
@@ -273,7 +298,7 @@
     void onInboundClosed(std::uint64_t linkId);
 
     // Both.
-    void writeMessage(PeerLink &link, const hop::HopMessage &message);
+    std::size_t writeMessage(PeerLink &link, const hop::HopMessage &message);
     void deliver(const PeerRef &from, hop::HopMessage message);
     void countSent(const hop::HopMessage &message, std::size_t bytes);
     void countReceived(const hop::HopMessage &message, std::size_t bytes);
@@ -304,6 +329,7 @@
     TimePoint m_keptHouseAt = Clock::now();
     TimePoint m_judgesSilenceFrom;
     std::uint64_t m_lastLinkId = 0;
+    std::uint64_t m_lastRollback = 0;
     // unique_ptr: references to an entry stay good while others come and go.
     std::map<std::string, std::unique_ptr<Outbound>> m_outbound;
     std::map<std::uint64_t, std::unique_ptr<Inbound>> m_inbound;
@@ -379,7 +405,8 @@
         return;
     }
     const auto deadline = armDeadline(request.deadline, DeadlineKey{peer, id});
-    to.pending.emplace(id, PendingRequest{std::move(request), std::move(handler), false, bytes, deadline});
+    const bool mayHaveCommitted = detail::mayHaveCommitted(request);
+    to.pending.emplace(id, PendingRequest{std::move(request), std::move(handler), false, mayHaveCommitted, bytes, deadline});
     to.unsent.push_back(id);
     to.unsentBytes += bytes;
     flush(to);
@@ -746,7 +773,7 @@
 // Symptom: a transaction stays open at the home and holds its connection.
 // Sequence: the front gives up on a BEGIN; its answer arrives afterwards with
 // the number of a transaction that nobody will ever use.
-// The home is therefore told that the front is gone.
+// The home is therefore told to roll it back.
 void PeerNetwork::State::onLateReply(Outbound &to, const StatementReply &reply)
 {
     const auto found = to.abandoned.find(reply.id);
@@ -754,7 +781,7 @@
         return;
     }
     if (reply.transaction != 0) {
-        writeMessage(*to.link, hop::FrontGone{found->second, reply.transaction});
+        rollBack(to, found->second, reply.transaction);
     }
     to.abandoned.erase(found);
 }
@@ -818,15 +845,32 @@
     } else if (to.ready) {
         const StatementRequest &request = pending.request;
         writeMessage(*to.link, hop::Cancel{id});
-        to.abandoned.emplace(id, request.upstream);
+        const TransactionPlace place{request.database, request.upstream};
+        to.abandoned.emplace(id, place);
         if (request.transaction != 0 && request.kind != StatementKind::Commit) {
-            writeMessage(*to.link, hop::FrontGone{request.upstream, request.transaction});
-            to.transactions.onFrontGone(request.transaction);
+            rollBack(to, place, request.transaction);
         }
     }
     answer(to, id, deadlineError(pending));
 }
 
+// Nobody waits for the answer; it is dropped when it comes.
+void PeerNetwork::State::rollBack(Outbound &to, const TransactionPlace &place, std::uint64_t transaction)
+{
+    StatementRequest request;
+    request.id = rollbackIds | ++m_lastRollback;
+    request.database = place.database;
+    request.upstream = place.upstream;
+    request.kind = StatementKind::Rollback;
+    request.transaction = transaction;
+    request.deadline = Clock::now() + rollbackTimeout;
+    request.batch = pg::Message{'Q', std::string("ROLLBACK\0", sizeof("ROLLBACK"))}.bytes();
+    const hop::HopMessage message = hop::ExecuteRequest{std::move(request)};
+    const std::size_t bytes = writeMessage(*to.link, message);
+    to.credit -= static_cast<std::int64_t>(bytes);
+    to.transactions.onFrontGone(transaction);
+}
+
 // Handlers run from the event loop, never from within a call of their owner.
 void PeerNetwork::State::post(ReplyHandler handler, StatementReply reply)
 {
@@ -1006,14 +1050,17 @@
 
 // --- Both directions --------------------------------------------------------
 
-void PeerNetwork::State::writeMessage(PeerLink &link, const hop::HopMessage &message)
+// Gives the size of the frame, 0 when the link is closed.
+std::size_t PeerNetwork::State::writeMessage(PeerLink &link, const hop::HopMessage &message)
 {
     if (!link.isOpen()) {
-        return;
+        return 0;
     }
     std::string frame = hop::encodeFrame(message, Clock::now());
-    countSent(message, frame.size());
+    const std::size_t bytes = frame.size();
+    countSent(message, bytes);
     link.write(std::move(frame));
+    return bytes;
 }
 
 void PeerNetwork::State::deliver(const PeerRef &from, hop::HopMessage message)
--- a/src/runtime/peernetwork.h
+++ b/src/runtime/peernetwork.h
@@ -82,8 +82,9 @@
 {
 
 // True when the request may have committed something although its answer is
-// lost. Statements of an open transaction cannot: the home rolls it back with
-// the link, or when it is told that the front gave up.
+// lost. A statement of an open transaction cannot, since the home rolls that back
+// with the link, or when the front gives up; unless it is a text of several
+// statements, one of which may be a COMMIT.
 bool mayHaveCommitted(const StatementRequest &request);
 
 } // namespace detail
@@ -113,7 +114,9 @@
     // the link, and UnknownOutcome for everything that may have committed.
     void execute(const std::string &peer, const std::string &address, StatementRequest request, ReplyHandler handler);
     // Gives up on a request: the home is told, and a late answer is dropped. The
-    // handler is answered at once, as if the deadline had passed.
+    // handler is answered at once, as if the deadline had passed. The transaction
+    // of the request is rolled back with it, whatever had become of it: a reply
+    // with an error and transaction 0 says that it is over.
     void cancel(const std::string &peer, std::uint64_t requestId);
     // Sends any other message, over an open link if there is one. It may be lost
     // with the link: whoever needs an answer has to ask again.
--- a/tests/runtime/peernetwork_test.cpp
+++ b/tests/runtime/peernetwork_test.cpp
@@ -399,12 +399,14 @@
     pair.execute(inside);
     BOOST_TEST((pair.replyTo(1).error->kind == ErrorKind::DeadlineExceeded), nameOfReply(pair.replyTo(1)));
     pair.execute(requestOf(2, StatementKind::Commit, 77));
-    pair.await("the commit", [&] { return pair.served.size() == 2; });
-    const bool told = std::any_of(pair.homeMessages.begin(), pair.homeMessages.end(), [](const hop::HopMessage &message) {
-        const auto *gone = std::get_if<hop::FrontGone>(&message);
-        return gone != nullptr && gone->transaction == 77 && gone->upstream == "booking-1";
-    });
-    BOOST_TEST(told, "the home must learn that transaction 77 is over before it sees the commit");
+    pair.await("the statement, its rollback and the commit", [&] { return pair.served.size() == 3; });
+    const StatementRequest &rollback = pair.served[1].first;
+    BOOST_TEST((rollback.kind == StatementKind::Rollback && rollback.transaction == 77),
+               "the home must be told to roll back transaction 77 before it sees the commit");
+    BOOST_TEST((rollback.upstream == "booking-1" && rollback.batch.find("ROLLBACK") != std::string::npos));
+    pair.answer(1, "rolled back");
+    pair.answer(2, "refused");
+    BOOST_TEST(pair.replyTo(2).bytes == "refused");
 }
 
 BOOST_AUTO_TEST_CASE(EndsATransactionWhoseBeginWasGivenUp)
@@ -415,12 +417,26 @@
     pair.front.cancel("home", 1);
     BOOST_TEST((pair.replyTo(1).error->kind == ErrorKind::DeadlineExceeded), nameOfReply(pair.replyTo(1)));
     pair.answer(0, "begun", 42);
-    pair.await("the end of transaction 42", [&] {
-        return std::any_of(pair.homeMessages.begin(), pair.homeMessages.end(), [](const hop::HopMessage &message) {
-            const auto *gone = std::get_if<hop::FrontGone>(&message);
-            return gone != nullptr && gone->transaction == 42;
-        });
-    });
+    pair.await("the rollback", [&] { return pair.served.size() == 2; });
+    const StatementRequest &rollback = pair.served[1].first;
+    BOOST_TEST((rollback.kind == StatementKind::Rollback && rollback.transaction == 42), "transaction 42 would stay open");
+}
+
+// Symptom: a write is reported as "not run" and has been committed.
+// Sequence: within a transaction a caller sends a text that holds a COMMIT of
+// its own; the link breaks before the answer.
+// Cause: statements of open transactions are taken to be rolled back.
+BOOST_AUTO_TEST_CASE(AdmitsThatATextOfSeveralStatementsMayHaveCommitted)
+{
+    const auto mayHaveCommitted = [](const std::string &batch) {
+        StatementRequest request = requestOf(1, StatementKind::Write, 7);
+        request.batch = batch;
+        return detail::mayHaveCommitted(request);
+    };
+    BOOST_TEST(mayHaveCommitted("Q....UPDATE a; COMMIT"));
+    BOOST_TEST(!mayHaveCommitted("Q....UPDATE a; "));
+    BOOST_TEST(!mayHaveCommitted("Q....UPDATE a"));
+    BOOST_TEST(!mayHaveCommitted("B..; parameters"), "a bound statement is one statement");
 }
 
 BOOST_AUTO_TEST_CASE(RefusesAtOnceWhenTheQueueIsFull)
