--- a/include/egrettide/core/metrics.h
+++ b/include/egrettide/core/metrics.h
@@ -23,6 +23,7 @@
     std::string name;
     std::string value;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the check takes the 0 of a rewritten comparison for a pointer.
     friend auto operator<=>(const MetricLabel &, const MetricLabel &) = default;
 };
 
--- a/src/core/ticketlane.h
+++ b/src/core/ticketlane.h
@@ -28,6 +28,7 @@
     TimePoint deadline;
     std::uint64_t sequence = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the check takes the 0 of a rewritten comparison for a pointer.
     friend auto operator<=>(const QueueKey &, const QueueKey &) = default;
 };
 
@@ -104,6 +105,7 @@
         std::string tenant;
         std::uint64_t id = 0;
 
+        // NOLINTNEXTLINE(modernize-use-nullptr): the check takes the 0 of a rewritten comparison for a pointer.
         friend auto operator<=>(const TenantHead &, const TenantHead &) = default;
     };
 
