--- a/include/egrettide/core/connectionbudget.h
+++ b/include/egrettide/core/connectionbudget.h
@@ -83,6 +83,10 @@
 public:
     explicit ConnectionBudget(const ConnectionBudgetOptions &options);
 
+    // Takes over new limits and bounds. What is open above a lower allowance has
+    // shedBound to end.
+    void configure(const ConnectionBudgetOptions &options, TimePoint now);
+
     // Becomes home by this host's view. Becoming home again while home changes
     // nothing.
     void becomeHome(TimePoint now);
@@ -107,7 +111,7 @@
     // idle ones at once, and busy ones as they end or at shedsBy().
     int allowance(TimePoint now) const;
     // When connections above the allowance have to be closed even if busy; in the
-    // past when there should be none.
+    // past when there should be none. Refusals of the upstream cut nothing busy.
     TimePoint shedsBy(TimePoint now) const;
     // How many to keep open now, so that no request waits for an opening; never
     // above allowance().
@@ -141,8 +145,8 @@
     TimePoint m_confirmedUntil = TimePoint::min();
     // A hand back counts for a confirmation asked for until then.
     TimePoint m_handedBackUntil = TimePoint::min();
-    // Connections above the takeover share have to be closed by then; this home was
-    // settled before.
+    // Connections above the allowance have to be closed by then, after a fall from
+    // the settled share or a lower limit.
     TimePoint m_shedToTakeoverBy = TimePoint::min();
     // All connections have to be closed by then; only counts while not home.
     TimePoint m_shedAllBy = TimePoint::min();
--- a/src/core/connectionbudget.cpp
+++ b/src/core/connectionbudget.cpp
@@ -11,6 +11,16 @@
 {
 }
 
+void ConnectionBudget::configure(const ConnectionBudgetOptions &options, TimePoint now)
+{
+    const bool isLower = options.limit < m_options.limit || options.controlReserve > m_options.controlReserve
+        || options.settledShare < m_options.settledShare || options.takeoverShare < m_options.takeoverShare;
+    m_options = options;
+    if (isLower) {
+        m_shedToTakeoverBy = std::max(m_shedToTakeoverBy, now + m_options.shedBound);
+    }
+}
+
 int ConnectionBudget::dataConnections() const
 {
     // A small upstream keeps at least half of its connections for data.
@@ -152,7 +162,10 @@
         return m_shedAllBy;
     }
     const bool lapsed = now >= m_settlesAt && !isConfirmed(now);
-    return lapsed ? m_confirmedUntil + m_options.shedBound : m_shedToTakeoverBy;
+    const TimePoint shedsBy = lapsed ? m_confirmedUntil + m_options.shedBound : m_shedToTakeoverBy;
+    // A refusal lowers the allowance for a while only. Cutting statements for it
+    // would turn a refused opening into unknown outcomes.
+    return now < m_refusedUntil ? std::max(shedsBy, m_refusedUntil + m_options.shedBound) : shedsBy;
 }
 
 int ConnectionBudget::target(TimePoint now) const
--- a/tests/core/connectionbudget_test.cpp
+++ b/tests/core/connectionbudget_test.cpp
@@ -323,6 +323,28 @@
     BOOST_TEST(budget.allowance(start + 7s) == 6);
 }
 
+BOOST_AUTO_TEST_CASE(RefusalOfTheUpstreamCutsNothingBusy)
+{
+    // Symptom: unknown outcomes whenever the upstream refuses a connection.
+    // Sequence: five busy connections, a sixth is refused, the allowance falls to 4.
+    // Cause: the surplus was closed at once, busy or not.
+    ConnectionBudget budget(thirtyConnections());
+    budget.becomeHome(start);
+    budget.refused(5, start);
+    BOOST_REQUIRE(budget.allowance(start) == 4);
+    BOOST_TEST((budget.shedsBy(start) > start + 5s), "the allowance recovers after 5 s, before anything is cut");
+}
+
+BOOST_AUTO_TEST_CASE(LowerLimitLeavesBusyConnectionsTimeToEnd)
+{
+    ConnectionBudget budget = settledHome(thirtyConnections());
+    ConnectionBudgetOptions lower = thirtyConnections();
+    lower.limit = 16;
+    budget.configure(lower, start);
+    BOOST_TEST(budget.allowance(start) == 5);
+    BOOST_TEST((budget.shedsBy(start) == start + 10s));
+}
+
 BOOST_AUTO_TEST_CASE(SmallUpstreamsStillGetAShare)
 {
     for (int limit = 1; limit <= 30; ++limit) {
