Choose the successor of a planned change where the operator names none

Cause: an empty name was passed on and refused. Change: the most advanced reachable replica that is not leaving is taken.

--- a/include/egrettide/core/types.h
+++ b/include/egrettide/core/types.h
@@ -33,7 +33,8 @@
     Term term = 0;
     Position position = 0;
 
-    friend auto operator<=>(const LogMark &, const LogMark &) = default;
+    // The check mistakes the comparison's zero for a null pointer.
+    friend auto operator<=>(const LogMark &, const LogMark &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 inline std::ostream &operator<<(std::ostream &out, const LogMark &mark)
--- a/src/runtime/switchoverdesk.cpp
+++ b/src/runtime/switchoverdesk.cpp
@@ -31,6 +31,20 @@
     return error.kind == ErrorKind::Moved || error.kind == ErrorKind::NoPrimary || error.kind == ErrorKind::UnknownDatabase;
 }
 
+// The replica that has received most, so that writes are held back shortest;
+// empty when there is none.
+std::string mostAdvancedReplica(const GroupSnapshot &snapshot)
+{
+    const MemberView *best = nullptr;
+    for (const MemberView &member : snapshot.members) {
+        const bool fit = member.role == UpstreamRole::Replica && member.reachable && !member.leaving;
+        if (fit && (best == nullptr || member.received > best->received)) {
+            best = &member;
+        }
+    }
+    return best != nullptr ? best->upstream : std::string();
+}
+
 } // namespace
 
 struct SwitchoverDesk::Job {
@@ -69,11 +83,27 @@
     }
     job->hosts = m_hooks.otherHomes(job->database);
     job->respond = respond;
-    m_homes.switchover(job->database, job->to, [this, job](const tl::expected<void, Error> &result) {
+    changePrimary(job->database, job->to, [this, job](const tl::expected<void, Error> &result) {
         boost::asio::post(m_control, [this, job, result] { finish(job, result); });
     });
 }
 
+void SwitchoverDesk::changePrimary(const std::string &database, const std::string &to, DoneHandler handler)
+{
+    std::string successor = to;
+    if (successor.empty()) {
+        const auto snapshot = m_homes.snapshot(database);
+        successor = snapshot ? mostAdvancedReplica(*snapshot) : std::string();
+    }
+    if (successor.empty()) {
+        handler(tl::unexpected(Error{ErrorKind::NoPrimary,
+                                     "No replica of \"" + database + "\" is fit to take over as seen from here.",
+                                     std::chrono::duration_cast<milliseconds>(comeBack)}));
+        return;
+    }
+    m_homes.switchover(database, successor, std::move(handler));
+}
+
 void SwitchoverDesk::finish(const std::shared_ptr<Job> &job, const tl::expected<void, Error> &result)
 {
     job->timer.cancel();
--- a/src/runtime/switchoverdesk.h
+++ b/src/runtime/switchoverdesk.h
@@ -40,7 +40,10 @@
     void onReply(const hop::SwitchoverReply &reply);
 
 private:
+    using DoneHandler = std::function<void(tl::expected<void, Error>)>;
     struct Job;
+    // Changes the primary from here, to the most advanced replica where `to` is empty.
+    void changePrimary(const std::string &database, const std::string &to, DoneHandler handler);
     void tryNext(const std::shared_ptr<Job> &job);
     void ask(const std::shared_ptr<Job> &job, const std::string &host);
     void finish(const std::shared_ptr<Job> &job, const tl::expected<void, Error> &result);
--- a/src/runtime/upstreamhome.cpp
+++ b/src/runtime/upstreamhome.cpp
@@ -1020,7 +1020,7 @@
         return;
     }
     if (m_hooks.handedBack) {
-        m_hooks.handedBack(m_pool.budget().handBack());
+        m_hooks.handedBack(m_pool.budget().handBack(Clock::now()));
     }
     std::exchange(m_drained, nullptr)();
 }
