--- a/testing/upstream/executor.h
+++ b/testing/upstream/executor.h
@@ -26,9 +26,6 @@
     std::string tag;
 };
 
-// The value of an expression without columns; throws 42703 when it has some.
-Value evaluateConstant(const Expression &expression, const std::vector<Value> &parameters);
-
 // The columns that a statement returns, empty for none.
 std::vector<ResultColumn> resultColumns(const Statement &statement, const TableSet &tables, const Transaction &transaction);
 
--- a/testing/upstream/server.cpp
+++ b/testing/upstream/server.cpp
@@ -42,6 +42,25 @@
     return "fenced";
 }
 
+using Setting = std::function<void(UpstreamOptions &, std::int64_t)>;
+
+// What standin_set() changes in the options.
+const std::map<std::string, Setting> &settings()
+{
+    static const std::map<std::string, Setting> settings = {
+        {"lag_ms", [](UpstreamOptions &options, std::int64_t value) { options.replicationLag = milliseconds(value); }},
+        {"receive_delay_ms", [](UpstreamOptions &options, std::int64_t value) { options.receiveDelay = milliseconds(value); }},
+        {"service_us",
+         [](UpstreamOptions &options, std::int64_t value) { options.serviceTime = std::chrono::microseconds(value); }},
+        {"connection_delay_ms",
+         [](UpstreamOptions &options, std::int64_t value) { options.connectionDelay = milliseconds(value); }},
+        {"refuse_connections", [](UpstreamOptions &options, std::int64_t value) { options.refusesConnections = value != 0; }},
+        {"connections", [](UpstreamOptions &options, std::int64_t value) { options.connections = static_cast<int>(value); }},
+        {"slots", [](UpstreamOptions &options, std::int64_t value) { options.slots = static_cast<int>(value); }},
+    };
+    return settings;
+}
+
 bool isGranting(const std::string &function)
 {
     return function == "group_fence" || function == "group_promote" || function == "group_follow";
@@ -309,14 +328,8 @@
     if (name == "group_status") {
         return groupAnswer(name, std::nullopt);
     }
-    if (name == "group_fence") {
-        return groupAnswer(name, m_member.fence(termAt(arguments, 0), textAt(arguments, 1)));
-    }
-    if (name == "group_promote") {
-        return groupAnswer(name, m_member.promote(termAt(arguments, 0), textAt(arguments, 1)));
-    }
-    if (name == "group_follow") {
-        return groupAnswer(name, m_member.follow(termAt(arguments, 0), textAt(arguments, 1), textAt(arguments, 2)));
+    if (isGranting(name)) {
+        return groupAnswer(name, callGroup(name, arguments));
     }
     if (name == "group_log") {
         return logAnswer(arguments);
@@ -340,6 +353,19 @@
     return result;
 }
 
+bool Server::callGroup(const std::string &name, const std::vector<Value> &arguments)
+{
+    const Term term = termAt(arguments, 0);
+    const std::string token = textAt(arguments, 1);
+    if (name == "group_fence") {
+        return m_member.fence(term, token);
+    }
+    if (name == "group_promote") {
+        return m_member.promote(term, token);
+    }
+    return m_member.follow(term, token, textAt(arguments, 2));
+}
+
 StatementResult Server::groupAnswer(const std::string &name, std::optional<bool> granted) const
 {
     StatementResult result{functionColumns(name), {statusRow()}, "SELECT 1"};
@@ -399,27 +425,19 @@
     if (value < 0) {
         throw SqlError("22023", "a setting is not negative");
     }
-    if (key == "lag_ms") {
-        change([value](UpstreamOptions &options) { options.replicationLag = milliseconds(value); });
-    } else if (key == "receive_delay_ms") {
-        change([value](UpstreamOptions &options) { options.receiveDelay = milliseconds(value); });
-    } else if (key == "service_us") {
-        change([value](UpstreamOptions &options) { options.serviceTime = std::chrono::microseconds(value); });
-    } else if (key == "connection_delay_ms") {
-        change([value](UpstreamOptions &options) { options.connectionDelay = milliseconds(value); });
-    } else if (key == "refuse_connections") {
-        change([value](UpstreamOptions &options) { options.refusesConnections = value != 0; });
-    } else if (key == "connections") {
-        change([value](UpstreamOptions &options) { options.connections = static_cast<int>(value); });
-    } else if (key == "slots") {
-        change([value](UpstreamOptions &options) { options.slots = static_cast<int>(value); });
-    } else if (key == "frozen_ms") {
+    if (key == "frozen_ms") {
         m_deferred.emplace_back([this, value] { freezeFor(milliseconds(value)); });
-    } else if (key == "cut_ms") {
+        return;
+    }
+    if (key == "cut_ms") {
         m_deferred.emplace_back([this, value] { cutFor(milliseconds(value)); });
-    } else {
+        return;
+    }
+    const auto found = settings().find(key);
+    if (found == settings().end()) {
         throw SqlError("42704", "the stand-in has no setting \"" + key + "\"");
     }
+    change([&](UpstreamOptions &options) { found->second(options, value); });
 }
 
 void Server::change(const std::function<void(UpstreamOptions &)> &edit)
--- a/testing/upstream/server.h
+++ b/testing/upstream/server.h
@@ -121,6 +121,7 @@
     void set(const std::string &key, std::int64_t value);
     std::vector<Row> statisticsRows() const;
     Row statusRow() const;
+    bool callGroup(const std::string &name, const std::vector<Value> &arguments);
     StatementResult groupAnswer(const std::string &name, std::optional<bool> granted) const;
     StatementResult logAnswer(const std::vector<Value> &arguments) const;
 
--- a/testing/upstream/session.cpp
+++ b/testing/upstream/session.cpp
@@ -2,6 +2,7 @@
 
 #include "testing/upstream/session.h"
 
+#include "testing/upstream/evaluation.h"
 #include "testing/upstream/server.h"
 
 #include <boost/asio/write.hpp>
