--- a/testing/upstream/executor.cpp
+++ b/testing/upstream/executor.cpp
@@ -130,6 +130,7 @@
 void sortRows(std::vector<const Row *> &rows, const std::vector<OrderBy> &order, const TableSchema &schema)
 {
     std::vector<std::pair<std::size_t, bool>> keys;
+    keys.reserve(order.size());
     for (const OrderBy &key : order) {
         keys.emplace_back(schema.columnNumber(key.column), key.descending);
     }
@@ -301,6 +302,7 @@
                                   const std::map<RowId, const Row *> &matching) const
     {
         std::vector<const Row *> rows;
+        rows.reserve(matching.size());
         for (const auto &entry : matching) {
             rows.push_back(entry.second);
         }
--- a/testing/upstream/replicator.cpp
+++ b/testing/upstream/replicator.cpp
@@ -122,7 +122,7 @@
     connect(m_link);
 }
 
-void Replicator::retryLater(std::shared_ptr<Link> link)
+void Replicator::retryLater(const std::shared_ptr<Link> &link)
 {
     if (!isCurrent(link)) {
         return;
--- a/testing/upstream/replicator.h
+++ b/testing/upstream/replicator.h
@@ -41,7 +41,7 @@
 private:
     struct Link;
 
-    void retryLater(std::shared_ptr<Link> link);
+    void retryLater(const std::shared_ptr<Link> &link);
     void connect(const std::shared_ptr<Link> &link);
     void greet(const std::shared_ptr<Link> &link);
     void ask(const std::shared_ptr<Link> &link);
--- a/testing/upstream/server.cpp
+++ b/testing/upstream/server.cpp
@@ -414,6 +414,7 @@
         {"cancels", now.cancels},
     };
     std::vector<Row> rows;
+    rows.reserve(pairs.size());
     for (const auto &[key, value] : pairs) {
         rows.push_back({key, std::to_string(value)});
     }
--- a/testing/upstream/session.cpp
+++ b/testing/upstream/session.cpp
@@ -307,7 +307,7 @@
         return;
     }
     const Statement &statement = text->statements[m_query->next];
-    run({text, &statement, {}, [this](StatementResult result) {
+    run({text, &statement, {}, [this](const StatementResult &result) {
              ++m_query->next;
              if (m_query->next == m_query->text->statements.size()) {
                  // Before the answer: a caller that reads CommandComplete may count on it.
@@ -440,7 +440,7 @@
         return;
     }
     run({portal.text, &portal.text->statements.front(), portal.parameters,
-         [this, formats = portal.resultFormats](StatementResult result) { writeRows(result, formats); }});
+         [this, formats = portal.resultFormats](const StatementResult &result) { writeRows(result, formats); }});
 }
 
 void Session::onClose(pg::PayloadReader payload)
--- a/testing/upstream/session.h
+++ b/testing/upstream/session.h
@@ -52,7 +52,7 @@
         std::shared_ptr<const ParsedText> owner;
         const Statement *statement = nullptr;
         std::vector<Value> parameters;
-        std::function<void(StatementResult)> done;
+        std::function<void(const StatementResult &)> done;
     };
     struct SimpleQuery {
         std::shared_ptr<const ParsedText> text;
