--- a/tests/runtime/groupmember_test.cpp
+++ b/tests/runtime/groupmember_test.cpp
@@ -58,6 +58,12 @@
     std::optional<std::size_t> chosen;
 };
 
+// A commit that a home would have acknowledged.
+struct Confirmed {
+    LogMark mark;
+    Row written;
+};
+
 // Three members and the promoters that fight over them.
 class Group
 {
@@ -111,12 +117,12 @@
     std::string violation() const
     {
         const GroupMember *leader = highestPrimary();
-        for (const auto &[mark, written] : m_confirmed) {
-            if (leader != nullptr && leader->followingTerm() >= mark.term && !holds(*leader, mark, written)) {
+        for (const Confirmed &commit : m_confirmed) {
+            if (leader != nullptr && leader->followingTerm() >= commit.mark.term && !holds(*leader, commit)) {
                 return "the primary of term " + std::to_string(leader->followingTerm()) + " lacks a confirmed commit";
             }
-            const auto holders = std::count_if(m_members.begin(), m_members.end(),
-                                               [&](const auto &member) { return holds(*member, mark, written); });
+            const auto holders =
+                std::count_if(m_members.begin(), m_members.end(), [&](const auto &member) { return holds(*member, commit); });
             if (static_cast<std::size_t>(holders) < majority) {
                 return "a confirmed commit is left on " + std::to_string(holders) + " member";
             }
@@ -165,9 +171,9 @@
             const MemberStatus status = member->status();
             return status.promisedTerm == leader.followingTerm() && status.received >= mark;
         });
-        const bool isKnown = !m_confirmed.empty() && m_confirmed.back().first == mark;
+        const bool isKnown = !m_confirmed.empty() && m_confirmed.back().mark == mark;
         if (static_cast<std::size_t>(stands) >= majority && !isKnown) {
-            m_confirmed.emplace_back(mark, writtenBy(leader.log().back()));
+            m_confirmed.push_back({mark, writtenBy(leader.log().back())});
         }
     }
 
@@ -229,15 +235,16 @@
         return entry.changes.empty() ? Row() : entry.changes.front().values;
     }
 
-    static bool holds(const GroupMember &member, LogMark mark, const Row &written)
+    static bool holds(const GroupMember &member, const Confirmed &commit)
     {
         const auto &log = member.log();
-        return mark.position <= log.size() && log[mark.position - 1].mark == mark && writtenBy(log[mark.position - 1]) == written;
+        const Position position = commit.mark.position;
+        return position <= log.size() && log[position - 1].mark == commit.mark && writtenBy(log[position - 1]) == commit.written;
     }
 
     std::vector<std::unique_ptr<GroupMember>> m_members;
     std::array<Promoter, promoterCount> m_promoters;
-    std::vector<std::pair<LogMark, Row>> m_confirmed;
+    std::vector<Confirmed> m_confirmed;
     const ParsedText m_book = parseStatements("INSERT INTO booking VALUES ($1)");
     std::int64_t m_slots = 0;
 };
@@ -247,7 +254,7 @@
     Group group(faults);
     for (const Step &step : steps) {
         group.step(step);
-        const std::string violation = group.violation();
+        std::string violation = group.violation();
         if (!violation.empty()) {
             return violation;
         }
