--- a/tests/runtime/groupmember_test.cpp
+++ b/tests/runtime/groupmember_test.cpp
@@ -27,7 +27,6 @@
 using egrettide::Position;
 using egrettide::Term;
 using egrettide::TimePoint;
-using egrettide::UpstreamRole;
 using egrettide::testing::executeStatement;
 using egrettide::testing::GroupFaults;
 using egrettide::testing::GroupMember;
