--- a/src/core/configurationdiff.cpp
+++ b/src/core/configurationdiff.cpp
@@ -2,6 +2,8 @@
 
 #include "egrettide/core/configurationfile.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <sstream>
 
 namespace egrettide
@@ -49,20 +51,23 @@
         }
         return nullptr;
     };
+    const auto report = [&kind, &changes](const Spec &spec, const std::string &what) {
+        changes.push_back(absl::StrCat(kind, " ", spec.name, what));
+    };
     for (const Spec &spec : before) {
         if (find(after, spec.name) == nullptr) {
-            changes.push_back(kind + ' ' + spec.name + " removed");
+            report(spec, " removed");
         }
     }
     for (const Spec &spec : after) {
         const Spec *old = find(before, spec.name);
         if (old == nullptr) {
-            changes.push_back(kind + ' ' + spec.name + " added");
+            report(spec, " added");
             continue;
         }
         const std::string fields = compare(*old, spec);
         if (!fields.empty()) {
-            changes.push_back(kind + ' ' + spec.name + ": " + fields);
+            report(spec, absl::StrCat(": ", fields));
         }
     }
 }
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -28,7 +28,7 @@
 {
 
 // Values of the store reach a megabyte; host lists and statuses stay below.
-constexpr std::uint64_t BodyLimit = 8 * 1024 * 1024;
+constexpr std::uint64_t BodyLimit = std::uint64_t{8} * 1024 * 1024;
 constexpr std::size_t MaxIdleConnections = 8;
 constexpr unsigned HttpVersion = 11;
 
--- a/testing/platform/objectstore.h
+++ b/testing/platform/objectstore.h
@@ -35,7 +35,7 @@
 {
 public:
     // The largest value in bytes of JSON text.
-    static constexpr std::size_t MaxValueBytes = 1024 * 1024;
+    static constexpr std::size_t MaxValueBytes = std::size_t{1024} * 1024;
 
     std::optional<StoredObject> read(const std::string &key) const;
 
