--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -271,6 +271,7 @@
     };
 
     std::size_t majority() const;
+    bool isMember(const std::string &upstream) const;
     bool isLeaving(const std::string &upstream) const;
     bool current(AttemptId attempt, Phase phase) const;
     bool planned() const;
--- a/src/core/groupmonitor.cpp
+++ b/src/core/groupmonitor.cpp
@@ -130,7 +130,7 @@
         return;
     }
     failing->detector.onFailure(failure, now);
-    failing->reachable = !failing->detector.suspects(now);
+    failing->reachable = failing->reachable && !failing->detector.suspects(now);
     finishProbe(id);
     changed();
 }
--- a/src/core/promoter.cpp
+++ b/src/core/promoter.cpp
@@ -65,8 +65,7 @@
 
 PromoterActions Promoter::onOpinion(AttemptId attempt, const std::string &fromHome, bool agrees, TimePoint now)
 {
-    const bool known = std::ranges::find(m_members, fromHome, &MemberSpec::upstream) != m_members.end();
-    if (!current(attempt, Phase::AskingOpinions) || !known || fromHome == m_identity.home) {
+    if (!current(attempt, Phase::AskingOpinions) || !isMember(fromHome) || fromHome == m_identity.home) {
         return {};
     }
     (agrees ? m_agreeing : m_disagreeing).insert(fromHome);
@@ -168,7 +167,10 @@
 PromoterActions Promoter::onGroup(const GroupSnapshot &snapshot, const std::vector<MemberStatus> &statuses, TimePoint now)
 {
     PromoterActions actions;
-    if (const auto reason = running() ? overtaken(snapshot) : std::nullopt) {
+    const bool promoted = m_phase == Phase::Promoting && snapshot.term == m_term && snapshot.primary == m_candidate;
+    if (promoted) {
+        actions = succeed(now); // only the answer was lost
+    } else if (const auto reason = running() ? overtaken(snapshot) : std::nullopt) {
         actions = giveUp(*reason, now);
     }
     const bool newPrimary = !snapshot.primary.empty() && snapshot.term > m_suspicion.term;
@@ -270,6 +272,11 @@
     return m_members.size() / 2 + 1;
 }
 
+bool Promoter::isMember(const std::string &upstream) const
+{
+    return std::ranges::find(m_members, upstream, &MemberSpec::upstream) != m_members.end();
+}
+
 bool Promoter::isLeaving(const std::string &upstream) const
 {
     const auto found = std::ranges::find(m_members, upstream, &MemberSpec::upstream);
@@ -293,8 +300,11 @@
     m_startedAt = now;
     m_retries = 0;
     m_preferred.clear();
-    m_agreeing = {m_identity.home};
+    m_agreeing.clear();
     m_disagreeing.clear();
+    if (isMember(m_identity.home)) {
+        m_agreeing.insert(m_identity.home);
+    }
     newToken();
 }
 
--- a/tests/core/groupmonitor_test.cpp
+++ b/tests/core/groupmonitor_test.cpp
@@ -168,6 +168,13 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(DoNotCallAMemberReachableThatNeverAnswered)
+{
+    const RoundId round = monitor.beginRound(at(0)).id;
+    monitor.onProbeFailed(round, "b", ProbeFailure::Refused, at(1));
+    BOOST_TEST(!monitor.snapshot()->members[1].reachable);
+}
+
 BOOST_AUTO_TEST_CASE(FollowCloselyWhileSomebodyWaits)
 {
     settledRound(0, 7);
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -104,6 +104,15 @@
     BOOST_TEST(only<ReadRecord>(promoter.onOpinion(asked[0].attempt, "c", true, at(1))).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(OfAHomeWhoseUpstreamWasRemovedDoNotCount)
+{
+    promoter.setMembers({{"a", "zone-a", false}, {"c", "zone-c", false}, {"d", "zone-d", false}}, at(0));
+    const auto asked = only<AskOpinions>(promoter.onSuspicion(suspicion, 4, at(0)));
+    BOOST_REQUIRE_EQUAL(asked.size(), 1U);
+    BOOST_TEST(promoter.onOpinion(asked[0].attempt, "c", true, at(1)).empty());
+    BOOST_TEST(only<ReadRecord>(promoter.onOpinion(asked[0].attempt, "d", true, at(1))).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ThatDoNotComeStopTheAttempt)
 {
     promoter.onSuspicion(suspicion, 4, at(0));
@@ -387,6 +396,17 @@
     BOOST_TEST(only<SendFence>(promoter.onTimer(at(303))).size() == 3U, "after the deadline a new term begins");
 }
 
+BOOST_AUTO_TEST_CASE(WhoseAnswerIsLostAreSeenInTheGroup)
+{
+    reachPromotion();
+    GroupSnapshot snapshot;
+    snapshot.term = term;
+    snapshot.primary = "c";
+    BOOST_TEST(only<Announce>(promoter.onGroup(snapshot, {}, at(5))).size() == 1U);
+    BOOST_TEST(!promoter.running());
+    BOOST_TEST(promoter.onPromote(attempt, granted("c", {5, 12}, UpstreamRole::Primary), at(6)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(ThatAreOvertakenStop)
 {
     reachPromotion();
