Keep tokens apart between promoters that one process makes for one home

A home that moves away and back makes a new promoter whose attempts count from one again; the moment of the attempt is now part of the token.

--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -206,10 +206,9 @@
     std::string database;
     // The upstream whose home this is; homes are named by their upstreams.
     std::string home;
-    // Unique among all promoters that were ever made, on any host and in any start
-    // of it: host, start and a count of the promoters made in it, such as
-    // "10.0.0.7/18cf03/4". Tokens are made from it: two promoters with equal
-    // incarnations would share promises, and with them a term.
+    // Unique among hosts and among starts of one host, such as "10.0.0.7/18cf03".
+    // Tokens are made from it: two promoters with equal incarnations could share a
+    // promise, and with it a term.
     std::string incarnation;
 };
 
@@ -286,7 +285,7 @@
     bool current(AttemptId attempt, Phase phase) const;
     bool planned() const;
     void beginAttempt(Term highestPromised, TimePoint now);
-    void newToken();
+    void newToken(TimePoint now);
     void endAttempt();
     PromoterActions enterStore(TimePoint now);
     PromoterActions judgeRecord(const VersionedRecord &current, TimePoint now);
--- a/src/core/promoter.cpp
+++ b/src/core/promoter.cpp
@@ -331,17 +331,21 @@
     if (isMember(m_identity.home)) {
         m_agreeing.insert(m_identity.home);
     }
-    newToken();
+    newToken(now);
 }
 
 // Numbers the next attempt and names it. A token names one attempt of one start of
 // one host: were it shared, a member's promise to one promoter would count for
-// another, and one term could get two primaries.
-void Promoter::newToken()
+// another, and one term could get two primaries. The time keeps apart the attempts
+// of two promoters that one process makes for the same home, one after the other.
+void Promoter::newToken(TimePoint now)
 {
     ++m_attempt;
-    m_token = m_options.faults.sharedToken ? "shared"
-                                           : m_identity.incarnation + "/" + m_identity.home + "/" + std::to_string(m_attempt);
+    const std::string instant = std::to_string(now.time_since_epoch().count());
+    m_token = m_identity.incarnation + "/" + m_identity.home + "/" + std::to_string(m_attempt) + "@" + instant;
+    if (m_options.faults.sharedToken) {
+        m_token = "shared";
+    }
 }
 
 void Promoter::endAttempt()
@@ -530,7 +534,7 @@
     }
     ++m_retries;
     m_highestPromised = std::max(m_highestPromised, m_term);
-    newToken();
+    newToken(now);
     return beginFence(now);
 }
 
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -190,8 +190,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(Claims, Fixture)
 
-// Runs the attempt to its claim over the given record.
-AttemptId reachClaim(Fixture &fixture, const VersionedRecord &record)
+// Runs the attempt to its claim over the given record; returns the claim.
+ClaimInStore reachClaim(Fixture &fixture, const VersionedRecord &record)
 {
     const auto asked = only<AskOpinions>(fixture.promoter.onSuspicion(fixture.suspicion, 4, fixture.at(0)));
     fixture.promoter.onOpinion(asked[0].attempt, "c", true, fixture.at(0));
@@ -199,7 +199,7 @@
     BOOST_REQUIRE_EQUAL(claims.size(), 1U);
     BOOST_TEST(claims[0].expectedVersion == record.version);
     BOOST_TEST(claims[0].record.claimHolder == "10.0.0.2/1");
-    return asked[0].attempt;
+    return claims[0];
 }
 
 BOOST_AUTO_TEST_CASE(AreSkippedWhenTheStoreDoesNotAnswer)
@@ -211,14 +211,11 @@
 
 BOOST_AUTO_TEST_CASE(WhoseAnswerIsLostAreReadBack)
 {
-    const AttemptId claiming = reachClaim(*this, {9, {}});
-    const auto reads = only<ReadRecord>(promoter.onClaim(claiming, {ClaimResult::LostAnswer, {}}, at(2)));
+    const ClaimInStore claim = reachClaim(*this, {9, {}});
+    const auto reads = only<ReadRecord>(promoter.onClaim(claim.attempt, {ClaimResult::LostAnswer, {}}, at(2)));
     BOOST_REQUIRE_EQUAL(reads.size(), 1U);
-    GroupRecord mine;
-    mine.claimToken = "10.0.0.2/1/b/1";
-    mine.claimHolder = "10.0.0.2/1";
-    mine.claimedOver = 4;
-    BOOST_TEST(only<SendFence>(promoter.onRecordRead(claiming, VersionedRecord{10, mine}, at(3))).size() == 3U);
+    const VersionedRecord standing{10, claim.record};
+    BOOST_TEST(only<SendFence>(promoter.onRecordRead(claim.attempt, standing, at(3))).size() == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(OfOthersAreRespectedForAWhileOnly)
@@ -251,7 +248,7 @@
 
 BOOST_AUTO_TEST_CASE(ThatConflictWithAMereAnnouncementAreMadeAgain)
 {
-    const AttemptId claiming = reachClaim(*this, {9, {}});
+    const AttemptId claiming = reachClaim(*this, {9, {}}).attempt;
     GroupRecord announced;
     announced.term = 4;
     announced.primary = "a";
@@ -277,6 +274,17 @@
     BOOST_TEST((ended[0].reason == GiveUpReason::NoMajority));
 }
 
+BOOST_AUTO_TEST_CASE(OfTwoPromotersOfOneProcessCarryDifferentTokens)
+{
+    reachFences();
+    const std::string first = token;
+    Promoter next{{"bookings", "b", "10.0.0.2/1"}, {{"b", "zone-b", false}}, 7};
+    const auto asked = only<ReadRecord>(next.onSuspicion(suspicion, 4, at(700)));
+    BOOST_REQUIRE_EQUAL(asked.size(), 1U);
+    remember(next.onRecordRead(asked[0].attempt, std::nullopt, at(700)));
+    BOOST_TEST(token != first, "a home that moves away and back must not share promises with its former promoter");
+}
+
 BOOST_AUTO_TEST_CASE(CountAMemberOnceHoweverOftenItAnswers)
 {
     reachFences();
