--- a/src/core/promoter.cpp
+++ b/src/core/promoter.cpp
@@ -35,6 +35,7 @@
 
 PromoterActions Promoter::onSuspicion(const Suspicion &suspicion, Term highestPromised, TimePoint now)
 {
+    noteSuspicion(suspicion, now);
     if (running() || now < m_backoffUntil) {
         return {};
     }
@@ -65,12 +66,11 @@
 
 PromoterActions Promoter::onOpinion(AttemptId attempt, const std::string &fromHome, bool agrees, TimePoint now)
 {
-    const bool known = std::ranges::find(m_members, fromHome, &MemberSpec::upstream) != m_members.end();
-    if (!current(attempt, Phase::AskingOpinions) || !known || fromHome == m_identity.home) {
+    if (!current(attempt, Phase::AskingOpinions) || !isMember(fromHome) || fromHome == m_identity.home) {
         return {};
     }
     (agrees ? m_agreeing : m_disagreeing).insert(fromHome);
-    if (m_agreeing.size() >= majority()) {
+    if (agreed(now)) {
         return enterStore(now);
     }
     if (m_members.size() - m_disagreeing.size() < majority()) {
@@ -168,7 +168,10 @@
 PromoterActions Promoter::onGroup(const GroupSnapshot &snapshot, const std::vector<MemberStatus> &statuses, TimePoint now)
 {
     PromoterActions actions;
-    if (const auto reason = running() ? overtaken(snapshot) : std::nullopt) {
+    const bool promoted = m_phase == Phase::Promoting && snapshot.term == m_term && snapshot.primary == m_candidate;
+    if (promoted) {
+        actions = succeed(now); // only the answer was lost
+    } else if (const auto reason = running() ? overtaken(snapshot) : std::nullopt) {
         actions = giveUp(*reason, now);
     }
     const bool newPrimary = !snapshot.primary.empty() && snapshot.term > m_suspicion.term;
@@ -220,6 +223,7 @@
     m_strandedSince.reset();
     m_renewal = false;
     m_unfinished = false;
+    m_suspectedUntil = {};
     return running() ? giveUp(GiveUpReason::ClockGap, now) : PromoterActions{};
 }
 
@@ -270,6 +274,35 @@
     return m_members.size() / 2 + 1;
 }
 
+void Promoter::noteSuspicion(const Suspicion &suspicion, TimePoint now)
+{
+    const bool same = suspicion.primary == m_suspected && suspicion.term == m_suspectedTerm;
+    if (!same || now > m_suspectedUntil) {
+        m_suspectedSince = now;
+    }
+    m_suspected = suspicion.primary;
+    m_suspectedTerm = suspicion.term;
+    m_suspectedUntil = now + suspicionSpacing;
+}
+
+// What goes wrong with the majority's opinion alone: a primary that is cut off from
+// its own zone only is well in the eyes of all other homes, yet no write reaches it,
+// since writes go through its home in that zone. So that home needs less: answers of
+// a majority of homes, which show that it is not the one that is cut off, and more
+// patience, since it judges alone.
+bool Promoter::agreed(TimePoint now) const
+{
+    const bool ownPrimary = m_homes.contains(m_suspicion.primary);
+    const bool patient = now - m_suspectedSince >= m_options.loneHomePatience;
+    const std::size_t heard = m_agreeing.size() + (ownPrimary && patient ? m_disagreeing.size() : 0);
+    return heard >= majority();
+}
+
+bool Promoter::isMember(const std::string &upstream) const
+{
+    return std::ranges::find(m_members, upstream, &MemberSpec::upstream) != m_members.end();
+}
+
 bool Promoter::isLeaving(const std::string &upstream) const
 {
     const auto found = std::ranges::find(m_members, upstream, &MemberSpec::upstream);
@@ -293,19 +326,26 @@
     m_startedAt = now;
     m_retries = 0;
     m_preferred.clear();
-    m_agreeing = {m_identity.home};
+    m_agreeing.clear();
     m_disagreeing.clear();
-    newToken();
+    if (isMember(m_identity.home)) {
+        m_agreeing.insert(m_identity.home);
+    }
+    newToken(now);
 }
 
 // Numbers the next attempt and names it. A token names one attempt of one start of
 // one host: were it shared, a member's promise to one promoter would count for
-// another, and one term could get two primaries.
-void Promoter::newToken()
+// another, and one term could get two primaries. The time keeps apart the attempts
+// of two promoters that one process makes for the same home, one after the other.
+void Promoter::newToken(TimePoint now)
 {
     ++m_attempt;
-    m_token = m_options.faults.sharedToken ? "shared"
-                                           : m_identity.incarnation + "/" + m_identity.home + "/" + std::to_string(m_attempt);
+    const std::string instant = std::to_string(now.time_since_epoch().count());
+    m_token = m_identity.incarnation + "/" + m_identity.home + "/" + std::to_string(m_attempt) + "@" + instant;
+    if (m_options.faults.sharedToken) {
+        m_token = "shared";
+    }
 }
 
 void Promoter::endAttempt()
@@ -494,7 +534,7 @@
     }
     ++m_retries;
     m_highestPromised = std::max(m_highestPromised, m_term);
-    newToken();
+    newToken(now);
     return beginFence(now);
 }
 
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -104,6 +104,15 @@
     BOOST_TEST(only<ReadRecord>(promoter.onOpinion(asked[0].attempt, "c", true, at(1))).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(OfAHomeWhoseUpstreamWasRemovedDoNotCount)
+{
+    promoter.setMembers({{"a", "zone-a", false}, {"c", "zone-c", false}, {"d", "zone-d", false}}, at(0));
+    const auto asked = only<AskOpinions>(promoter.onSuspicion(suspicion, 4, at(0)));
+    BOOST_REQUIRE_EQUAL(asked.size(), 1U);
+    BOOST_TEST(promoter.onOpinion(asked[0].attempt, "c", true, at(1)).empty());
+    BOOST_TEST(only<ReadRecord>(promoter.onOpinion(asked[0].attempt, "d", true, at(1))).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ThatDoNotComeStopTheAttempt)
 {
     promoter.onSuspicion(suspicion, 4, at(0));
@@ -122,6 +131,46 @@
     BOOST_TEST(only<GiveUp>(promoter.onOpinion(asked[0].attempt, "c", false, at(1))).size() == 1U);
 }
 
+// Symptom: no write goes through although the primary and all hosts are well.
+// Sequence: the network cuts the primary off from its own zone only. Its home there
+// suspects it and asks; the other homes reach it and disagree, for ever.
+// Cause: a majority's view of the primary, while writes go through one home.
+BOOST_AUTO_TEST_CASE(OfOthersDoNotBindThePrimarysOwnHomeForEver)
+{
+    const Suspicion own{SuspicionReason::PrimarySilent, "b", 4};
+    bool reached = false;
+    for (int milliseconds = 0; milliseconds <= 2000 && !reached; milliseconds += 50) {
+        for (const AskOpinions &question : only<AskOpinions>(promoter.onSuspicion(own, 4, at(milliseconds)))) {
+            promoter.onOpinion(question.attempt, "a", false, at(milliseconds));
+            const auto last = promoter.onOpinion(question.attempt, "c", false, at(milliseconds));
+            reached = reached || !only<ReadRecord>(last).empty() || promoter.running();
+            BOOST_TEST((!reached || milliseconds >= 1500), "acted alone after " << milliseconds << " ms");
+        }
+    }
+    BOOST_TEST(reached);
+}
+
+BOOST_AUTO_TEST_CASE(AreNeededEvenByThePrimarysOwnHomeWhenItHearsNobody)
+{
+    const Suspicion own{SuspicionReason::PrimarySilent, "b", 4};
+    for (int milliseconds = 0; milliseconds <= 5000; milliseconds += 50) {
+        promoter.onSuspicion(own, 4, at(milliseconds));
+        BOOST_TEST(only<ReadRecord>(promoter.onTimer(at(milliseconds))).empty(), "a home that is cut off must not act");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(OfOthersBindAHomeWhoseSuspicionComesAndGoes)
+{
+    const Suspicion own{SuspicionReason::PrimarySilent, "b", 4};
+    for (int milliseconds = 0; milliseconds <= 5000; milliseconds += 300) {
+        for (const AskOpinions &question : only<AskOpinions>(promoter.onSuspicion(own, 4, at(milliseconds)))) {
+            promoter.onOpinion(question.attempt, "a", false, at(milliseconds));
+            promoter.onOpinion(question.attempt, "c", false, at(milliseconds));
+        }
+        BOOST_TEST(!promoter.running());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AreDroppedWhenThePrimaryAnswersAgain)
 {
     promoter.onSuspicion(suspicion, 4, at(0));
@@ -141,8 +190,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(Claims, Fixture)
 
-// Runs the attempt to its claim over the given record.
-AttemptId reachClaim(Fixture &fixture, const VersionedRecord &record)
+// Runs the attempt to its claim over the given record; returns the claim.
+ClaimInStore reachClaim(Fixture &fixture, const VersionedRecord &record)
 {
     const auto asked = only<AskOpinions>(fixture.promoter.onSuspicion(fixture.suspicion, 4, fixture.at(0)));
     fixture.promoter.onOpinion(asked[0].attempt, "c", true, fixture.at(0));
@@ -150,7 +199,7 @@
     BOOST_REQUIRE_EQUAL(claims.size(), 1U);
     BOOST_TEST(claims[0].expectedVersion == record.version);
     BOOST_TEST(claims[0].record.claimHolder == "10.0.0.2/1");
-    return asked[0].attempt;
+    return claims[0];
 }
 
 BOOST_AUTO_TEST_CASE(AreSkippedWhenTheStoreDoesNotAnswer)
@@ -162,14 +211,11 @@
 
 BOOST_AUTO_TEST_CASE(WhoseAnswerIsLostAreReadBack)
 {
-    const AttemptId claiming = reachClaim(*this, {9, {}});
-    const auto reads = only<ReadRecord>(promoter.onClaim(claiming, {ClaimResult::LostAnswer, {}}, at(2)));
+    const ClaimInStore claim = reachClaim(*this, {9, {}});
+    const auto reads = only<ReadRecord>(promoter.onClaim(claim.attempt, {ClaimResult::LostAnswer, {}}, at(2)));
     BOOST_REQUIRE_EQUAL(reads.size(), 1U);
-    GroupRecord mine;
-    mine.claimToken = "10.0.0.2/1/b/1";
-    mine.claimHolder = "10.0.0.2/1";
-    mine.claimedOver = 4;
-    BOOST_TEST(only<SendFence>(promoter.onRecordRead(claiming, VersionedRecord{10, mine}, at(3))).size() == 3U);
+    const VersionedRecord standing{10, claim.record};
+    BOOST_TEST(only<SendFence>(promoter.onRecordRead(claim.attempt, standing, at(3))).size() == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(OfOthersAreRespectedForAWhileOnly)
@@ -202,7 +248,7 @@
 
 BOOST_AUTO_TEST_CASE(ThatConflictWithAMereAnnouncementAreMadeAgain)
 {
-    const AttemptId claiming = reachClaim(*this, {9, {}});
+    const AttemptId claiming = reachClaim(*this, {9, {}}).attempt;
     GroupRecord announced;
     announced.term = 4;
     announced.primary = "a";
@@ -228,6 +274,17 @@
     BOOST_TEST((ended[0].reason == GiveUpReason::NoMajority));
 }
 
+BOOST_AUTO_TEST_CASE(OfTwoPromotersOfOneProcessCarryDifferentTokens)
+{
+    reachFences();
+    const std::string first = token;
+    Promoter next{{"bookings", "b", "10.0.0.2/1"}, {{"b", "zone-b", false}}, 7};
+    const auto asked = only<ReadRecord>(next.onSuspicion(suspicion, 4, at(700)));
+    BOOST_REQUIRE_EQUAL(asked.size(), 1U);
+    remember(next.onRecordRead(asked[0].attempt, std::nullopt, at(700)));
+    BOOST_TEST(token != first, "a home that moves away and back must not share promises with its former promoter");
+}
+
 BOOST_AUTO_TEST_CASE(CountAMemberOnceHoweverOftenItAnswers)
 {
     reachFences();
@@ -387,6 +444,17 @@
     BOOST_TEST(only<SendFence>(promoter.onTimer(at(303))).size() == 3U, "after the deadline a new term begins");
 }
 
+BOOST_AUTO_TEST_CASE(WhoseAnswerIsLostAreSeenInTheGroup)
+{
+    reachPromotion();
+    GroupSnapshot snapshot;
+    snapshot.term = term;
+    snapshot.primary = "c";
+    BOOST_TEST(only<Announce>(promoter.onGroup(snapshot, {}, at(5))).size() == 1U);
+    BOOST_TEST(!promoter.running());
+    BOOST_TEST(promoter.onPromote(attempt, granted("c", {5, 12}, UpstreamRole::Primary), at(6)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(ThatAreOvertakenStop)
 {
     reachPromotion();
