--- a/tests/core/requestledger_test.cpp
+++ b/tests/core/requestledger_test.cpp
@@ -231,7 +231,7 @@
         if (m_hops.empty()) {
             return;
         }
-        const HopId id = std::next(m_hops.begin(), detail % m_hops.size())->first;
+        const HopId id = std::next(m_hops.begin(), static_cast<std::ptrdiff_t>(detail % m_hops.size()))->first;
         closeHop(id);
         for (const LedgerAction &action : m_ledger.hopBroken(id, 5ms, m_now)) {
             take(action, action.id);
@@ -254,7 +254,7 @@
         if (m_requests.empty()) {
             return;
         }
-        const std::uint64_t id = std::next(m_requests.begin(), detail % m_requests.size())->first;
+        const std::uint64_t id = std::next(m_requests.begin(), static_cast<std::ptrdiff_t>(detail % m_requests.size()))->first;
         const auto state = m_ledger.state(id);
         const LedgerAction action = m_ledger.giveUp(id, late);
         if (state && action.kind != Kind::Fail) {
--- a/tests/core/slotscheduler_test.cpp
+++ b/tests/core/slotscheduler_test.cpp
@@ -212,7 +212,7 @@
         if (m_inUse.empty()) {
             return;
         }
-        const auto chosen = std::next(m_inUse.begin(), detail % m_inUse.size());
+        const auto chosen = std::next(m_inUse.begin(), static_cast<std::ptrdiff_t>(detail % m_inUse.size()));
         const std::uint64_t id = *chosen;
         m_inUse.erase(chosen);
         m_tickets.erase(id);
