--- a/src/core/slotscheduler.cpp
+++ b/src/core/slotscheduler.cpp
@@ -1,73 +1,43 @@
-// The scheduler itself: admission, the choice of the next ticket, and the
-// prediction of waits on which immediate refusals rest.
+// The decisions of the scheduler: admission, refusal, and the choice of the next
+// ticket. What they rest on is in SlotState.
 
 #include "egrettide/core/slotscheduler.h"
 
 #include "core/classqueue.h"
-#include "core/concurrencylimit.h"
 #include "core/slotmeters.h"
+#include "core/slotstate.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 #include <utility>
 
 namespace egrettide
 {
 
 using detail::ClassQueue;
+using detail::InUse;
 using detail::Lane;
 using detail::Seconds;
+using detail::TenantState;
 using detail::TicketLane;
-using detail::UsageMeter;
+using detail::toNanoseconds;
 using detail::WaitingTicket;
 
 namespace
 {
 
-// Class names that no configuration knows get a queue of their own up to here;
-// beyond, they share one, so that made-up names cannot fill the memory.
-constexpr std::size_t maximumClasses = 256;
-constexpr const char *overflowClass = "";
-// While a slot is lent for long, its owner counts as about for this long.
-constexpr milliseconds ownerPresence{2000};
 // How often queued tickets are compared with the prediction again.
 constexpr milliseconds recheckInterval{50};
 // A queued ticket is given up by prediction only when it would be late by this
 // factor, because predictions err both ways.
 constexpr double predictionSlack = 1.25;
-// The least part of the slots that a class is taken to get in the long run.
-constexpr double leastPart = 0.05;
 // Refused callers are asked back at this part of the drain rate, which leaves the
 // rest to callers that come for the first time.
 constexpr double appointmentPart = 0.5;
 constexpr milliseconds shortestRetryAfter{1};
 
-std::chrono::nanoseconds toNanoseconds(double seconds)
-{
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(Seconds(seconds));
-}
-
-struct InUse {
-    std::string className;
-    std::string tenant;
-    // Slot time that was charged on admission, by the estimate.
-    double charged = 0;
-    // True when it was charged to the reservation as well.
-    bool fromReservation = false;
-    // True when it counts for the share of its tenant.
-    bool isShareLimited = false;
-};
-
-// What a tenant with a limited share uses.
-struct TenantState {
-    UsageMeter usage;
-    int inUse = 0;
-};
-
 } // namespace
 
 class SlotScheduler::Impl
@@ -83,16 +53,8 @@
     bool withdraw(std::uint64_t id);
     std::vector<TicketRefusal> drainAll(const Error &error);
     TimePoint nextEventAt() const;
-    double expectedWaitSeconds(const ClassQueue &queue, Lane lane, TimePoint deadline, TimePoint now) const;
-    const ClassQueue *findClass(std::string_view name) const;
 
-    SlotSchedulerOptions m_options;
-    bool m_paused = false;
-    int m_queued = 0;
-    // Statements in use. Invariant: size <= slots + limitMargin.
-    absl::flat_hash_map<std::uint64_t, InUse> m_inUse;
-    detail::ConcurrencyLimit m_limit;
-    detail::ServiceEstimate m_service;
+    detail::SlotState m_state;
 
 private:
     struct Pick {
@@ -101,15 +63,7 @@
         bool fromReservation = false;
     };
 
-    ClassQueue &classOf(std::string_view name);
-    const TenantSpec *tenantSpec(const std::string &name) const;
-    void applyClasses();
-    void applyTenants();
-
     // Admission.
-    void place(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now);
-    WaitingTicket unplace(ClassQueue &queue, Lane lane, std::uint64_t id);
-    bool isShareLimited(const std::string &tenant) const;
     bool isDuplicate(const StatementTicket &ticket) const;
     std::optional<Error> refusalWhileBlocked(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now);
     std::optional<Error> refusalFor(ClassQueue &queue, const StatementTicket &ticket, TimePoint now);
@@ -124,104 +78,25 @@
     const WaitingTicket *candidate(ClassQueue &queue, TimePoint now);
     bool goesBefore(const Pick &left, const Pick &right) const;
     void admit(const Pick &pick, TimePoint now, SlotActions &actions);
-    bool isLaneOpen(const ClassQueue &queue, Lane lane) const;
-    bool mayOpenTransaction(const ClassQueue &queue) const;
-    int reservedTransactions(const ClassQueue &queue) const;
-    int heldBackFrom(const ClassQueue &queue, TimePoint now) const;
-    bool standsBack(const std::string &tenant, TimePoint now) const;
-    bool isStalled(TimePoint now) const;
     void accrueAll(TimePoint now);
 
-    // Prediction.
-    double serviceSeconds(const ClassQueue &queue) const;
-    double stalledSeconds(TimePoint now) const;
-    double tenantWaitSeconds(const ClassQueue &queue, Lane lane, const std::string &tenant, TimePoint now) const;
-    TimePoint latestStart(const ClassQueue &queue, Lane lane, TimePoint deadline) const;
-    double slotsFor(const ClassQueue &queue, TimePoint now) const;
-    std::size_t countAhead(const TicketLane &tickets, TimePoint deadline, TimePoint now) const;
-    double workAhead(const ClassQueue &queue, Lane lane, TimePoint deadline, TimePoint now) const;
-    double unreservedSlots() const;
+    // Refusal of what already waits.
     void refuseHopeless(SlotActions &actions, TimePoint now);
     void refuseExpired(ClassQueue &queue, Lane lane, SlotActions &actions, TimePoint now);
     void refusePredicted(ClassQueue &queue, SlotActions &actions, TimePoint now);
     void refuse(ClassQueue &queue, std::uint64_t id, Lane lane, Error error, SlotActions &actions);
 
-    std::map<std::string, ClassQueue, std::less<>> m_classes;
-    absl::flat_hash_map<std::string, TenantSpec> m_tenantSpecs;
-    // Tenants whose share is limited, and those that were until their last statement.
-    absl::flat_hash_map<std::string, TenantState> m_tenants;
-    // Where each waiting ticket is.
-    absl::flat_hash_map<std::uint64_t, std::pair<std::string, Lane>> m_places;
-    // Waiting tickets of each tenant whose share is limited.
-    absl::flat_hash_map<std::string, int> m_limitedQueued;
-    std::uint64_t m_nextSequence = 0;
-    int m_openTransactions = 0;
-    // The last time a slot was taken or given back; a stall counts from here.
-    TimePoint m_progressAt = TimePoint::min();
+    // When queued tickets are compared with the prediction again.
     TimePoint m_nextRecheck = TimePoint::min();
 };
 
-SlotScheduler::Impl::Impl(SlotSchedulerOptions options)
-    : m_options(std::move(options))
-    , m_limit(m_options.limitPolicy, m_options.slots)
-    , m_service(Seconds(m_options.initialServiceTime).count())
+SlotScheduler::Impl::Impl(SlotSchedulerOptions options) : m_state(std::move(options))
 {
-    applyClasses();
-    applyTenants();
-}
-
-void SlotScheduler::Impl::applyClasses()
-{
-    for (auto &[name, queue] : m_classes) {
-        ClassSpec unreserved;
-        unreserved.name = name;
-        queue.setSpec(unreserved);
-    }
-    for (const ClassSpec &spec : m_options.classes) {
-        classOf(spec.name).setSpec(spec);
-    }
-}
-
-void SlotScheduler::Impl::applyTenants()
-{
-    m_tenantSpecs.clear();
-    for (const TenantSpec &spec : m_options.tenants) {
-        m_tenantSpecs[spec.name] = spec;
-    }
-    absl::erase_if(m_tenants, [this](const auto &entry) { return entry.second.inUse == 0 && !isShareLimited(entry.first); });
-}
-
-ClassQueue &SlotScheduler::Impl::classOf(std::string_view name)
-{
-    const auto found = m_classes.find(name);
-    if (found != m_classes.end()) {
-        return found->second;
-    }
-    const std::string key(m_classes.size() < maximumClasses ? name : std::string_view(overflowClass));
-    ClassSpec spec;
-    spec.name = key;
-    const double initial = Seconds(m_options.initialServiceTime).count();
-    return m_classes.try_emplace(key, std::move(spec), initial).first->second;
-}
-
-const ClassQueue *SlotScheduler::Impl::findClass(std::string_view name) const
-{
-    const auto found = m_classes.find(name);
-    return found == m_classes.end() ? nullptr : &found->second;
-}
-
-const TenantSpec *SlotScheduler::Impl::tenantSpec(const std::string &name) const
-{
-    const auto found = m_tenantSpecs.find(name);
-    return found == m_tenantSpecs.end() ? nullptr : &found->second;
 }
 
 SlotActions SlotScheduler::Impl::configure(SlotSchedulerOptions options, TimePoint now)
 {
-    m_options = std::move(options);
-    m_limit.configure(m_options.limitPolicy, m_options.slots);
-    applyClasses();
-    applyTenants();
+    m_state.configure(std::move(options));
     SlotActions actions;
     dispatch(actions, now);
     return actions;
@@ -229,7 +104,7 @@
 
 bool SlotScheduler::Impl::isDuplicate(const StatementTicket &ticket) const
 {
-    return m_places.contains(ticket.id) || m_inUse.contains(ticket.id);
+    return m_state.places.contains(ticket.id) || m_state.inUse.contains(ticket.id);
 }
 
 Admission SlotScheduler::Impl::enqueue(const StatementTicket &ticket, TimePoint now)
@@ -238,17 +113,17 @@
         return {AdmissionState::Refused,
                 Error{ErrorKind::InvalidInput, "The ticket is here already; give each statement an id of its own."}};
     }
-    ClassQueue &queue = classOf(ticket.className);
+    ClassQueue &queue = m_state.classOf(ticket.className);
     queue.lastSeen = now;
-    queue.offered.add(serviceSeconds(queue), now);
+    queue.offered.add(m_state.serviceSeconds(queue), now);
     if (auto error = refusalFor(queue, ticket, now)) {
         return {AdmissionState::Refused, std::move(error)};
     }
     const Lane lane = detail::laneOf(ticket);
-    if (m_queued == 0) {
+    if (m_state.queuedTickets == 0) {
         m_nextRecheck = now + recheckInterval;
     }
-    place(queue, lane, ticket, now);
+    m_state.place(queue, lane, ticket, now);
 
     // Only this ticket may go here, as the caller learns of no other. Should another
     // have become admissible by the mere passing of time, expire() is due at once.
@@ -266,37 +141,9 @@
     return {AdmissionState::Admitted, std::nullopt};
 }
 
-void SlotScheduler::Impl::place(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now)
-{
-    queue.lane(lane).insert({ticket, {ticket.deadline, m_nextSequence++}, now});
-    m_places.emplace(ticket.id, std::make_pair(queue.spec().name, lane));
-    ++m_queued;
-    if (isShareLimited(ticket.tenant)) {
-        ++m_limitedQueued[ticket.tenant];
-    }
-}
-
-WaitingTicket SlotScheduler::Impl::unplace(ClassQueue &queue, Lane lane, std::uint64_t id)
-{
-    WaitingTicket taken = *queue.lane(lane).take(id);
-    m_places.erase(id);
-    --m_queued;
-    const auto limited = m_limitedQueued.find(taken.tenant());
-    if (limited != m_limitedQueued.end() && --limited->second <= 0) {
-        m_limitedQueued.erase(limited);
-    }
-    return taken;
-}
-
-bool SlotScheduler::Impl::isShareLimited(const std::string &tenant) const
-{
-    const TenantSpec *spec = tenantSpec(tenant);
-    return spec != nullptr && spec->share < 1;
-}
-
 std::optional<Error> SlotScheduler::Impl::refusalFor(ClassQueue &queue, const StatementTicket &ticket, TimePoint now)
 {
-    if (m_options.faults.ignoreDeadlines) {
+    if (m_state.options.faults.ignoreDeadlines) {
         return std::nullopt;
     }
     if (ticket.deadline <= now) {
@@ -304,8 +151,8 @@
                      "The deadline had passed on arrival; nothing was sent. Ask again with a longer timeout."};
     }
     const Lane lane = detail::laneOf(ticket);
-    if (m_queued >= m_options.maximumQueued) {
-        const double wait = m_queued * m_service.recent() / m_limit.current();
+    if (m_state.queuedTickets >= m_state.options.maximumQueued) {
+        const double wait = m_state.queuedTickets * m_state.overallService.recent() / m_state.concurrency.current();
         return overloaded(queue, wait, ticket.deadline, now, "the queue is full");
     }
     if (lane == Lane::Continuation) {
@@ -313,25 +160,25 @@
         // away by a guess.
         return std::nullopt;
     }
-    if (!isLaneOpen(queue, lane)) {
+    if (!m_state.isLaneOpen(queue, lane)) {
         return refusalWhileBlocked(queue, lane, ticket, now);
     }
-    const double wait =
-        std::max(expectedWaitSeconds(queue, lane, ticket.deadline, now), tenantWaitSeconds(queue, lane, ticket.tenant, now));
+    const double wait = std::max(m_state.expectedWaitSeconds(queue, lane, ticket.deadline, now),
+                                 m_state.tenantWaitSeconds(queue, lane, ticket.tenant, now));
     // A backlog that shrinks, as after a pause, is no overload: its tickets and the
     // arrivals behind them are all answered in time.
-    const bool waitsTooLong = Seconds(wait) > m_options.standingTarget;
-    const bool asksTooMuch = queue.offered.average(now) > slotsFor(queue, now);
-    queue.noteArrival(waitsTooLong, asksTooMuch, m_options.standingInterval, now);
+    const bool waitsTooLong = Seconds(wait) > m_state.options.standingTarget;
+    const bool asksTooMuch = queue.offered.average(now) > m_state.slotsFor(queue, now);
+    queue.noteArrival(waitsTooLong, asksTooMuch, m_state.options.standingInterval, now);
     if (wait <= 0) {
         return std::nullopt;
     }
-    if (now + toNanoseconds(wait + serviceSeconds(queue)) > ticket.deadline) {
+    if (now + toNanoseconds(wait + m_state.serviceSeconds(queue)) > ticket.deadline) {
         return overloaded(queue, wait, ticket.deadline, now, "no slot frees within the deadline");
     }
-    const bool bounded = m_options.discipline == QueueDiscipline::BoundedStanding && queue.isOverloaded();
+    const bool bounded = m_state.options.discipline == QueueDiscipline::BoundedStanding && queue.isOverloaded();
     if (bounded && waitsTooLong) {
-        return overloaded(queue, wait, now + m_options.standingTarget, now, "more arrives than the upstream can answer");
+        return overloaded(queue, wait, now + m_state.options.standingTarget, now, "more arrives than the upstream can answer");
     }
     return std::nullopt;
 }
@@ -341,8 +188,8 @@
 {
     // Nobody can say when a pause ends or a transaction does. But what could not be
     // answered in time if it ended now is hopeless, and its caller hears so now.
-    const double wait = workAhead(queue, lane, ticket.deadline, now) / slotsFor(queue, now);
-    if (now + toNanoseconds(wait) <= latestStart(queue, lane, ticket.deadline)) {
+    const double wait = m_state.workAhead(queue, lane, ticket.deadline, now) / m_state.slotsFor(queue, now);
+    if (now + toNanoseconds(wait) <= m_state.latestStart(queue, lane, ticket.deadline)) {
         return std::nullopt;
     }
     return overloaded(queue, wait, ticket.deadline, now, "too much waits for writes or transactions to go on");
@@ -363,10 +210,10 @@
 milliseconds SlotScheduler::Impl::retryAfter(ClassQueue &queue, double waitSeconds, TimePoint deadline, TimePoint now)
 {
     const double excess = waitSeconds - Seconds(deadline - now).count();
-    const double service = serviceSeconds(queue);
+    const double service = m_state.serviceSeconds(queue);
     const auto earliest = now + toNanoseconds(std::max(excess, service));
-    const auto step = toNanoseconds(service / (slotsFor(queue, now) * appointmentPart));
-    const TimePoint latest = now + m_options.maximumRetryAfter;
+    const auto step = toNanoseconds(service / (m_state.slotsFor(queue, now) * appointmentPart));
+    const TimePoint latest = now + m_state.options.maximumRetryAfter;
     queue.nextAppointment = std::min(std::max(queue.nextAppointment, earliest) + step, latest);
     const auto wait = std::chrono::ceil<milliseconds>(queue.nextAppointment - now);
     return std::max(wait, shortestRetryAfter);
@@ -375,16 +222,16 @@
 SlotActions SlotScheduler::Impl::finished(std::uint64_t id, TimePoint now, std::chrono::nanoseconds serviceTime)
 {
     SlotActions actions;
-    const auto found = m_inUse.find(id);
-    if (found == m_inUse.end()) {
+    const auto found = m_state.inUse.find(id);
+    if (found == m_state.inUse.end()) {
         return actions;
     }
     const InUse done = found->second;
-    const int inUse = static_cast<int>(m_inUse.size());
-    m_inUse.erase(found);
-    m_progressAt = now;
+    const int inUse = static_cast<int>(m_state.inUse.size());
+    m_state.inUse.erase(found);
+    m_state.progressAt = now;
 
-    ClassQueue &queue = classOf(done.className);
+    ClassQueue &queue = m_state.classOf(done.className);
     --queue.inUse;
     const double seconds = Seconds(serviceTime).count();
     const double correction = seconds - done.charged;
@@ -393,14 +240,14 @@
         queue.spend(correction);
     }
     if (done.isShareLimited) {
-        TenantState &tenant = m_tenants[done.tenant];
+        TenantState &tenant = m_state.tenants[done.tenant];
         tenant.usage.add(correction, now);
         --tenant.inUse;
     }
     if (seconds > 0) {
         queue.service.add(seconds);
-        m_service.add(seconds);
-        m_limit.sample(queue.service.slowdown(), inUse);
+        m_state.overallService.add(seconds);
+        m_state.concurrency.sample(queue.service.slowdown(), inUse);
     }
     dispatch(actions, now);
     return actions;
@@ -408,10 +255,10 @@
 
 SlotActions SlotScheduler::Impl::transactionEnded(std::string_view className, TimePoint now)
 {
-    ClassQueue &queue = classOf(className);
+    ClassQueue &queue = m_state.classOf(className);
     if (queue.openTransactions > 0) {
         --queue.openTransactions;
-        --m_openTransactions;
+        --m_state.openTransactions;
     }
     SlotActions actions;
     dispatch(actions, now);
@@ -423,7 +270,7 @@
     SlotActions actions;
     dispatch(actions, now);
     if (now >= m_nextRecheck) {
-        for (auto &[name, queue] : m_classes) {
+        for (auto &[name, queue] : m_state.classes) {
             refusePredicted(queue, actions, now);
         }
         m_nextRecheck = now + recheckInterval;
@@ -433,19 +280,19 @@
 
 bool SlotScheduler::Impl::withdraw(std::uint64_t id)
 {
-    const auto found = m_places.find(id);
-    if (found == m_places.end()) {
+    const auto found = m_state.places.find(id);
+    if (found == m_state.places.end()) {
         return false;
     }
     const auto [className, lane] = found->second;
-    unplace(classOf(className), lane, id);
+    m_state.unplace(m_state.classOf(className), lane, id);
     return true;
 }
 
 std::vector<TicketRefusal> SlotScheduler::Impl::drainAll(const Error &error)
 {
     SlotActions actions;
-    for (auto &[name, queue] : m_classes) {
+    for (auto &[name, queue] : m_state.classes) {
         for (const Lane lane : detail::allLanes) {
             while (const WaitingTicket *waiting = queue.lane(lane).first()) {
                 refuse(queue, waiting->id(), lane, error, actions);
@@ -466,22 +313,22 @@
 
 void SlotScheduler::Impl::accrueAll(TimePoint now)
 {
-    for (auto &[name, queue] : m_classes) {
-        queue.accrue(m_limit.current(), now);
+    for (auto &[name, queue] : m_state.classes) {
+        queue.accrue(m_state.concurrency.current(), now);
     }
 }
 
 std::optional<SlotScheduler::Impl::Pick> SlotScheduler::Impl::pickNext(TimePoint now)
 {
-    if (m_options.faults.skipDispatch && m_nextSequence % 3 == 0) {
+    if (m_state.options.faults.skipDispatch && m_state.nextSequence % 3 == 0) {
         return std::nullopt;
     }
-    const int inUse = static_cast<int>(m_inUse.size());
-    const bool hasSlot = inUse < m_limit.current() || m_options.faults.ignoreLimit;
+    const int inUse = static_cast<int>(m_state.inUse.size());
+    const bool hasSlot = inUse < m_state.concurrency.current() || m_state.options.faults.ignoreLimit;
     // When every slot waits for a lock that an open transaction holds, only that
     // transaction's next statement can end the wait. One notices slots full and no
     // answer at all. So it goes above the limit, by a margin, after a stall.
-    const bool mayExceed = isStalled(now) && inUse < m_options.slots + m_options.limitMargin;
+    const bool mayExceed = m_state.isStalled(now) && inUse < m_state.options.slots + m_state.options.limitMargin;
     if (hasSlot || mayExceed) {
         if (auto pick = pickContinuation()) {
             return pick;
@@ -495,7 +342,7 @@
     // Open transactions go before everything: they hold a connection and perhaps
     // locks that others, also of higher priority, wait for.
     std::optional<Pick> best;
-    for (auto &[name, queue] : m_classes) {
+    for (auto &[name, queue] : m_state.classes) {
         const WaitingTicket *waiting = queue.lane(Lane::Continuation).first();
         if (waiting == nullptr) {
             continue;
@@ -512,17 +359,17 @@
 {
     std::optional<Pick> best;
     int competing = 0;
-    const int free = m_limit.current() - static_cast<int>(m_inUse.size());
-    for (auto &[name, queue] : m_classes) {
+    const int free = m_state.concurrency.current() - static_cast<int>(m_state.inUse.size());
+    for (auto &[name, queue] : m_state.classes) {
         const WaitingTicket *waiting = candidate(queue, now);
         if (waiting == nullptr) {
             continue;
         }
-        if (free <= heldBackFrom(queue, now) && !m_options.faults.ignoreLimit) {
+        if (free <= m_state.heldBackFrom(queue, now) && !m_state.options.faults.ignoreLimit) {
             continue;
         }
         ++competing;
-        const Pick pick{&queue, waiting, queue.isInCredit() && !m_options.faults.ignoreReservations};
+        const Pick pick{&queue, waiting, queue.isInCredit() && !m_state.options.faults.ignoreReservations};
         if (!best || goesBefore(pick, *best)) {
             best = pick;
         }
@@ -549,11 +396,11 @@
 
 const WaitingTicket *SlotScheduler::Impl::candidate(ClassQueue &queue, TimePoint now)
 {
-    const auto standsBackNow = [this, now](const std::string &tenant) { return standsBack(tenant, now); };
+    const auto standsBackNow = [this, now](const std::string &tenant) { return m_state.standsBack(tenant, now); };
     const WaitingTicket *best = nullptr;
     bool bestStandsBack = false;
     for (const Lane lane : detail::allLanes) {
-        if (lane == Lane::Continuation || queue.lane(lane).empty() || !isLaneOpen(queue, lane)) {
+        if (lane == Lane::Continuation || queue.lane(lane).empty() || !m_state.isLaneOpen(queue, lane)) {
             continue;
         }
         const TicketLane &tickets = queue.lane(lane);
@@ -573,255 +420,63 @@
     ClassQueue &queue = *pick.queue;
     const std::uint64_t id = pick.waiting->id();
     const Lane lane = detail::laneOf(pick.waiting->ticket);
-    const WaitingTicket taken = unplace(queue, lane, id);
-    m_progressAt = now;
+    const WaitingTicket taken = m_state.unplace(queue, lane, id);
+    m_state.progressAt = now;
 
-    const double charged = serviceSeconds(queue);
+    const double charged = m_state.serviceSeconds(queue);
     queue.usage.add(charged, now);
     if (pick.fromReservation) {
         queue.spend(charged);
     }
-    const bool limited = isShareLimited(taken.tenant());
+    const bool limited = m_state.isShareLimited(taken.tenant());
     if (limited) {
-        TenantState &tenant = m_tenants[taken.tenant()];
+        TenantState &tenant = m_state.tenants[taken.tenant()];
         tenant.usage.add(charged, now);
         ++tenant.inUse;
     }
     ++queue.inUse;
     if (detail::opensTransaction(taken.ticket)) {
         ++queue.openTransactions;
-        ++m_openTransactions;
+        ++m_state.openTransactions;
     }
-    m_inUse.emplace(id, InUse{queue.spec().name, taken.tenant(), charged, pick.fromReservation, limited});
-    if (!m_options.faults.dropTickets || id % 7 != 0) {
+    m_state.inUse.emplace(id, InUse{queue.spec().name, taken.tenant(), charged, pick.fromReservation, limited});
+    if (!m_state.options.faults.dropTickets || id % 7 != 0) {
         actions.admitted.push_back(id);
     }
 }
 
-bool SlotScheduler::Impl::isLaneOpen(const ClassQueue &queue, Lane lane) const
-{
-    const bool paused = m_paused && !m_options.faults.ignorePause;
-    switch (lane) {
-    case Lane::Continuation:
-    case Lane::Read:
-        return true;
-    case Lane::Write:
-        return !paused;
-    case Lane::Begin:
-        return !paused && mayOpenTransaction(queue);
-    case Lane::BeginReadOnly:
-        return mayOpenTransaction(queue);
-    }
-    return true;
-}
-
-int SlotScheduler::Impl::reservedTransactions(const ClassQueue &queue) const
-{
-    const double share = queue.spec().reservedShare;
-    return share > 0 ? std::max(1, static_cast<int>(share * m_options.maximumTransactions)) : 0;
-}
-
-bool SlotScheduler::Impl::mayOpenTransaction(const ClassQueue &queue) const
-{
-    if (m_options.faults.ignoreTransactionLimit) {
-        return true;
-    }
-    // Places that reservations of other classes have not taken up stay free: an
-    // open transaction holds its connection for as long as its caller thinks, so a
-    // lent place, unlike a lent slot, would not come back soon.
-    int held = 0;
-    for (const auto &[name, other] : m_classes) {
-        if (&other != &queue) {
-            held += std::max(0, reservedTransactions(other) - other.openTransactions);
-        }
-    }
-    held = std::min(held, m_options.maximumTransactions - 1);
-    return m_openTransactions + held < m_options.maximumTransactions;
-}
-
-int SlotScheduler::Impl::heldBackFrom(const ClassQueue &queue, TimePoint now) const
-{
-    if (m_options.reservationPolicy == ReservationPolicy::TimeShare || m_options.faults.ignoreReservations) {
-        return 0;
-    }
-    const bool lend = m_options.reservationPolicy == ReservationPolicy::Lend;
-    if (lend && Seconds(queue.service.recent()) <= m_options.lendingBound) {
-        return 0;
-    }
-    int held = 0;
-    for (const auto &[name, owner] : m_classes) {
-        const bool about = owner.lastSeen != TimePoint::min() && now < owner.lastSeen + ownerPresence;
-        if (&owner == &queue || owner.spec().reservedShare <= 0 || (lend && !about)) {
-            continue;
-        }
-        const double share = owner.spec().reservedShare * m_limit.current();
-        const int reserved = lend ? std::max(1, static_cast<int>(share)) : static_cast<int>(std::ceil(share));
-        held += std::max(0, reserved - owner.inUse);
-    }
-    return std::min(held, m_limit.current() - 1);
-}
-
-bool SlotScheduler::Impl::standsBack(const std::string &tenant, TimePoint now) const
-{
-    if (!isShareLimited(tenant)) {
-        return false;
-    }
-    const TenantSpec *spec = tenantSpec(tenant);
-    const auto found = m_tenants.find(tenant);
-    if (found == m_tenants.end()) {
-        return false;
-    }
-    const double slots = spec->share * unreservedSlots();
-    return found->second.usage.average(now) > slots || found->second.inUse >= std::max(1, static_cast<int>(std::ceil(slots)));
-}
-
-bool SlotScheduler::Impl::isStalled(TimePoint now) const
-{
-    return now >= m_progressAt + m_options.stallBound;
-}
-
-double SlotScheduler::Impl::serviceSeconds(const ClassQueue &queue) const
-{
-    return queue.service.hasSamples() ? queue.service.recent() : m_service.recent();
-}
-
-double SlotScheduler::Impl::stalledSeconds(TimePoint now) const
-{
-    return m_progressAt == TimePoint::min() || now <= m_progressAt ? 0 : Seconds(now - m_progressAt).count();
-}
-
-double SlotScheduler::Impl::unreservedSlots() const
-{
-    double reserved = 0;
-    for (const auto &[name, queue] : m_classes) {
-        reserved += queue.spec().reservedShare;
-    }
-    return m_limit.current() * std::max(leastPart, 1 - reserved);
-}
-
-double SlotScheduler::Impl::slotsFor(const ClassQueue &queue, TimePoint now) const
-{
-    const double limit = m_limit.current();
-    double slots = limit;
-    for (const auto &[name, other] : m_classes) {
-        if (&other == &queue) {
-            continue;
-        }
-        const double used = other.usage.average(now);
-        if (other.spec().priority > queue.spec().priority) {
-            slots -= used;
-        } else if (other.spec().priority < queue.spec().priority) {
-            slots -= std::min(used, other.spec().reservedShare * limit);
-        }
-    }
-    slots = std::min(slots, limit - heldBackFrom(queue, now));
-    return std::max({slots, queue.spec().reservedShare * limit, leastPart * limit});
-}
-
-std::size_t SlotScheduler::Impl::countAhead(const TicketLane &tickets, TimePoint deadline, TimePoint now) const
-{
-    // Tickets of a tenant that stands back are passed over. Counting them would turn
-    // other tenants away because of one that floods the queue.
-    std::size_t passedOver = 0;
-    for (const auto &[tenant, count] : m_limitedQueued) {
-        if (standsBack(tenant, now)) {
-            passedOver += tickets.countOf(tenant);
-        }
-    }
-    const std::size_t due = tickets.countUpTo(deadline);
-    return due - std::min(due, passedOver);
-}
-
-double SlotScheduler::Impl::workAhead(const ClassQueue &queue, Lane lane, TimePoint deadline, TimePoint now) const
-{
-    double work = 0;
-    for (const auto &[name, other] : m_classes) {
-        const double service = serviceSeconds(other);
-        for (const Lane otherLane : detail::allLanes) {
-            const TicketLane &tickets = other.lane(otherLane);
-            // What is blocked is ahead only of what is blocked as well.
-            if (tickets.empty() || (!isLaneOpen(other, otherLane) && isLaneOpen(queue, lane))) {
-                continue;
-            }
-            const bool goesFirst = otherLane == Lane::Continuation || other.spec().priority > queue.spec().priority;
-            if (goesFirst && lane != Lane::Continuation) {
-                work += static_cast<double>(tickets.size()) * service;
-            } else if (other.spec().priority == queue.spec().priority) {
-                work += static_cast<double>(countAhead(tickets, deadline, now)) * service;
-            }
-        }
-    }
-    return work;
-}
-
-double SlotScheduler::Impl::expectedWaitSeconds(const ClassQueue &queue, Lane lane, TimePoint deadline, TimePoint now) const
-{
-    const int limit = m_limit.current();
-    const int free = limit - static_cast<int>(m_inUse.size());
-    if (free > heldBackFrom(queue, now)) {
-        return 0;
-    }
-    // Slots that gave nothing back for long are slower than their last answers say.
-    const double untilNextSlot = std::max(m_service.recent() / limit, stalledSeconds(now));
-    const double unreserved = workAhead(queue, lane, deadline, now) / slotsFor(queue, now);
-    if (!queue.isInCredit()) {
-        return untilNextSlot + unreserved;
-    }
-    double own = 0;
-    for (const Lane ownLane : detail::allLanes) {
-        if (isLaneOpen(queue, ownLane)) {
-            own += static_cast<double>(countAhead(queue.lane(ownLane), deadline, now)) * serviceSeconds(queue);
-        }
-    }
-    return untilNextSlot + std::min(unreserved, own / (queue.spec().reservedShare * limit));
-}
-
-double SlotScheduler::Impl::tenantWaitSeconds(const ClassQueue &queue, Lane lane, const std::string &tenant, TimePoint now) const
-{
-    if (!standsBack(tenant, now)) {
-        return 0;
-    }
-    const double slots = std::max(leastPart, tenantSpec(tenant)->share) * unreservedSlots();
-    return static_cast<double>(queue.lane(lane).countOf(tenant)) * serviceSeconds(queue) / slots;
-}
-
 void SlotScheduler::Impl::refuseHopeless(SlotActions &actions, TimePoint now)
 {
-    if (m_queued == 0 || m_options.faults.ignoreDeadlines) {
+    if (m_state.queuedTickets == 0 || m_state.options.faults.ignoreDeadlines) {
         return;
     }
-    for (auto &[name, queue] : m_classes) {
+    for (auto &[name, queue] : m_state.classes) {
         for (const Lane lane : detail::allLanes) {
             refuseExpired(queue, lane, actions, now);
         }
     }
 }
 
-TimePoint SlotScheduler::Impl::latestStart(const ClassQueue &queue, Lane lane, TimePoint deadline) const
-{
-    // A statement of an open transaction is tried to the last moment.
-    return lane == Lane::Continuation ? deadline : deadline - toNanoseconds(serviceSeconds(queue));
-}
-
 void SlotScheduler::Impl::refuseExpired(ClassQueue &queue, Lane lane, SlotActions &actions, TimePoint now)
 {
     while (const WaitingTicket *waiting = queue.lane(lane).first()) {
-        if (now < latestStart(queue, lane, waiting->key.deadline)) {
+        if (now < m_state.latestStart(queue, lane, waiting->key.deadline)) {
             return;
         }
-        Error error = overloaded(queue, serviceSeconds(queue), waiting->key.deadline, now, "its deadline can't be met any more");
+        Error error =
+            overloaded(queue, m_state.serviceSeconds(queue), waiting->key.deadline, now, "its deadline can't be met any more");
         refuse(queue, waiting->id(), lane, std::move(error), actions);
     }
 }
 
 void SlotScheduler::Impl::refusePredicted(ClassQueue &queue, SlotActions &actions, TimePoint now)
 {
-    if (m_options.faults.ignoreDeadlines || queue.size() == 0) {
+    if (m_state.options.faults.ignoreDeadlines || queue.size() == 0) {
         return;
     }
     std::vector<std::pair<const WaitingTicket *, Lane>> waiting;
     for (const Lane lane : detail::allLanes) {
-        if (lane == Lane::Continuation || !isLaneOpen(queue, lane)) {
+        if (lane == Lane::Continuation || !m_state.isLaneOpen(queue, lane)) {
             continue;
         }
         for (const WaitingTicket *ticket : queue.lane(lane).inOrder()) {
@@ -831,9 +486,9 @@
     std::sort(waiting.begin(), waiting.end(),
               [](const auto &left, const auto &right) { return left.first->key < right.first->key; });
 
-    const double service = serviceSeconds(queue);
-    const double step = service / slotsFor(queue, now);
-    double wait = expectedWaitSeconds(queue, Lane::Read, TimePoint::min(), now);
+    const double service = m_state.serviceSeconds(queue);
+    const double step = service / m_state.slotsFor(queue, now);
+    double wait = m_state.expectedWaitSeconds(queue, Lane::Read, TimePoint::min(), now);
     for (const auto &[ticket, lane] : waiting) {
         const double remaining = Seconds(ticket->key.deadline - now).count();
         if (wait + service > remaining * predictionSlack) {
@@ -847,28 +502,28 @@
 
 void SlotScheduler::Impl::refuse(ClassQueue &queue, std::uint64_t id, Lane lane, Error error, SlotActions &actions)
 {
-    unplace(queue, lane, id);
+    m_state.unplace(queue, lane, id);
     actions.refused.push_back({id, std::move(error)});
 }
 
 TimePoint SlotScheduler::Impl::nextEventAt() const
 {
-    if (m_queued == 0) {
+    if (m_state.queuedTickets == 0) {
         return TimePoint::max();
     }
     TimePoint next = m_nextRecheck;
     bool continuationWaits = false;
-    for (const auto &[name, queue] : m_classes) {
+    for (const auto &[name, queue] : m_state.classes) {
         continuationWaits = continuationWaits || !queue.lane(Lane::Continuation).empty();
         for (const Lane lane : detail::allLanes) {
             const WaitingTicket *waiting = queue.lane(lane).first();
-            if (waiting != nullptr && !m_options.faults.ignoreDeadlines) {
-                next = std::min(next, latestStart(queue, lane, waiting->key.deadline));
+            if (waiting != nullptr && !m_state.options.faults.ignoreDeadlines) {
+                next = std::min(next, m_state.latestStart(queue, lane, waiting->key.deadline));
             }
         }
     }
-    if (continuationWaits && static_cast<int>(m_inUse.size()) < m_options.slots + m_options.limitMargin) {
-        next = std::min(next, m_progressAt + m_options.stallBound);
+    if (continuationWaits && static_cast<int>(m_state.inUse.size()) < m_state.options.slots + m_state.options.limitMargin) {
+        next = std::min(next, m_state.progressAt + m_state.options.stallBound);
     }
     return next;
 }
@@ -911,18 +566,18 @@
 
 void SlotScheduler::pause()
 {
-    m_impl->m_paused = true;
+    m_impl->m_state.isPaused = true;
 }
 
 SlotActions SlotScheduler::resume(TimePoint now)
 {
-    m_impl->m_paused = false;
+    m_impl->m_state.isPaused = false;
     return m_impl->expire(now);
 }
 
 bool SlotScheduler::isPaused() const
 {
-    return m_impl->m_paused;
+    return m_impl->m_state.isPaused;
 }
 
 std::vector<TicketRefusal> SlotScheduler::drainAll(const Error &error)
@@ -937,43 +592,43 @@
 
 milliseconds SlotScheduler::expectedWait(std::string_view className, TimePoint now) const
 {
-    const ClassQueue unheardOf(ClassSpec{}, Seconds(m_impl->m_options.initialServiceTime).count());
-    const ClassQueue *found = m_impl->findClass(className);
+    const ClassQueue unheardOf(ClassSpec{}, Seconds(m_impl->m_state.options.initialServiceTime).count());
+    const ClassQueue *found = m_impl->m_state.findClass(className);
     const ClassQueue &queue = found == nullptr ? unheardOf : *found;
-    const double seconds = m_impl->expectedWaitSeconds(queue, Lane::Read, now + queue.spec().timeout, now);
+    const double seconds = m_impl->m_state.expectedWaitSeconds(queue, Lane::Read, now + queue.spec().timeout, now);
     return std::chrono::ceil<milliseconds>(Seconds(seconds));
 }
 
 int SlotScheduler::inUse() const
 {
-    return static_cast<int>(m_impl->m_inUse.size());
+    return static_cast<int>(m_impl->m_state.inUse.size());
 }
 
 int SlotScheduler::queued() const
 {
-    return m_impl->m_queued;
+    return m_impl->m_state.queuedTickets;
 }
 
 int SlotScheduler::queued(std::string_view className) const
 {
-    const ClassQueue *queue = m_impl->findClass(className);
+    const ClassQueue *queue = m_impl->m_state.findClass(className);
     return queue == nullptr ? 0 : static_cast<int>(queue->size());
 }
 
 int SlotScheduler::openTransactions(std::string_view className) const
 {
-    const ClassQueue *queue = m_impl->findClass(className);
+    const ClassQueue *queue = m_impl->m_state.findClass(className);
     return queue == nullptr ? 0 : queue->openTransactions;
 }
 
 int SlotScheduler::limit() const
 {
-    return m_impl->m_limit.current();
+    return m_impl->m_state.concurrency.current();
 }
 
 std::chrono::nanoseconds SlotScheduler::serviceTime() const
 {
-    return toNanoseconds(m_impl->m_service.recent());
+    return toNanoseconds(m_impl->m_state.overallService.recent());
 }
 
 } // namespace egrettide
