Carry claims of homes, and what a released home still waited for

Cause: the connection budget of a home asks its zone whether they see it as home, and hands its own wait on. Change: HomeClaim and its reply; more fields in Release and Opinion, appended.

--- a/src/wire/hop_generated.h
+++ b/src/wire/hop_generated.h
@@ -85,6 +85,12 @@
 struct Release;
 struct ReleaseBuilder;
 
+struct HomeClaim;
+struct HomeClaimBuilder;
+
+struct HomeClaimReply;
+struct HomeClaimReplyBuilder;
+
 struct Ping;
 struct PingBuilder;
 
@@ -110,11 +116,13 @@
   HopBody_SwitchoverReply = 15,
   HopBody_Release = 16,
   HopBody_Ping = 17,
+  HopBody_HomeClaim = 18,
+  HopBody_HomeClaimReply = 19,
   HopBody_MIN = HopBody_NONE,
-  HopBody_MAX = HopBody_Ping
+  HopBody_MAX = HopBody_HomeClaimReply
 };
 
-inline const HopBody (&EnumValuesHopBody())[18] {
+inline const HopBody (&EnumValuesHopBody())[20] {
   static const HopBody values[] = {
     HopBody_NONE,
     HopBody_Hello,
@@ -133,13 +141,15 @@
     HopBody_SwitchoverRequest,
     HopBody_SwitchoverReply,
     HopBody_Release,
-    HopBody_Ping
+    HopBody_Ping,
+    HopBody_HomeClaim,
+    HopBody_HomeClaimReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesHopBody() {
-  static const char * const names[19] = {
+  static const char * const names[21] = {
     "NONE",
     "Hello",
     "ExecuteRequest",
@@ -158,13 +168,15 @@
     "SwitchoverReply",
     "Release",
     "Ping",
+    "HomeClaim",
+    "HomeClaimReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameHopBody(HopBody e) {
-  if (flatbuffers::IsOutRange(e, HopBody_NONE, HopBody_Ping)) return "";
+  if (flatbuffers::IsOutRange(e, HopBody_NONE, HopBody_HomeClaimReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesHopBody()[index];
 }
@@ -241,6 +253,14 @@
   static const HopBody enum_value = HopBody_Ping;
 };
 
+template<> struct HopBodyTraits<egrettide::wire::HomeClaim> {
+  static const HopBody enum_value = HopBody_HomeClaim;
+};
+
+template<> struct HopBodyTraits<egrettide::wire::HomeClaimReply> {
+  static const HopBody enum_value = HopBody_HomeClaimReply;
+};
+
 bool VerifyHopBody(flatbuffers::Verifier &verifier, const void *obj, HopBody type);
 bool VerifyHopBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<uint8_t> *types);
 
@@ -1650,7 +1670,10 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_DATABASE = 6,
-    VT_UPSTREAM = 8
+    VT_UPSTREAM = 8,
+    VT_HOME = 10,
+    VT_PRIMARY = 12,
+    VT_TERM = 14
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -1661,6 +1684,15 @@
   const flatbuffers::String *upstream() const {
     return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
   }
+  const flatbuffers::String *home() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOME);
+  }
+  const flatbuffers::String *primary() const {
+    return GetPointer<const flatbuffers::String *>(VT_PRIMARY);
+  }
+  uint64_t term() const {
+    return GetField<uint64_t>(VT_TERM, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -1668,6 +1700,11 @@
            verifier.VerifyString(database()) &&
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
+           VerifyOffset(verifier, VT_HOME) &&
+           verifier.VerifyString(home()) &&
+           VerifyOffset(verifier, VT_PRIMARY) &&
+           verifier.VerifyString(primary()) &&
+           VerifyField<uint64_t>(verifier, VT_TERM, 8) &&
            verifier.EndTable();
   }
 };
@@ -1685,6 +1722,15 @@
   void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
     fbb_.AddOffset(Opinion::VT_UPSTREAM, upstream);
   }
+  void add_home(flatbuffers::Offset<flatbuffers::String> home) {
+    fbb_.AddOffset(Opinion::VT_HOME, home);
+  }
+  void add_primary(flatbuffers::Offset<flatbuffers::String> primary) {
+    fbb_.AddOffset(Opinion::VT_PRIMARY, primary);
+  }
+  void add_term(uint64_t term) {
+    fbb_.AddElement<uint64_t>(Opinion::VT_TERM, term, 0);
+  }
   explicit OpinionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1700,9 +1746,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     flatbuffers::Offset<flatbuffers::String> database = 0,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    flatbuffers::Offset<flatbuffers::String> home = 0,
+    flatbuffers::Offset<flatbuffers::String> primary = 0,
+    uint64_t term = 0) {
   OpinionBuilder builder_(_fbb);
+  builder_.add_term(term);
   builder_.add_id(id);
+  builder_.add_primary(primary);
+  builder_.add_home(home);
   builder_.add_upstream(upstream);
   builder_.add_database(database);
   return builder_.Finish();
@@ -1712,14 +1764,22 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     const char *database = nullptr,
-    const char *upstream = nullptr) {
+    const char *upstream = nullptr,
+    const char *home = nullptr,
+    const char *primary = nullptr,
+    uint64_t term = 0) {
   auto database__ = database ? _fbb.CreateString(database) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto home__ = home ? _fbb.CreateString(home) : 0;
+  auto primary__ = primary ? _fbb.CreateString(primary) : 0;
   return egrettide::wire::CreateOpinion(
       _fbb,
       id,
       database__,
-      upstream__);
+      upstream__,
+      home__,
+      primary__,
+      term);
 }
 
 struct OpinionReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2137,15 +2197,26 @@
 struct Release FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReleaseBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_UPSTREAM = 4
+    VT_UPSTREAM = 4,
+    VT_DATABASE = 6,
+    VT_SETTLED = 8
   };
   const flatbuffers::String *upstream() const {
     return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
   }
+  const flatbuffers::String *database() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATABASE);
+  }
+  bool settled() const {
+    return GetField<uint8_t>(VT_SETTLED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_UPSTREAM) &&
            verifier.VerifyString(upstream()) &&
+           VerifyOffset(verifier, VT_DATABASE) &&
+           verifier.VerifyString(database()) &&
+           VerifyField<uint8_t>(verifier, VT_SETTLED, 1) &&
            verifier.EndTable();
   }
 };
@@ -2157,6 +2228,12 @@
   void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
     fbb_.AddOffset(Release::VT_UPSTREAM, upstream);
   }
+  void add_database(flatbuffers::Offset<flatbuffers::String> database) {
+    fbb_.AddOffset(Release::VT_DATABASE, database);
+  }
+  void add_settled(bool settled) {
+    fbb_.AddElement<uint8_t>(Release::VT_SETTLED, static_cast<uint8_t>(settled), 0);
+  }
   explicit ReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2170,21 +2247,158 @@
 
 inline flatbuffers::Offset<Release> CreateRelease(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    flatbuffers::Offset<flatbuffers::String> database = 0,
+    bool settled = false) {
   ReleaseBuilder builder_(_fbb);
+  builder_.add_database(database);
   builder_.add_upstream(upstream);
+  builder_.add_settled(settled);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<Release> CreateReleaseDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *upstream = nullptr) {
+    const char *upstream = nullptr,
+    const char *database = nullptr,
+    bool settled = false) {
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  auto database__ = database ? _fbb.CreateString(database) : 0;
   return egrettide::wire::CreateRelease(
       _fbb,
+      upstream__,
+      database__,
+      settled);
+}
+
+struct HomeClaim FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HomeClaimBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_DATABASE = 6,
+    VT_UPSTREAM = 8
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *database() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATABASE);
+  }
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_DATABASE) &&
+           verifier.VerifyString(database()) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           verifier.EndTable();
+  }
+};
+
+struct HomeClaimBuilder {
+  typedef HomeClaim Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(HomeClaim::VT_ID, id, 0);
+  }
+  void add_database(flatbuffers::Offset<flatbuffers::String> database) {
+    fbb_.AddOffset(HomeClaim::VT_DATABASE, database);
+  }
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(HomeClaim::VT_UPSTREAM, upstream);
+  }
+  explicit HomeClaimBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HomeClaim> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HomeClaim>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HomeClaim> CreateHomeClaim(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> database = 0,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0) {
+  HomeClaimBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_upstream(upstream);
+  builder_.add_database(database);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<HomeClaim> CreateHomeClaimDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *database = nullptr,
+    const char *upstream = nullptr) {
+  auto database__ = database ? _fbb.CreateString(database) : 0;
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return egrettide::wire::CreateHomeClaim(
+      _fbb,
+      id,
+      database__,
       upstream__);
 }
 
+struct HomeClaimReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HomeClaimReplyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_AGREES = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  bool agrees() const {
+    return GetField<uint8_t>(VT_AGREES, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_AGREES, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct HomeClaimReplyBuilder {
+  typedef HomeClaimReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(HomeClaimReply::VT_ID, id, 0);
+  }
+  void add_agrees(bool agrees) {
+    fbb_.AddElement<uint8_t>(HomeClaimReply::VT_AGREES, static_cast<uint8_t>(agrees), 0);
+  }
+  explicit HomeClaimReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HomeClaimReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HomeClaimReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HomeClaimReply> CreateHomeClaimReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    bool agrees = false) {
+  HomeClaimReplyBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_agrees(agrees);
+  return builder_.Finish();
+}
+
 struct Ping FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PingBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2300,6 +2514,12 @@
   const egrettide::wire::Ping *body_as_Ping() const {
     return body_type() == egrettide::wire::HopBody_Ping ? static_cast<const egrettide::wire::Ping *>(body()) : nullptr;
   }
+  const egrettide::wire::HomeClaim *body_as_HomeClaim() const {
+    return body_type() == egrettide::wire::HopBody_HomeClaim ? static_cast<const egrettide::wire::HomeClaim *>(body()) : nullptr;
+  }
+  const egrettide::wire::HomeClaimReply *body_as_HomeClaimReply() const {
+    return body_type() == egrettide::wire::HopBody_HomeClaimReply ? static_cast<const egrettide::wire::HomeClaimReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2377,6 +2597,14 @@
   return body_as_Ping();
 }
 
+template<> inline const egrettide::wire::HomeClaim *HopFrame::body_as<egrettide::wire::HomeClaim>() const {
+  return body_as_HomeClaim();
+}
+
+template<> inline const egrettide::wire::HomeClaimReply *HopFrame::body_as<egrettide::wire::HomeClaimReply>() const {
+  return body_as_HomeClaimReply();
+}
+
 struct HopFrameBuilder {
   typedef HopFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2481,6 +2709,14 @@
       auto ptr = reinterpret_cast<const egrettide::wire::Ping *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case HopBody_HomeClaim: {
+      auto ptr = reinterpret_cast<const egrettide::wire::HomeClaim *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case HopBody_HomeClaimReply: {
+      auto ptr = reinterpret_cast<const egrettide::wire::HomeClaimReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -182,7 +182,10 @@
     {
         const auto database = m_builder.CreateString(message.database);
         const auto upstream = m_builder.CreateString(message.upstream);
-        return body(wire::HopBody_Opinion, wire::CreateOpinion(m_builder, message.id, database, upstream));
+        const auto home = m_builder.CreateString(message.home);
+        const auto primary = m_builder.CreateString(message.primary);
+        return body(wire::HopBody_Opinion,
+                    wire::CreateOpinion(m_builder, message.id, database, upstream, home, primary, message.term));
     }
 
     PackedBody operator()(const OpinionReply &message) const
@@ -228,7 +231,21 @@
 
     PackedBody operator()(const Release &message) const
     {
-        return body(wire::HopBody_Release, wire::CreateRelease(m_builder, m_builder.CreateString(message.upstream)));
+        const auto upstream = m_builder.CreateString(message.upstream);
+        const auto database = m_builder.CreateString(message.database);
+        return body(wire::HopBody_Release, wire::CreateRelease(m_builder, upstream, database, message.settled));
+    }
+
+    PackedBody operator()(const HomeClaim &message) const
+    {
+        const auto database = m_builder.CreateString(message.database);
+        const auto upstream = m_builder.CreateString(message.upstream);
+        return body(wire::HopBody_HomeClaim, wire::CreateHomeClaim(m_builder, message.id, database, upstream));
+    }
+
+    PackedBody operator()(const HomeClaimReply &message) const
+    {
+        return body(wire::HopBody_HomeClaimReply, wire::CreateHomeClaimReply(m_builder, message.id, message.agrees));
     }
 
     PackedBody operator()(const Ping &message) const
@@ -510,6 +527,16 @@
     return Announce{text(table.database()), table.term(), text(table.primary())};
 }
 
+Decoded unpack(const wire::Release &table, TimePoint /*now*/)
+{
+    return Release{text(table.upstream()), text(table.database()), table.settled()};
+}
+
+Decoded unpack(const wire::HomeClaim &table, TimePoint /*now*/)
+{
+    return HomeClaim{table.id(), text(table.database()), text(table.upstream())};
+}
+
 Decoded unpackBody(const wire::HopFrame &frame, TimePoint now)
 {
     switch (frame.body_type()) {
@@ -529,7 +556,8 @@
         return unpack(*frame.body_as_Gossip(), now);
     case wire::HopBody_Opinion: {
         const wire::Opinion &opinion = *frame.body_as_Opinion();
-        return Opinion{opinion.id(), text(opinion.database()), text(opinion.upstream())};
+        return Opinion{opinion.id(),         text(opinion.database()), text(opinion.upstream()),
+                       text(opinion.home()), text(opinion.primary()),  opinion.term()};
     }
     case wire::HopBody_OpinionReply: {
         const wire::OpinionReply &reply = *frame.body_as_OpinionReply();
@@ -550,7 +578,11 @@
     case wire::HopBody_SwitchoverReply:
         return unpack(*frame.body_as_SwitchoverReply(), now);
     case wire::HopBody_Release:
-        return Release{text(frame.body_as_Release()->upstream())};
+        return unpack(*frame.body_as_Release(), now);
+    case wire::HopBody_HomeClaim:
+        return unpack(*frame.body_as_HomeClaim(), now);
+    case wire::HopBody_HomeClaimReply:
+        return HomeClaimReply{frame.body_as_HomeClaimReply()->id(), frame.body_as_HomeClaimReply()->agrees()};
     case wire::HopBody_Ping:
         return Ping{frame.body_as_Ping()->number(), frame.body_as_Ping()->answer()};
     case wire::HopBody_NONE:
--- a/src/wire/hopcodec.h
+++ b/src/wire/hopcodec.h
@@ -75,6 +75,11 @@
     std::uint64_t id = 0;
     std::string database;
     std::string upstream;
+    // The upstream whose home is asked, the suspected primary and its term; empty
+    // when the question is about `upstream` alone.
+    std::string home{};
+    std::string primary{};
+    Term term = 0;
 };
 
 struct OpinionReply {
@@ -120,6 +125,22 @@
 // may now use the whole budget.
 struct Release {
     std::string upstream;
+    std::string database{};
+    // False when the sender itself still waited for its own predecessor.
+    bool settled = false;
+};
+
+// Asks a host of the zone whether it, too, sees the sender as the upstream's
+// home: a majority of such answers bounds how many hosts open connections.
+struct HomeClaim {
+    std::uint64_t id = 0;
+    std::string database;
+    std::string upstream;
+};
+
+struct HomeClaimReply {
+    std::uint64_t id = 0;
+    bool agrees = false;
 };
 
 // Keeps a quiet link honest; answered with the same number.
@@ -129,7 +150,8 @@
 };
 
 using HopMessage = std::variant<Hello, ExecuteRequest, ExecuteReply, Cancel, FrontGone, Credit, Gossip, Opinion, OpinionReply,
-                                Announce, ConfigOffer, ConfigPull, ConfigPush, SwitchoverRequest, SwitchoverReply, Release, Ping>;
+                                Announce, ConfigOffer, ConfigPull, ConfigPush, SwitchoverRequest, SwitchoverReply, Release, Ping,
+                                HomeClaim, HomeClaimReply>;
 
 // The whole frame, length included, as it goes onto the socket. `now` turns
 // deadlines into remaining time. Frames above maxFrameBytes are encoded too; the
--- a/tests/core/hopcodec_test.cpp
+++ b/tests/core/hopcodec_test.cpp
@@ -257,8 +257,9 @@
         const auto gone = std::get<FrontGone>(roundTrip(FrontGone{one, number}));
         RC_ASSERT(gone.upstream == one && gone.transaction == number);
         RC_ASSERT(std::get<Credit>(roundTrip(Credit{number})).bytes == number);
-        const auto opinion = std::get<Opinion>(roundTrip(Opinion{number, one, two}));
+        const auto opinion = std::get<Opinion>(roundTrip(Opinion{number, one, two, two, one, number}));
         RC_ASSERT(opinion.id == number && opinion.database == one && opinion.upstream == two);
+        RC_ASSERT(opinion.home == two && opinion.primary == one && opinion.term == number);
         const auto answer = std::get<OpinionReply>(roundTrip(OpinionReply{number, flag, !flag}));
         RC_ASSERT(answer.id == number && answer.suspects == flag && answer.alive == !flag);
         const auto announce = std::get<Announce>(roundTrip(Announce{one, number, two}));
@@ -272,7 +273,12 @@
         const auto failed = std::get<SwitchoverReply>(roundTrip(SwitchoverReply{number, Error{ErrorKind::Conflict, one}}));
         RC_ASSERT(failed.id == number && failed.error->kind == ErrorKind::Conflict && failed.error->message == one);
         RC_ASSERT(!std::get<SwitchoverReply>(roundTrip(SwitchoverReply{number, std::nullopt})).error);
-        RC_ASSERT(std::get<Release>(roundTrip(Release{one})).upstream == one);
+        const auto release = std::get<Release>(roundTrip(Release{one, two, flag}));
+        RC_ASSERT(release.upstream == one && release.database == two && release.settled == flag);
+        const auto claim = std::get<HomeClaim>(roundTrip(HomeClaim{number, one, two}));
+        RC_ASSERT(claim.id == number && claim.database == one && claim.upstream == two);
+        const auto agreed = std::get<HomeClaimReply>(roundTrip(HomeClaimReply{number, flag}));
+        RC_ASSERT(agreed.id == number && agreed.agrees == flag);
         const auto ping = std::get<Ping>(roundTrip(Ping{number, flag}));
         RC_ASSERT(ping.number == number && ping.answer == flag);
     }));
