Split the peer network into requests, dialled and accepted links

Change: peerrequest (rules of outcome), peeroutbound, peerinbound and peernetwork in place of one file of 1300 lines.

--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -123,7 +123,7 @@
 struct MembershipOptions {
     // Peers watched by each host.
     int watched = 3;
-    // Time between two pings of one host in a fleet of up to 32; beyond that it
+    // Time between two pings of one host in a fleet of fewer than 32; beyond that it
     // grows with the logarithm of the size, up to `largestTick`.
     milliseconds tick{200};
     milliseconds largestTick{500};
--- a/include/egrettide/core/placement.h
+++ b/include/egrettide/core/placement.h
@@ -46,7 +46,7 @@
 {
 public:
     // Hosts must be neither dead nor listed twice; the order of both lists does not matter.
-    Placement(std::vector<PlacementHost> hosts, std::vector<PlacementUpstream> upstreams, PlacementOptions options = {});
+    Placement(std::vector<PlacementHost> hosts, const std::vector<PlacementUpstream> &upstreams, PlacementOptions options = {});
 
     // The home of the upstream, nothing when there is no host at all. Upstreams
     // that are not in the list are placed by rendezvous hashing without a bound.
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -64,7 +64,7 @@
     return XXH64(pair.data(), sizeof(pair), keySeed);
 }
 
-Placement::Placement(std::vector<PlacementHost> hosts, std::vector<PlacementUpstream> upstreams, PlacementOptions options)
+Placement::Placement(std::vector<PlacementHost> hosts, const std::vector<PlacementUpstream> &upstreams, PlacementOptions options)
     : m_hosts(std::move(hosts))
 {
     std::sort(m_hosts.begin(), m_hosts.end(), [](const PlacementHost &a, const PlacementHost &b) { return a.name < b.name; });
--- /dev/null
+++ b/src/runtime/peerinbound.cpp
@@ -0,0 +1,194 @@
+// Links that peers dialled, and their requests to this host as home.
+
+#include "runtime/peernetworkstate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace egrettide
+{
+
+namespace
+{
+
+// A dialler closes idle links; an accepted link that is silent for so many idle
+// timeouts has lost its dialler without notice.
+constexpr int silentIdleTimeouts = 2;
+
+} // namespace
+
+void PeerNetwork::State::accept()
+{
+    m_acceptFailed = false;
+    m_acceptor.async_accept([weak = weak_from_this()](const boost::system::error_code &error, tcp::socket socket) {
+        const auto self = weak.lock();
+        if (!self || self->m_stopped || error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            self->m_acceptFailed = true;
+            return;
+        }
+        self->onAccepted(std::move(socket));
+        self->accept();
+    });
+}
+
+void PeerNetwork::State::onAccepted(tcp::socket socket)
+{
+    const std::uint64_t id = ++m_lastLinkId;
+    auto from = std::make_unique<Inbound>();
+    from->peer.link = id;
+    from->acceptedAt = Clock::now();
+    from->link = std::make_shared<PeerLink>(std::move(socket), m_options.queueBytes);
+    PeerLinkHooks hooks;
+    hooks.onMessage = [weak = weak_from_this(), id](hop::HopMessage message, std::size_t bytes) {
+        if (const auto self = weak.lock()) {
+            self->onInboundMessage(id, std::move(message), bytes);
+        }
+    };
+    hooks.onClosed = [weak = weak_from_this(), id] {
+        if (const auto self = weak.lock()) {
+            self->onInboundClosed(id);
+        }
+    };
+    const std::shared_ptr<PeerLink> link = from->link;
+    m_inbound.emplace(id, std::move(from));
+    link->start(std::move(hooks));
+}
+
+bool PeerNetwork::State::onInboundHello(Inbound &from, const hop::HopMessage &message)
+{
+    const auto *hello = std::get_if<hop::Hello>(&message);
+    if (hello == nullptr || from.ready) {
+        return false;
+    }
+    // Answered even to another version, so that the other side can say why.
+    writeMessage(*from.link, m_options.self);
+    if (hello->version != hop::protocolVersion || hello->host.empty()) {
+        return false;
+    }
+    from.ready = true;
+    from.peer.host = hello->host;
+    m_inboundByHost.emplace(hello->host, from.peer.link);
+    writeMessage(*from.link, hop::Credit{m_options.windowBytes});
+    return true;
+}
+
+void PeerNetwork::State::onInboundMessage(std::uint64_t linkId, hop::HopMessage message, std::size_t bytes)
+{
+    const auto found = m_inbound.find(linkId);
+    if (found == m_inbound.end()) {
+        return;
+    }
+    Inbound &from = *found->second;
+    countReceived(message, bytes);
+    if (!from.ready || std::holds_alternative<hop::Hello>(message)) {
+        if (!onInboundHello(from, message)) {
+            from.link->close();
+        }
+    } else if (auto *request = std::get_if<hop::ExecuteRequest>(&message)) {
+        serve(from, std::move(request->request), bytes);
+    } else if (const auto *ping = std::get_if<hop::Ping>(&message)) {
+        if (!ping->answer) {
+            writeMessage(*from.link, hop::Ping{ping->number, true});
+        }
+    } else if (std::holds_alternative<hop::ExecuteReply>(message) || std::holds_alternative<hop::Credit>(message)) {
+        from.link->close();
+    } else {
+        if (const auto *gone = std::get_if<hop::FrontGone>(&message)) {
+            from.transactions.onFrontGone(gone->transaction);
+        }
+        deliver(from.peer, std::move(message));
+    }
+}
+
+void PeerNetwork::State::serve(Inbound &from, StatementRequest request, std::size_t bytes)
+{
+    const std::uint64_t id = request.id;
+    // A sender that ignores its credit would fill this host's memory; a second
+    // request with an id under way could be given the first one's answer.
+    const bool overrun = from.servedBytes > m_options.windowBytes + hop::maxFrameBytes;
+    if (overrun || !from.served.emplace(id, ServedRequest{bytes, request.transaction, request.kind}).second) {
+        from.link->close();
+        return;
+    }
+    from.servedBytes += bytes;
+    const std::uint64_t linkId = from.peer.link;
+    ReplyHandler reply = [weak = weak_from_this(), linkId, id](StatementReply answer) {
+        if (const auto self = weak.lock()) {
+            self->sendReply(linkId, id, std::move(answer));
+        }
+    };
+    if (!m_hooks.onRequest) {
+        StatementReply refusal;
+        refusal.error = Error{ErrorKind::Moved, "This host is no home; ask again.", overloadedRetry};
+        reply(std::move(refusal));
+        return;
+    }
+    const PeerRef peer = from.peer;
+    m_hooks.onRequest(peer, std::move(request), std::move(reply));
+}
+
+void PeerNetwork::State::sendReply(std::uint64_t linkId, std::uint64_t requestId, StatementReply reply)
+{
+    const auto found = m_inbound.find(linkId);
+    if (found == m_inbound.end()) {
+        return;
+    }
+    Inbound &from = *found->second;
+    const auto served = from.served.find(requestId);
+    if (served == from.served.end()) {
+        return;
+    }
+    const ServedRequest request = served->second;
+    from.served.erase(served);
+    from.servedBytes -= request.frameBytes;
+    from.transactions.onReply(request.transaction, reply);
+    reply.id = requestId;
+    if (reply.bytes.size() + requestOverheadBytes > hop::maxFrameBytes) {
+        // It ran, so "not run" would be false for anything that writes.
+        const bool read = request.kind == StatementKind::Read;
+        reply.error = Error{read ? ErrorKind::Unsupported : ErrorKind::UnknownOutcome,
+                            "The answer is larger than a hop carries; ask for fewer rows at once.", milliseconds{0}};
+        reply.bytes.clear();
+        reply.sent = true;
+    }
+    writeMessage(*from.link, hop::ExecuteReply{std::move(reply)});
+    writeMessage(*from.link, hop::Credit{request.frameBytes});
+}
+
+void PeerNetwork::State::onInboundClosed(std::uint64_t linkId)
+{
+    const auto found = m_inbound.find(linkId);
+    if (m_stopped || found == m_inbound.end()) {
+        return;
+    }
+    const PeerRef peer = found->second->peer;
+    const bool wasReady = found->second->ready;
+    m_inbound.erase(found);
+    const auto range = m_inboundByHost.equal_range(peer.host);
+    const auto byHost = std::find_if(range.first, range.second, [linkId](const auto &entry) { return entry.second == linkId; });
+    if (byHost != range.second) {
+        m_inboundByHost.erase(byHost);
+    }
+    if (wasReady && m_hooks.onLinkLost) {
+        m_hooks.onLinkLost(peer);
+    }
+}
+
+void PeerNetwork::State::keepInbound(Inbound &from, TimePoint now)
+{
+    const bool working = !from.served.empty() || !from.transactions.empty();
+    // One interval more than the dialler allows: the side that can tell its
+    // caller what happened should notice first.
+    const Clock::duration workingSilence = m_options.pingInterval * (silentPings + 1);
+    const Clock::duration idleSilence = m_options.idleTimeout * silentIdleTimeouts;
+    const Clock::duration silence = now - from.link->lastReceivedAt();
+    const bool noHello = !from.ready && now - from.acceptedAt > m_options.connectTimeout;
+    if (noHello || silence > (working ? workingSilence : idleSilence)) {
+        from.link->close();
+    }
+}
+
+} // namespace egrettide
--- a/src/runtime/peerlink.cpp
+++ b/src/runtime/peerlink.cpp
@@ -15,9 +15,9 @@
 namespace
 {
 
-constexpr std::size_t readBytes = 64U * 1024U;
+constexpr std::size_t readBytes = std::size_t{64} * 1024;
 // A buffer that grew beyond this for one large answer is given back.
-constexpr std::size_t keptBufferBytes = 64U * 1024U;
+constexpr std::size_t keptBufferBytes = std::size_t{64} * 1024;
 
 } // namespace
 
--- a/src/runtime/peerlink.h
+++ b/src/runtime/peerlink.h
@@ -35,7 +35,7 @@
 {
 public:
     // Frames are gathered up to this size for one write.
-    static constexpr std::size_t writeBytes = 256U * 1024U;
+    static constexpr std::size_t writeBytes = std::size_t{256} * 1024;
 
     // Takes a connected socket. `pauseBytes` bounds the queue: while more is
     // queued, nothing is read, so that a peer which does not take its answers
--- a/src/runtime/peernetwork.h
+++ b/src/runtime/peernetwork.h
@@ -45,9 +45,9 @@
     // "IP:port" to listen on; empty when this instance only dials. Port 0 takes a free one.
     std::string listenAddress;
     // Request bytes that one link may have unanswered at its receiver.
-    std::size_t windowBytes = 8U * 1024U * 1024U;
+    std::size_t windowBytes = std::size_t{8} * 1024 * 1024;
     // Bytes waiting to be written on one link; beyond it requests are refused.
-    std::size_t queueBytes = 8U * 1024U * 1024U;
+    std::size_t queueBytes = std::size_t{8} * 1024 * 1024;
     milliseconds connectTimeout{1000};
     // A dialled link without traffic is closed after this.
     milliseconds idleTimeout{60000};
@@ -122,7 +122,7 @@
     // with the link: whoever needs an answer has to ask again.
     void send(const std::string &peer, const std::string &address, hop::HopMessage message);
     // Answers on the very link that a message came over.
-    void sendOn(const PeerRef &peer, hop::HopMessage message);
+    void sendOn(const PeerRef &peer, const hop::HopMessage &message);
     // Sends to every peer with an open link. For rare news; gossip carries the rest.
     void sendToAll(const hop::HopMessage &message);
 
--- /dev/null
+++ b/src/runtime/peernetworkstate.h
@@ -0,0 +1,197 @@
+// The inside of PeerNetwork, shared by the files that implement it:
+// peernetwork.cpp (both directions, timers), peeroutbound.cpp (hosts that we dial,
+// requests of this host) and peerinbound.cpp (links of peers, requests to us).
+
+#pragma once
+
+#include "runtime/peerlink.h"
+#include "runtime/peernetwork.h"
+#include "runtime/peerrequest.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace egrettide
+{
+
+using boost::asio::ip::tcp;
+
+// Ping intervals without any byte after which a link with work on it is given up.
+constexpr int silentPings = 3;
+// When to come back to a home that is overloaded or not there yet.
+constexpr milliseconds overloadedRetry{100};
+
+// A host that we dial.
+struct Outbound {
+    std::string host;
+    std::string address;
+    // Unset while there is none; closed links are never kept here.
+    std::shared_ptr<PeerLink> link;
+    std::uint64_t linkId = 0;
+    // While set, a connection attempt is under way.
+    std::shared_ptr<tcp::socket> dialing;
+    TimePoint dialDeadline;
+    // True once the peer's Hello was accepted; nothing but our Hello is sent before.
+    bool ready = false;
+    std::map<std::uint64_t, PendingRequest> pending;
+    // Ids in `pending` that are not sent yet, in order; may hold answered ids.
+    std::deque<std::uint64_t> unsent;
+    // Estimated bytes of the unsent requests.
+    std::size_t unsentBytes = 0;
+    // Request bytes that may still be sent; goes below 0 by at most one frame.
+    std::int64_t credit = 0;
+    std::deque<hop::HopMessage> messages;
+    OpenTransactions transactions;
+    // Requests given up whose late answer may still open a transaction.
+    absl::flat_hash_map<std::uint64_t, TransactionPlace> abandoned;
+    milliseconds backoff{0};
+    TimePoint nextAttempt;
+    std::uint64_t pingNumber = 0;
+    TimePoint lastPingAt;
+    // Pings in a row after which nothing at all came.
+    int missedPings = 0;
+};
+
+// A request of a peer that this host has not answered yet.
+struct ServedRequest {
+    std::size_t frameBytes = 0;
+    std::uint64_t transaction = 0;
+    StatementKind kind = StatementKind::Write;
+};
+
+// A link that a peer dialled.
+struct Inbound {
+    PeerRef peer;
+    std::shared_ptr<PeerLink> link;
+    // Unset until the peer's Hello came.
+    bool ready = false;
+    TimePoint acceptedAt;
+    absl::flat_hash_map<std::uint64_t, ServedRequest> served;
+    std::size_t servedBytes = 0;
+    OpenTransactions transactions;
+};
+
+// Everything behind PeerNetwork. Callbacks hold it weakly.
+class PeerNetwork::State : public std::enable_shared_from_this<PeerNetwork::State>
+{
+public:
+    State(boost::asio::io_context &context, PeerNetworkOptions options, PeerNetworkHooks hooks)
+        : m_context(context)
+        , m_options(std::move(options))
+        , m_hooks(std::move(hooks))
+        , m_acceptor(context)
+        , m_housekeeping(context)
+        , m_deadlineTimer(context)
+        , m_random(m_options.seed)
+    {
+    }
+
+    void start()
+    {
+        scheduleHousekeeping();
+    }
+
+    tl::expected<void, Error> listen();
+    std::uint16_t port() const;
+    void execute(const std::string &peer, const std::string &address, StatementRequest request, ReplyHandler handler);
+    void cancel(const std::string &peer, std::uint64_t requestId);
+    void send(const std::string &peer, const std::string &address, hop::HopMessage message);
+    void sendOn(const PeerRef &peer, const hop::HopMessage &message);
+    void sendToAll(const hop::HopMessage &message);
+    void drop(const std::string &host);
+    void stop();
+
+    std::size_t unansweredRequests() const;
+    std::size_t unwrittenBytes() const;
+    std::size_t linkCount() const;
+
+    PeerTraffic traffic() const
+    {
+        return m_traffic;
+    }
+
+private:
+    // Dialling.
+    Outbound &outbound(const std::string &peer, const std::string &address);
+    void dial(Outbound &to);
+    void onConnected(const std::string &host, const std::shared_ptr<tcp::socket> &socket, const boost::system::error_code &error);
+    void failDial(Outbound &to, const std::string &reason);
+    void onHelloOf(Outbound &to, const hop::Hello &hello);
+    void raiseBackoff(Outbound &to);
+
+    // Requests of this host.
+    void flush(Outbound &to);
+    void fillRequests(const std::string &host, std::uint64_t linkId, std::string &buffer);
+    void appendRequest(Outbound &to, std::uint64_t id, PendingRequest &pending, std::string &buffer);
+    void onOutboundMessage(const std::string &host, std::uint64_t linkId, hop::HopMessage message, std::size_t bytes);
+    void onReply(Outbound &to, StatementReply reply);
+    void onLateReply(Outbound &to, const StatementReply &reply);
+    void onOutboundClosed(const std::string &host, std::uint64_t linkId);
+    void failAll(Outbound &to, const std::string &reason);
+    void answer(Outbound &to, std::uint64_t id, Error error);
+    void giveUp(Outbound &to, std::uint64_t id);
+    void rollBack(Outbound &to, const TransactionPlace &place, std::uint64_t transaction);
+    void post(ReplyHandler handler, StatementReply reply);
+    std::optional<Error> refusalFor(const Outbound &to, const StatementRequest &request, std::size_t bytes) const;
+    void refuse(const StatementRequest &request, ReplyHandler handler, Error error);
+
+    // Requests of peers.
+    void accept();
+    void onAccepted(tcp::socket socket);
+    void onInboundMessage(std::uint64_t linkId, hop::HopMessage message, std::size_t bytes);
+    bool onInboundHello(Inbound &from, const hop::HopMessage &message);
+    void serve(Inbound &from, StatementRequest request, std::size_t bytes);
+    void sendReply(std::uint64_t linkId, std::uint64_t requestId, StatementReply reply);
+    void onInboundClosed(std::uint64_t linkId);
+
+    // Both.
+    std::size_t writeMessage(PeerLink &link, const hop::HopMessage &message);
+    void deliver(const PeerRef &from, hop::HopMessage message);
+    void countSent(const hop::HopMessage &message, std::size_t bytes);
+    void countReceived(const hop::HopMessage &message, std::size_t bytes);
+    Inbound *readyInboundOf(const std::string &host);
+
+    // Timers.
+    void scheduleHousekeeping();
+    void keepHouse();
+    void keepOutbound(Outbound &to, TimePoint now);
+    void pingOutbound(Outbound &to, TimePoint now);
+    void closeIdle(Outbound &to);
+    void keepInbound(Inbound &from, TimePoint now);
+    Deadlines::iterator armDeadline(TimePoint deadline, const DeadlineKey &key);
+    void scheduleDeadlines();
+    void onDeadlines();
+
+    boost::asio::io_context &m_context;
+    const PeerNetworkOptions m_options;
+    PeerNetworkHooks m_hooks;
+    tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_housekeeping;
+    boost::asio::steady_timer m_deadlineTimer;
+    std::mt19937_64 m_random;
+    bool m_stopped = false;
+    // True while accepting waits for the next housekeeping, as when the process
+    // is out of descriptors: trying on at once would only burn the thread.
+    bool m_acceptFailed = false;
+    TimePoint m_keptHouseAt = Clock::now();
+    TimePoint m_judgesSilenceFrom;
+    std::uint64_t m_lastLinkId = 0;
+    std::uint64_t m_lastRollback = 0;
+    // unique_ptr: references to an entry stay good while others come and go.
+    std::map<std::string, std::unique_ptr<Outbound>> m_outbound;
+    std::map<std::uint64_t, std::unique_ptr<Inbound>> m_inbound;
+    std::multimap<std::string, std::uint64_t> m_inboundByHost;
+    Deadlines m_deadlines;
+    PeerTraffic m_traffic;
+};
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/peerrequest.cpp
@@ -0,0 +1,70 @@
+// The rules of outcome.
+
+#include "runtime/peerrequest.h"
+
+#include "runtime/peernetwork.h"
+
+#include <algorithm>
+
+namespace egrettide
+{
+
+namespace
+{
+
+// True when a simple query goes on after a semicolon; one within a string counts
+// too, which errs on the safe side.
+bool isTextOfSeveral(const std::string &batch)
+{
+    const std::size_t semicolon = batch.find(';');
+    if (batch.empty() || batch.front() != 'Q' || semicolon == std::string::npos) {
+        return false;
+    }
+    return std::any_of(batch.begin() + static_cast<std::ptrdiff_t>(semicolon) + 1, batch.end(),
+                       [](char c) { return c != '\0' && c != ' ' && c != ';' && c != '\n' && c != '\r' && c != '\t'; });
+}
+
+} // namespace
+
+std::size_t estimatedBytes(const StatementRequest &request)
+{
+    std::size_t bytes = requestOverheadBytes + request.batch.size();
+    for (const PreparedStatement &statement : request.prepared) {
+        bytes += statement.name.size() + statement.parseMessage.size();
+    }
+    return bytes;
+}
+
+Error lostError(const PendingRequest &pending, const std::string &reason, milliseconds retryAfter, bool admitsUnknown)
+{
+    if (admitsUnknown && pending.sent && pending.mayHaveCommitted) {
+        return Error{ErrorKind::UnknownOutcome,
+                     "The request had left for another host when " + reason
+                         + "; it may have run. Check its effect before sending it again.",
+                     milliseconds{0}};
+    }
+    return Error{ErrorKind::Moved, "The request did not run, since " + reason + "; send it again.", retryAfter};
+}
+
+Error deadlineError(const PendingRequest &pending)
+{
+    if (pending.sent && pending.mayHaveCommitted) {
+        return Error{ErrorKind::UnknownOutcome,
+                     "The deadline passed while the request was at its home; it may have run. "
+                     "Check its effect before sending it again.",
+                     milliseconds{0}};
+    }
+    return Error{ErrorKind::DeadlineExceeded,
+                 "The deadline passed before the request was done and nothing of it remains; send it again with more time.",
+                 milliseconds{0}};
+}
+
+bool detail::mayHaveCommitted(const StatementRequest &request)
+{
+    if (request.kind == StatementKind::Commit) {
+        return true;
+    }
+    return request.kind == StatementKind::Write && (request.transaction == 0 || isTextOfSeveral(request.batch));
+}
+
+} // namespace egrettide
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::size_t initialBuilderBytes = 512;
 // Consumed bytes are dropped from the front once there are this many of them.
-constexpr std::size_t compactionBytes = 64U * 1024U;
+constexpr std::size_t compactionBytes = std::size_t{64} * 1024;
 
 // A body that is ready to go into a frame.
 struct PackedBody {
--- a/src/wire/hopcodec.h
+++ b/src/wire/hopcodec.h
@@ -26,7 +26,7 @@
 
 // Larger frames are refused on both sides. Above the largest PostgreSQL message
 // so that a batch of one message always fits.
-constexpr std::size_t maxFrameBytes = 24U * 1024U * 1024U;
+constexpr std::size_t maxFrameBytes = std::size_t{24} * 1024 * 1024;
 
 // Bytes of the length in front of each frame.
 constexpr std::size_t frameHeaderBytes = 4;
