--- a/src/runtime/peerinbound.cpp
+++ b/src/runtime/peerinbound.cpp
@@ -8,6 +8,8 @@
 namespace egrettide
 {
 
+using namespace detail;
+
 namespace
 {
 
--- a/src/runtime/peernetwork.cpp
+++ b/src/runtime/peernetwork.cpp
@@ -12,6 +12,8 @@
 namespace egrettide
 {
 
+using namespace detail;
+
 namespace
 {
 
--- a/src/runtime/peernetworkstate.h
+++ b/src/runtime/peernetworkstate.h
@@ -23,6 +23,9 @@
 namespace egrettide
 {
 
+namespace detail
+{
+
 using boost::asio::ip::tcp;
 
 // Ping intervals without any byte after which a link with work on it is given up.
@@ -80,9 +83,19 @@
     OpenTransactions transactions;
 };
 
+} // namespace detail
+
 // Everything behind PeerNetwork. Callbacks hold it weakly.
 class PeerNetwork::State : public std::enable_shared_from_this<PeerNetwork::State>
 {
+    using tcp = boost::asio::ip::tcp;
+    using Outbound = detail::Outbound;
+    using Inbound = detail::Inbound;
+    using PendingRequest = detail::PendingRequest;
+    using TransactionPlace = detail::TransactionPlace;
+    using Deadlines = detail::Deadlines;
+    using DeadlineKey = detail::DeadlineKey;
+
 public:
     State(boost::asio::io_context &context, PeerNetworkOptions options, PeerNetworkHooks hooks)
         : m_context(context)
--- a/src/runtime/peeroutbound.cpp
+++ b/src/runtime/peeroutbound.cpp
@@ -13,6 +13,8 @@
 namespace egrettide
 {
 
+using namespace detail;
+
 namespace
 {
 
--- a/src/runtime/peerrequest.cpp
+++ b/src/runtime/peerrequest.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 
-namespace egrettide
+namespace egrettide::detail
 {
 
 namespace
@@ -59,7 +59,7 @@
                  milliseconds{0}};
 }
 
-bool detail::mayHaveCommitted(const StatementRequest &request)
+bool mayHaveCommitted(const StatementRequest &request)
 {
     if (request.kind == StatementKind::Commit) {
         return true;
@@ -67,4 +67,4 @@
     return request.kind == StatementKind::Write && (request.transaction == 0 || isTextOfSeveral(request.batch));
 }
 
-} // namespace egrettide
+} // namespace egrettide::detail
--- a/src/runtime/peerrequest.h
+++ b/src/runtime/peerrequest.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <utility>
 
-namespace egrettide
+namespace egrettide::detail
 {
 
 // Added to the size of a batch for what surrounds it in a frame.
@@ -84,4 +84,4 @@
 // The answer to a request that was given up, at its deadline or by its caller.
 Error deadlineError(const PendingRequest &pending);
 
-} // namespace egrettide
+} // namespace egrettide::detail
