--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::size_t initialBuilderBytes = 512;
 // Consumed bytes are dropped from the front once there are this many of them.
-constexpr std::size_t compactionBytes = 64U * 1024U;
+constexpr std::size_t compactionBytes = std::size_t{64} * 1024;
 
 // A body that is ready to go into a frame.
 struct PackedBody {
@@ -182,8 +182,10 @@
     {
         const auto database = m_builder.CreateString(message.database);
         const auto upstream = m_builder.CreateString(message.upstream);
+        const auto home = m_builder.CreateString(message.home);
         const auto primary = m_builder.CreateString(message.primary);
-        return body(wire::HopBody_Opinion, wire::CreateOpinion(m_builder, message.id, database, upstream, primary, message.term));
+        return body(wire::HopBody_Opinion,
+                    wire::CreateOpinion(m_builder, message.id, database, upstream, home, primary, message.term));
     }
 
     PackedBody operator()(const OpinionReply &message) const
@@ -234,6 +236,18 @@
         return body(wire::HopBody_Release, wire::CreateRelease(m_builder, upstream, database, message.settled));
     }
 
+    PackedBody operator()(const HomeClaim &message) const
+    {
+        const auto database = m_builder.CreateString(message.database);
+        const auto upstream = m_builder.CreateString(message.upstream);
+        return body(wire::HopBody_HomeClaim, wire::CreateHomeClaim(m_builder, message.id, database, upstream));
+    }
+
+    PackedBody operator()(const HomeClaimReply &message) const
+    {
+        return body(wire::HopBody_HomeClaimReply, wire::CreateHomeClaimReply(m_builder, message.id, message.agrees));
+    }
+
     PackedBody operator()(const Ping &message) const
     {
         return body(wire::HopBody_Ping, wire::CreatePing(m_builder, message.number, message.answer));
@@ -513,6 +527,16 @@
     return Announce{text(table.database()), table.term(), text(table.primary())};
 }
 
+Decoded unpack(const wire::Release &table, TimePoint /*now*/)
+{
+    return Release{text(table.upstream()), text(table.database()), table.settled()};
+}
+
+Decoded unpack(const wire::HomeClaim &table, TimePoint /*now*/)
+{
+    return HomeClaim{table.id(), text(table.database()), text(table.upstream())};
+}
+
 Decoded unpackBody(const wire::HopFrame &frame, TimePoint now)
 {
     switch (frame.body_type()) {
@@ -532,7 +556,8 @@
         return unpack(*frame.body_as_Gossip(), now);
     case wire::HopBody_Opinion: {
         const wire::Opinion &opinion = *frame.body_as_Opinion();
-        return Opinion{opinion.id(), text(opinion.database()), text(opinion.upstream()), text(opinion.primary()), opinion.term()};
+        return Opinion{opinion.id(),         text(opinion.database()), text(opinion.upstream()),
+                       text(opinion.home()), text(opinion.primary()),  opinion.term()};
     }
     case wire::HopBody_OpinionReply: {
         const wire::OpinionReply &reply = *frame.body_as_OpinionReply();
@@ -552,10 +577,12 @@
     }
     case wire::HopBody_SwitchoverReply:
         return unpack(*frame.body_as_SwitchoverReply(), now);
-    case wire::HopBody_Release: {
-        const wire::Release &release = *frame.body_as_Release();
-        return Release{text(release.upstream()), text(release.database()), release.settled()};
-    }
+    case wire::HopBody_Release:
+        return unpack(*frame.body_as_Release(), now);
+    case wire::HopBody_HomeClaim:
+        return unpack(*frame.body_as_HomeClaim(), now);
+    case wire::HopBody_HomeClaimReply:
+        return HomeClaimReply{frame.body_as_HomeClaimReply()->id(), frame.body_as_HomeClaimReply()->agrees()};
     case wire::HopBody_Ping:
         return Ping{frame.body_as_Ping()->number(), frame.body_as_Ping()->answer()};
     case wire::HopBody_NONE:
--- a/src/wire/hopcodec.h
+++ b/src/wire/hopcodec.h
@@ -26,7 +26,7 @@
 
 // Larger frames are refused on both sides. Above the largest PostgreSQL message
 // so that a batch of one message always fits.
-constexpr std::size_t maxFrameBytes = 24U * 1024U * 1024U;
+constexpr std::size_t maxFrameBytes = std::size_t{24} * 1024 * 1024;
 
 // Bytes of the length in front of each frame.
 constexpr std::size_t frameHeaderBytes = 4;
@@ -74,10 +74,11 @@
 struct Opinion {
     std::uint64_t id = 0;
     std::string database;
-    // The upstream whose home is asked.
     std::string upstream;
-    // The suspected primary and its term; empty when the group has none.
-    std::string primary;
+    // The upstream whose home is asked, the suspected primary and its term; empty
+    // when the question is about `upstream` alone.
+    std::string home{};
+    std::string primary{};
     Term term = 0;
 };
 
@@ -124,11 +125,24 @@
 // may now use the whole budget.
 struct Release {
     std::string upstream;
-    std::string database;
-    // False when the former home still waited for its own predecessor.
+    std::string database{};
+    // False when the sender itself still waited for its own predecessor.
     bool settled = false;
 };
 
+// Asks a host of the zone whether it, too, sees the sender as the upstream's
+// home: a majority of such answers bounds how many hosts open connections.
+struct HomeClaim {
+    std::uint64_t id = 0;
+    std::string database;
+    std::string upstream;
+};
+
+struct HomeClaimReply {
+    std::uint64_t id = 0;
+    bool agrees = false;
+};
+
 // Keeps a quiet link honest; answered with the same number.
 struct Ping {
     std::uint64_t number = 0;
@@ -136,7 +150,8 @@
 };
 
 using HopMessage = std::variant<Hello, ExecuteRequest, ExecuteReply, Cancel, FrontGone, Credit, Gossip, Opinion, OpinionReply,
-                                Announce, ConfigOffer, ConfigPull, ConfigPush, SwitchoverRequest, SwitchoverReply, Release, Ping>;
+                                Announce, ConfigOffer, ConfigPull, ConfigPush, SwitchoverRequest, SwitchoverReply, Release, Ping,
+                                HomeClaim, HomeClaimReply>;
 
 // The whole frame, length included, as it goes onto the socket. `now` turns
 // deadlines into remaining time. Frames above maxFrameBytes are encoded too; the
