--- /dev/null
+++ b/include/egrettide/core/connectionbudget.h
@@ -0,0 +1,151 @@
+// Decides how many data connections the home of an upstream may hold to it, and
+// how many it should keep open ahead of demand.
+//
+// What goes wrong without it: two hosts believe that they are home while views
+// differ, both fill up the upstream's connections, and the observers and
+// promoters that should end the trouble are refused with SQLSTATE 53300. Here the
+// shares of any two such hosts, settled or not, add up to less than the limit, and
+// so do those of three of which one is settled, with the control reserve untouched.
+// docs/design/connections.md says what holds beyond that.
+
+#pragma once
+
+#include "egrettide/core/types.h"
+
+namespace egrettide
+{
+
+// Switches that take one mechanism out, so that its proof can be shown to fail.
+struct ConnectionBudgetFaults {
+    // Every home takes all data connections.
+    bool ignoreShares = false;
+    // A new home takes the settled share at once.
+    bool skipTakeoverShare = false;
+    // A hand back counts even from a home that was never settled itself.
+    bool trustUnsettledHandBack = false;
+    // A home keeps its settled share without any confirmation from others.
+    bool keepShareUnconfirmed = false;
+    // A refusal by the upstream changes nothing.
+    bool ignoreRefusals = false;
+};
+
+struct ConnectionBudgetOptions {
+    // Connections that the upstream accepts.
+    int limit = 1;
+    // Kept free for the status connections of observers and promoters.
+    int controlReserve = 6;
+    // The part of the data connections (limit less reserve) of a settled home. At
+    // most a half, so that two hosts that both believe to be settled fit in.
+    double settledShare = 0.5;
+    // The part of a home that is not settled. At most a quarter, so that two such
+    // homes fit in beside a settled one.
+    double takeoverShare = 0.25;
+    // A settled home that the others did not confirm for this long falls back to
+    // the takeover share: it may have been replaced without hearing of it.
+    milliseconds confirmationBound{2000};
+    // How long a home may take to close what it holds above its allowance.
+    milliseconds shedBound{10000};
+    // A home that nobody handed over to settles after this long. It has to exceed
+    // confirmationBound plus shedBound.
+    milliseconds takeoverBound{15000};
+    // How long a refusal of the upstream holds the allowance down.
+    milliseconds refusalBackoff{5000};
+    // A connection is closed after it was above demand for one to two of these.
+    milliseconds idleBound{30000};
+    // Kept open at least, usually the upstream's slots.
+    int minimumWarm = 1;
+    // Kept open above the recent peak of demand.
+    int spare = 1;
+    ConnectionBudgetFaults faults;
+};
+
+enum class HomeState {
+    // Not home: opens nothing, closes what it has.
+    None,
+    // Home, but a predecessor may still hold connections, or a successor may have
+    // taken over already.
+    Takeover,
+    // Home, and no predecessor holds anything by all that is known here.
+    Settled,
+};
+
+// What a home that resigned tells its successor once it holds no data connection.
+struct HandBack {
+    // False when that home itself was still waiting for its own predecessor; the
+    // successor then takes over that wait.
+    bool settled = false;
+};
+
+// One per upstream that this host is, or was, home of.
+class ConnectionBudget
+{
+public:
+    explicit ConnectionBudget(const ConnectionBudgetOptions &options);
+
+    // Becomes home by this host's view. Becoming home again while home changes
+    // nothing.
+    void becomeHome(TimePoint now);
+    // Stops being home by this host's view; nothing may be opened any more.
+    void resign(TimePoint now);
+    // The home before this one said that it holds nothing any more. Only to be
+    // called for the home that this host's own view named last.
+    void handedBack(const HandBack &handBack, TimePoint now);
+    // A majority of the zone's known hosts, this one included, saw this host as home;
+    // `askedAt` is when they were asked, so that a slow answer proves less.
+    void confirmed(TimePoint askedAt);
+    // This host did not run for a while: what it knew of its place is stale.
+    void suspended(TimePoint now);
+    // The upstream refused a connection (SQLSTATE 53300) while `open` data
+    // connections were open here.
+    void refused(int open, TimePoint now);
+    // Tells the demand: statements in use or waiting, plus open transactions.
+    void demand(int connections, TimePoint now);
+
+    // How many data connections may be open now. A home that holds more closes
+    // idle ones at once, and busy ones as they end or at shedsBy().
+    int allowance(TimePoint now) const;
+    // When connections above the allowance have to be closed even if busy;
+    // TimePoint::max() while the allowance is the settled one.
+    TimePoint shedsBy(TimePoint now) const;
+    // How many to keep open now, so that no request waits for an opening; never
+    // above allowance().
+    int target(TimePoint now) const;
+    // How many transactions may be open at once if each statement outside of
+    // transactions is to find a connection: the allowance less the slots, at least one.
+    int transactionPlaces(int slots, TimePoint now) const;
+    // The share that a settled home has.
+    int settledConnections() const;
+    // The share that a home has before it is settled.
+    int takeoverConnections() const;
+    HomeState state(TimePoint now) const;
+    // What to tell the successor once no data connection is open here.
+    HandBack handBack() const;
+    // When allowance() or target() may change by itself; TimePoint::max() if never.
+    TimePoint nextEventAt(TimePoint now) const;
+
+private:
+    int dataConnections() const;
+    int shareOf(double share) const;
+    void restartTakeover(TimePoint now);
+
+    ConnectionBudgetOptions m_options;
+    bool m_isHome = false;
+    // When this home settles unless it is handed over earlier; it counts as settled
+    // from then on. max() while not home.
+    TimePoint m_settlesAt = TimePoint::max();
+    // The confirmations received so far hold until then.
+    TimePoint m_confirmedUntil = TimePoint::min();
+    // A refusal of the upstream holds the allowance at m_refusedAllowance until then.
+    TimePoint m_refusedUntil = TimePoint::min();
+    int m_refusedAllowance = 0;
+    // The last moment at which the allowance fell, for shedsBy().
+    TimePoint m_loweredAt = TimePoint::min();
+    // The highest demand of the running window and of the one before it.
+    int m_peak = 0;
+    int m_lastPeak = 0;
+    TimePoint m_windowEndsAt = TimePoint::min();
+    // What handBack() tells: this host's term as home was settled at its end.
+    bool m_resignedSettled = false;
+};
+
+} // namespace egrettide
