--- a/src/runtime/callerconnection.cpp
+++ b/src/runtime/callerconnection.cpp
@@ -23,6 +23,9 @@
 constexpr std::uint32_t protocolMinorMask = 0xffffU;
 // Answers that the caller has not read yet; beyond it no further batch starts.
 constexpr std::size_t maxUnsentBytes = std::size_t{1024} * 1024;
+// A larger buffer is given back once it is empty: with thousands of callers, the
+// largest answers that each ever got would add up.
+constexpr std::size_t keptBufferBytes = std::size_t{16} * 1024;
 // How long the caller gets to read the last words.
 constexpr milliseconds lingerTime{1000};
 // Seconds without traffic after which the peer is probed, so that connections
@@ -435,10 +438,10 @@
     }
     m_isBusy = true;
     m_session->run(next.batch, next.receivedAt,
-                   [self = shared_from_this()](std::string answer) { self->onAnswer(std::move(answer)); });
+                   [self = shared_from_this()](const std::string &answer) { self->onAnswer(answer); });
 }
 
-void CallerConnection::onAnswer(std::string answer)
+void CallerConnection::onAnswer(std::string_view answer)
 {
     m_isBusy = false;
     if (m_phase != Phase::Ready) {
@@ -491,6 +494,9 @@
 void CallerConnection::onWritten(const boost::system::error_code &error)
 {
     m_writing.clear();
+    if (m_writing.capacity() > keptBufferBytes) {
+        m_writing = {};
+    }
     if (m_phase == Phase::Closed) {
         return;
     }
--- a/src/runtime/callerconnection.h
+++ b/src/runtime/callerconnection.h
@@ -73,7 +73,7 @@
     void takeBatches();
     void pump();
     void runNext();
-    void onAnswer(std::string answer);
+    void onAnswer(std::string_view answer);
     void onIdle();
 
     void write(std::string_view bytes);
--- a/src/runtime/callersession.cpp
+++ b/src/runtime/callersession.cpp
@@ -124,7 +124,7 @@
     m_upstreamState = 'I';
 }
 
-void CallerSession::run(const pg::CallerBatch &batch, TimePoint receivedAt, AnswerHandler answer)
+void CallerSession::run(const pg::CallerBatch &batch, TimePoint receivedAt, const AnswerHandler &answer)
 {
     if (m_skipToSync) {
         std::string out;
@@ -132,7 +132,7 @@
             m_skipToSync = false;
             pg::appendReadyForQuery(out, stateCharacter());
         }
-        answer(std::move(out));
+        answer(out);
         return;
     }
     auto plan = m_statements.plan(batch, [this](const std::string &sql) { return localStatement(sql); });
@@ -179,7 +179,7 @@
         return;
     }
     pg::appendReadyForQuery(out, stateCharacter());
-    answer(std::move(out));
+    answer(out);
 }
 
 void CallerSession::runExtended(pg::BatchPlan plan, TimePoint receivedAt, const AnswerHandler &answer)
@@ -191,7 +191,7 @@
             return;
         }
         m_statements.commit(plan, composed->answeredSteps, m_state.inTransaction());
-        answer(std::move(composed->bytes));
+        answer(composed->bytes);
         return;
     }
     if (m_aborted) {
--- a/src/runtime/callersession.h
+++ b/src/runtime/callersession.h
@@ -24,7 +24,7 @@
 {
 public:
     // Gets the whole answer to a batch; empty when the batch gets none.
-    using AnswerHandler = std::function<void(std::string answer)>;
+    using AnswerHandler = std::function<void(const std::string &answer)>;
 
     CallerSession(std::shared_ptr<TrafficShard> shard, SessionState state);
     CallerSession(const CallerSession &) = delete;
@@ -36,7 +36,7 @@
     std::string startupStatus() const;
 
     // Answers one batch that is neither a Terminate nor overtaking another one.
-    void run(const pg::CallerBatch &batch, TimePoint receivedAt, AnswerHandler answer);
+    void run(const pg::CallerBatch &batch, TimePoint receivedAt, const AnswerHandler &answer);
     // Stops the request under way, if there is one; its answer still comes.
     void cancel();
     // The caller is gone: its open transaction is rolled back, if need be when the
--- a/src/runtime/front.cpp
+++ b/src/runtime/front.cpp
@@ -222,8 +222,8 @@
 
 } // namespace detail
 
-Front::Front(boost::asio::io_context &acceptContext, std::vector<boost::asio::io_context *> trafficContexts, FrontOptions options,
-             FrontHooks hooks)
+Front::Front(boost::asio::io_context &acceptContext, const std::vector<boost::asio::io_context *> &trafficContexts,
+             FrontOptions options, FrontHooks hooks)
     : m_state(std::make_shared<detail::FrontState>(acceptContext, trafficContexts, std::move(options), std::move(hooks)))
 {
 }
--- a/src/runtime/front.h
+++ b/src/runtime/front.h
@@ -112,8 +112,8 @@
 {
 public:
     // `trafficContexts` must not be empty; each is run by one thread.
-    Front(boost::asio::io_context &acceptContext, std::vector<boost::asio::io_context *> trafficContexts, FrontOptions options,
-          FrontHooks hooks);
+    Front(boost::asio::io_context &acceptContext, const std::vector<boost::asio::io_context *> &trafficContexts,
+          FrontOptions options, FrontHooks hooks);
     ~Front();
     Front(const Front &) = delete;
     Front &operator=(const Front &) = delete;
--- a/src/runtime/requestrunner.cpp
+++ b/src/runtime/requestrunner.cpp
@@ -77,7 +77,7 @@
 void RequestRunner::onReply(std::uint64_t id, StatementReply reply)
 {
     if (id != m_outstanding && !m_shard->common->options.faults.takesLateReplies) {
-        onLateReply(std::move(reply));
+        onLateReply(reply);
         return;
     }
     m_outstanding = 0;
@@ -113,7 +113,7 @@
 // What goes wrong: the caller was told that the outcome is unknown, and then the
 // home reports a transaction that it opened. Nobody will ever end it; it shows as
 // a connection that stays in a transaction. So it is rolled back here.
-void RequestRunner::onLateReply(StatementReply reply)
+void RequestRunner::onLateReply(const StatementReply &reply)
 {
     if (reply.transaction == 0) {
         return;
--- a/src/runtime/requestrunner.h
+++ b/src/runtime/requestrunner.h
@@ -40,7 +40,7 @@
     void choose();
     void send();
     void onReply(std::uint64_t id, StatementReply reply);
-    void onLateReply(StatementReply reply);
+    void onLateReply(const StatementReply &reply);
     void onOverdue(std::uint64_t id);
     bool mayWaitForPrimary(const Error &error, bool sent) const;
     void waitForPrimary(StatementReply refusal);
--- a/src/wire/batchassembler.cpp
+++ b/src/wire/batchassembler.cpp
@@ -15,6 +15,7 @@
 
 // Bounds what one session can make the front remember.
 constexpr std::size_t maxStatements = 4096;
+constexpr std::size_t keptBufferBytes = std::size_t{16} * 1024;
 constexpr std::size_t contentNameBytes = 16;
 constexpr std::string_view contentPrefix = "egr_";
 constexpr std::string_view probePortal = "egr_probe";
@@ -99,6 +100,7 @@
 
 void BatchAssembler::feed(std::string_view bytes)
 {
+    m_fedBytes += bytes.size();
     m_reader.feed(bytes);
 }
 
@@ -130,6 +132,7 @@
             return tl::unexpected(read.error());
         }
         if (!*read) {
+            giveBackBuffer();
             return std::nullopt;
         }
         auto batch = take(std::move(**read));
@@ -139,6 +142,18 @@
     }
 }
 
+// The reader's buffer keeps the size of the largest batch that it ever held.
+void BatchAssembler::giveBackBuffer()
+{
+    if (m_reader.buffered() > 0) {
+        return;
+    }
+    if (m_fedBytes > keptBufferBytes) {
+        m_reader = FrameReader();
+    }
+    m_fedBytes = 0;
+}
+
 tl::expected<std::optional<CallerBatch>, Error> BatchAssembler::take(Message message)
 {
     const char type = message.type;
--- a/src/wire/batchassembler.h
+++ b/src/wire/batchassembler.h
@@ -80,9 +80,12 @@
 private:
     tl::expected<std::optional<CallerBatch>, Error> take(Message message);
     tl::expected<std::optional<CallerBatch>, Error> finish(BatchEnd end);
+    void giveBackBuffer();
 
     std::size_t m_maxBatchBytes;
     FrameReader m_reader;
+    // Since the reader was last empty.
+    std::size_t m_fedBytes = 0;
     CallerBatch m_current;
 };
 
--- a/tests/core/batchassembler_test.cpp
+++ b/tests/core/batchassembler_test.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::size_t maxBatchBytes = 1024 * 1024;
+constexpr std::size_t maxBatchBytes = std::size_t{1024} * 1024;
 
 const LocalHook nothingLocal = [](const std::string &) { return std::optional<LocalStatement>(); };
 
@@ -130,7 +130,7 @@
         if (!plan) {
             return "refused: " + plan.error().message;
         }
-        const std::string answer = plan->batch.empty() ? std::string() : atUpstream(*plan);
+        std::string answer = plan->batch.empty() ? std::string() : atUpstream(*plan);
         if (plan->end == BatchEnd::Query) {
             return answer;
         }
--- a/tests/runtime/front_test.cpp
+++ b/tests/runtime/front_test.cpp
@@ -49,7 +49,8 @@
     // Stands between the front and its homes.
     using Wrapper = std::function<ExecuteHook(ExecuteHook)>;
 
-    explicit RunningFront(FrontOptions options = {}, std::shared_ptr<const Configuration> configuration = sampleConfiguration(),
+    explicit RunningFront(FrontOptions options = {},
+                          const std::shared_ptr<const Configuration> &configuration = sampleConfiguration(),
                           const Wrapper &wrapper = {})
         : m_acceptWork(asio::make_work_guard(m_accept))
     {
@@ -604,7 +605,7 @@
     FrontOptions options;
     options.faults = faults;
     std::atomic<int> executions{0};
-    const auto wrapper = [&](ExecuteHook home) -> ExecuteHook {
+    const auto wrapper = [&](const ExecuteHook &home) -> ExecuteHook {
         return [&, home](StatementRequest request, ReplyHandler handler) {
             if (executions.fetch_add(1) > 0) {
                 home(std::move(request), std::move(handler));
