--- a/src/runtime/callersettings.cpp
+++ b/src/runtime/callersettings.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <array>
@@ -33,9 +34,36 @@
     {"is_superuser", "off"},
 }};
 
+// Parameters of the startup message that name the caller or change nothing that
+// an answer shows. A time zone or date style of the caller's is taken and not
+// followed: values come as ISO texts with their offset, and the reports say so.
+constexpr std::array<std::string_view, 15> acceptedParameters{
+    "user",
+    "database",
+    "options",
+    "application_name",
+    "client_encoding",
+    "datestyle",
+    "timezone",
+    "intervalstyle",
+    "extra_float_digits",
+    "standard_conforming_strings",
+    "client_min_messages",
+    "bytea_output",
+    "geqo",
+    "jit",
+    "replication",
+};
+
+constexpr std::string_view protocolOptionPrefix = "_pq_.";
 constexpr std::string_view applicationName = "application_name";
 constexpr std::string_view clientEncoding = "client_encoding";
 
+std::string lowered(std::string_view text)
+{
+    return absl::AsciiStrToLower(absl::string_view(text.data(), text.size()));
+}
+
 bool isOwn(std::string_view name)
 {
     return name.starts_with(settingnames::prefix);
@@ -43,7 +71,7 @@
 
 bool isUtf8(std::string_view encoding)
 {
-    const std::string lower = absl::AsciiStrToLower(absl::string_view(encoding.data(), encoding.size()));
+    const std::string lower = lowered(encoding);
     return lower == "utf8" || lower == "utf-8" || lower == "unicode";
 }
 
@@ -53,6 +81,49 @@
                  milliseconds{0}};
 }
 
+// What goes wrong otherwise: a caller asks for a search_path, hears nothing, and
+// reads the tables of another schema.
+tl::expected<void, Error> checkStartupName(std::string_view name)
+{
+    const std::string lower = lowered(name);
+    const bool isAccepted = std::find(acceptedParameters.begin(), acceptedParameters.end(), lower) != acceptedParameters.end();
+    if (isAccepted || isOwn(lower) || lower.starts_with(protocolOptionPrefix)) {
+        return {};
+    }
+    return tl::unexpected(
+        Error{ErrorKind::Unsupported,
+              "The startup setting " + lower
+                  + " cannot be kept on shared connections; use SET LOCAL in a transaction or ALTER ROLE on the "
+                    "upstream.",
+              milliseconds{0}});
+}
+
+// The names that `options` sets, by `-c name=value` or `--name=value`.
+std::vector<std::string> optionNames(const std::string &options)
+{
+    std::vector<std::string> names;
+    bool expectsName = false;
+    bool continues = false;
+    for (const absl::string_view each : absl::StrSplit(options, absl::ByAnyChar(" \t\n"), absl::SkipEmpty())) {
+        std::string_view word(each.data(), each.size());
+        const bool isPart = continues;
+        // A blank after a backslash belongs to the value.
+        continues = word.ends_with('\\');
+        if (isPart) {
+            continue;
+        }
+        const bool isSwitch = word.starts_with("--") || word.starts_with("-c");
+        if (isSwitch) {
+            word.remove_prefix(2);
+        }
+        if ((isSwitch || expectsName) && !word.empty()) {
+            names.emplace_back(word.substr(0, word.find('=')));
+        }
+        expectsName = isSwitch && word.empty();
+    }
+    return names;
+}
+
 std::string commandComplete(std::string_view tag)
 {
     std::string out;
@@ -66,7 +137,7 @@
     : m_session(session), m_statements(statements)
 {
     for (const ReportedSetting &setting : reportedSettings) {
-        m_harmless[absl::AsciiStrToLower(absl::string_view(setting.name.data(), setting.name.size()))] = setting.value;
+        m_harmless[lowered(setting.name)] = setting.value;
     }
     m_harmless[std::string(applicationName)] = "";
 }
@@ -74,6 +145,15 @@
 tl::expected<void, Error> CallerSettings::applyStartup(const SessionState::Parameters &parameters)
 {
     for (const auto &[name, value] : parameters) {
+        std::vector<std::string> names{name};
+        if (name == "options") {
+            names = optionNames(value);
+        }
+        for (const std::string &each : names) {
+            if (auto checked = checkStartupName(each); !checked) {
+                return checked;
+            }
+        }
         if (name == clientEncoding && !isUtf8(value)) {
             return tl::unexpected(unsupportedEncoding());
         }
--- a/tests/runtime/front_test.cpp
+++ b/tests/runtime/front_test.cpp
@@ -287,6 +287,20 @@
     BOOST_TEST(requests[0].freshness.latest);
 }
 
+// Symptom: a caller reads the tables of another schema.
+// Sequence: it names a search_path at its start and is let in.
+// Cause: a setting that shared connections cannot keep was dropped without a word.
+BOOST_AUTO_TEST_CASE(RefusesStartupSettingsThatCannotBeKept)
+{
+    const RunningFront running;
+    const Caller refused(running, "user=branch options='-c egrettide.timeout=1s -c search_path=other'");
+    BOOST_TEST(!refused.isConnected());
+    BOOST_TEST(refused.message().find("search_path") != std::string::npos, refused.message());
+    const Caller harmless(running, "user=branch options='--geqo=off -cjit=off' client_encoding=UTF8");
+    BOOST_TEST(harmless.isConnected(), harmless.message());
+    BOOST_TEST(!Caller(running, "user=branch client_encoding=LATIN1").isConnected());
+}
+
 BOOST_AUTO_TEST_CASE(ClosesConnectionsThatNeverStart)
 {
     FrontOptions options;
