--- a/tests/runtime/front_test.cpp
+++ b/tests/runtime/front_test.cpp
@@ -49,7 +49,8 @@
     // Stands between the front and its homes.
     using Wrapper = std::function<ExecuteHook(ExecuteHook)>;
 
-    explicit RunningFront(FrontOptions options = {}, std::shared_ptr<const Configuration> configuration = sampleConfiguration(),
+    explicit RunningFront(FrontOptions options = {},
+                          const std::shared_ptr<const Configuration> &configuration = sampleConfiguration(),
                           const Wrapper &wrapper = {})
         : m_acceptWork(asio::make_work_guard(m_accept))
     {
@@ -286,6 +287,20 @@
     BOOST_TEST(requests[0].freshness.latest);
 }
 
+// Symptom: a caller reads the tables of another schema.
+// Sequence: it names a search_path at its start and is let in.
+// Cause: a setting that shared connections cannot keep was dropped without a word.
+BOOST_AUTO_TEST_CASE(RefusesStartupSettingsThatCannotBeKept)
+{
+    const RunningFront running;
+    const Caller refused(running, "user=branch options='-c egrettide.timeout=1s -c search_path=other'");
+    BOOST_TEST(!refused.isConnected());
+    BOOST_TEST(refused.message().find("search_path") != std::string::npos, refused.message());
+    const Caller harmless(running, "user=branch options='--geqo=off -cjit=off' client_encoding=UTF8");
+    BOOST_TEST(harmless.isConnected(), harmless.message());
+    BOOST_TEST(!Caller(running, "user=branch client_encoding=LATIN1").isConnected());
+}
+
 BOOST_AUTO_TEST_CASE(ClosesConnectionsThatNeverStart)
 {
     FrontOptions options;
@@ -604,7 +619,7 @@
     FrontOptions options;
     options.faults = faults;
     std::atomic<int> executions{0};
-    const auto wrapper = [&](ExecuteHook home) -> ExecuteHook {
+    const auto wrapper = [&](const ExecuteHook &home) -> ExecuteHook {
         return [&, home](StatementRequest request, ReplyHandler handler) {
             if (executions.fetch_add(1) > 0) {
                 home(std::move(request), std::move(handler));
