--- a/src/runtime/groupcoordination.cpp
+++ b/src/runtime/groupcoordination.cpp
@@ -96,7 +96,7 @@
     }
     const std::uint64_t id = m_nextQuestion++;
     m_questions[id] = Question{host, deadline, std::move(handler)};
-    m_hooks.send(host, hop::Opinion{id, question.database, question.home, question.primary, question.term});
+    m_hooks.send(host, hop::Opinion{id, question.database, question.primary, question.home, question.primary, question.term});
 }
 
 void GroupCoordination::forgetExpiredQuestions(TimePoint now)
--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -533,7 +533,7 @@
 
 void HostDaemon::Impl::answerOpinion(const PeerRef &from, const hop::Opinion &question)
 {
-    const OpinionQuestion asked{question.database, question.upstream, question.primary, question.term};
+    const OpinionQuestion asked{question.database, question.home, question.primary, question.term};
     m_homes->giveOpinion(asked, [this, from, id = question.id](std::optional<bool> agrees) {
         // A host that does not watch the group has no opinion and stays silent.
         if (agrees) {
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -2,7 +2,7 @@
 
 #include "runtime/settings.h"
 
-#include "runtime/schemacheck.h"
+#include "core/schemacheck.h"
 
 #include <nlohmann/json.hpp>
 
@@ -67,7 +67,7 @@
                       milliseconds{0}};
         return tl::unexpected(std::vector<Error>{std::move(notJson)});
     }
-    std::vector<Error> faults = schemaFaults(settingsSchema(), document);
+    std::vector<Error> faults = detail::schemaFaults(settingsSchema(), document);
     if (!faults.empty()) {
         return tl::unexpected(std::move(faults));
     }
