--- a/testing/upstream/executor.cpp
+++ b/testing/upstream/executor.cpp
@@ -1,8 +1,10 @@
-// Evaluation of expressions and conditions, and one function for each kind of
-// statement.
+// One function for each kind of statement, and what Describe needs to know of it.
 
 #include "testing/upstream/executor.h"
 
+#include "testing/upstream/evaluation.h"
+#include "testing/upstream/tableview.h"
+
 #include <algorithm>
 #include <limits>
 #include <type_traits>
@@ -13,338 +15,6 @@
 namespace
 {
 
-// What an expression may refer to.
-struct Scope {
-    const std::vector<Value> &parameters;
-    // Null outside a table.
-    const TableSchema *schema = nullptr;
-    const Row *row = nullptr;
-};
-
-Value evaluate(const Expression &expression, const Scope &scope);
-
-Value parameterValue(int number, const std::vector<Value> &parameters)
-{
-    if (number < 1 || static_cast<std::size_t>(number) > parameters.size()) {
-        throw SqlError("42P02", "there is no parameter $" + std::to_string(number));
-    }
-    return parameters[static_cast<std::size_t>(number) - 1];
-}
-
-Value columnValue(const std::string &name, const Scope &scope)
-{
-    if (scope.schema == nullptr || scope.row == nullptr) {
-        throw SqlError("42703", "column \"" + name + "\" does not exist");
-    }
-    return (*scope.row)[scope.schema->columnNumber(name)];
-}
-
-Value arithmeticValue(const Expression &expression, const Scope &scope)
-{
-    const Value left = coerced(evaluate(expression.operands[0], scope), ColumnType::Int8);
-    const Value right = coerced(evaluate(expression.operands[1], scope), ColumnType::Int8);
-    if (isNull(left) || isNull(right)) {
-        return std::monostate();
-    }
-    std::int64_t sum = 0;
-    const bool overflows = expression.kind == Expression::Kind::Add
-        ? __builtin_add_overflow(std::get<std::int64_t>(left), std::get<std::int64_t>(right), &sum)
-        : __builtin_sub_overflow(std::get<std::int64_t>(left), std::get<std::int64_t>(right), &sum);
-    if (overflows) {
-        throw SqlError("22003", "bigint out of range");
-    }
-    return sum;
-}
-
-Value uncastValue(const Expression &expression, const Scope &scope)
-{
-    switch (expression.kind) {
-    case Expression::Kind::Literal:
-        return expression.literal;
-    case Expression::Kind::Parameter:
-        return parameterValue(expression.parameter, scope.parameters);
-    case Expression::Kind::Column:
-        return columnValue(expression.column, scope);
-    case Expression::Kind::Add:
-    case Expression::Kind::Subtract:
-        break;
-    }
-    return arithmeticValue(expression, scope);
-}
-
-Value evaluate(const Expression &expression, const Scope &scope)
-{
-    Value value = uncastValue(expression, scope);
-    return expression.cast ? coerced(std::move(value), *expression.cast) : value;
-}
-
-// SQL's third truth value, unknown, is nothing.
-using Truth = std::optional<bool>;
-
-Truth holds(const Condition &condition, const Scope &scope);
-
-Truth allHold(const Condition &condition, const Scope &scope)
-{
-    bool isKnown = true;
-    for (const Condition &part : condition.children) {
-        const Truth truth = holds(part, scope);
-        if (truth == Truth(false)) {
-            return false;
-        }
-        isKnown = isKnown && truth.has_value();
-    }
-    return isKnown ? Truth(true) : std::nullopt;
-}
-
-Truth anyHolds(const Condition &condition, const Scope &scope)
-{
-    bool isKnown = true;
-    for (const Condition &part : condition.children) {
-        const Truth truth = holds(part, scope);
-        if (truth == Truth(true)) {
-            return true;
-        }
-        isKnown = isKnown && truth.has_value();
-    }
-    return isKnown ? Truth(false) : std::nullopt;
-}
-
-Truth isInList(const Condition &condition, const Scope &scope)
-{
-    const Value needle = evaluate(condition.operands[0], scope);
-    if (isNull(needle)) {
-        return std::nullopt;
-    }
-    bool isKnown = true;
-    for (std::size_t i = 1; i < condition.operands.size(); ++i) {
-        const Value item = evaluate(condition.operands[i], scope);
-        if (isNull(item)) {
-            isKnown = false;
-        } else if (compareValues(needle, item) == 0) {
-            return true;
-        }
-    }
-    return isKnown ? Truth(false) : std::nullopt;
-}
-
-Truth comparisonHolds(const Condition &condition, const Scope &scope)
-{
-    const Value left = evaluate(condition.operands[0], scope);
-    const Value right = evaluate(condition.operands[1], scope);
-    if (isNull(left) || isNull(right)) {
-        return std::nullopt;
-    }
-    const int order = compareValues(left, right);
-    switch (condition.kind) {
-    case Condition::Kind::Equal:
-        return order == 0;
-    case Condition::Kind::NotEqual:
-        return order != 0;
-    case Condition::Kind::Less:
-        return order < 0;
-    case Condition::Kind::LessEqual:
-        return order <= 0;
-    case Condition::Kind::Greater:
-        return order > 0;
-    default:
-        return order >= 0;
-    }
-}
-
-Truth holds(const Condition &condition, const Scope &scope)
-{
-    switch (condition.kind) {
-    case Condition::Kind::And:
-        return allHold(condition, scope);
-    case Condition::Kind::Or:
-        return anyHolds(condition, scope);
-    case Condition::Kind::Not: {
-        const Truth truth = holds(condition.children.front(), scope);
-        return truth ? Truth(!*truth) : std::nullopt;
-    }
-    case Condition::Kind::In:
-        return isInList(condition, scope);
-    case Condition::Kind::IsNull:
-        return isNull(evaluate(condition.operands[0], scope));
-    case Condition::Kind::IsNotNull:
-        return !isNull(evaluate(condition.operands[0], scope));
-    default:
-        return comparisonHolds(condition, scope);
-    }
-}
-
-// A table as one transaction sees it: committed rows under the transaction's own.
-class TableView
-{
-public:
-    TableView(const std::string &name, const TableSet &tables, const Transaction &transaction)
-        : m_name(name), m_committed(tables.find(name))
-    {
-        const auto found = transaction.writes.find(name);
-        if (found != transaction.writes.end()) {
-            m_writes = &found->second;
-            m_committed = m_writes->dropped ? nullptr : m_committed;
-        }
-    }
-
-    bool exists() const
-    {
-        return m_committed != nullptr || (m_writes != nullptr && m_writes->created);
-    }
-    const TableSchema &schema() const
-    {
-        if (!exists()) {
-            throw SqlError("42P01", "relation \"" + m_name + "\" does not exist");
-        }
-        return m_committed != nullptr ? m_committed->schema() : *m_writes->created;
-    }
-    Position versionOf(RowId row) const
-    {
-        return m_committed == nullptr ? 0 : m_committed->versionOf(row);
-    }
-
-    // Every row that satisfies the condition, in the order of insertion.
-    std::map<RowId, const Row *> matching(const std::optional<Condition> &where, const std::vector<Value> &parameters) const
-    {
-        std::map<RowId, const Row *> rows;
-        Scope scope{parameters, &schema(), nullptr};
-        const auto take = [&](RowId id, const Row &row) {
-            scope.row = &row;
-            if (!where || holds(*where, scope) == Truth(true)) {
-                rows.emplace(id, &row);
-            }
-        };
-        forEachCommitted(where, parameters, take);
-        forEachOwn(take);
-        return rows;
-    }
-
-    // Whether another row of this view holds one of the row's unique keys.
-    bool clashes(RowId id, const Row &row) const
-    {
-        const auto &keys = schema().uniqueKeys;
-        for (std::size_t i = 0; i < keys.size(); ++i) {
-            const auto key = uniqueKeyOf(row, keys[i]);
-            if (key && (clashesWithCommitted(i, *key, id) || clashesWithOwn(keys[i], *key, id))) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-private:
-    bool isOverwritten(RowId id) const
-    {
-        return m_writes != nullptr && m_writes->rows.contains(id);
-    }
-
-    bool clashesWithCommitted(std::size_t uniqueKey, const std::string &key, RowId id) const
-    {
-        const auto holder = m_committed == nullptr ? std::nullopt : m_committed->rowWithKey(uniqueKey, key);
-        return holder && *holder != id && !isOverwritten(*holder);
-    }
-
-    bool clashesWithOwn(const std::vector<std::size_t> &columns, const std::string &key, RowId id) const
-    {
-        bool found = false;
-        forEachOwn([&](RowId other, const Row &row) { found = found || (other != id && uniqueKeyOf(row, columns) == key); });
-        return found;
-    }
-
-    template <typename Visit> void forEachOwn(const Visit &visit) const
-    {
-        if (m_writes == nullptr) {
-            return;
-        }
-        for (const auto &[id, write] : m_writes->rows) {
-            if (write.values) {
-                visit(id, *write.values);
-            }
-        }
-    }
-
-    template <typename Visit>
-    void forEachCommitted(const std::optional<Condition> &where, const std::vector<Value> &parameters, const Visit &visit) const
-    {
-        if (m_committed == nullptr) {
-            return;
-        }
-        const auto unique = uniqueLookup(where, parameters);
-        if (unique) {
-            visitCommitted(m_committed->rowWithKey(unique->first, unique->second), visit);
-            return;
-        }
-        for (const auto &[id, stored] : m_committed->rows()) {
-            if (!isOverwritten(id)) {
-                visit(id, stored.values);
-            }
-        }
-    }
-
-    template <typename Visit> void visitCommitted(std::optional<RowId> id, const Visit &visit) const
-    {
-        if (id && !isOverwritten(*id)) {
-            visit(*id, m_committed->rows().at(*id).values);
-        }
-    }
-
-    // The unique key that the condition pins to one value, if it does: then there
-    // is no need to scan the table.
-    std::optional<std::pair<std::size_t, std::string>> uniqueLookup(const std::optional<Condition> &where,
-                                                                    const std::vector<Value> &parameters) const
-    {
-        if (!where) {
-            return std::nullopt;
-        }
-        const auto &keys = schema().uniqueKeys;
-        for (std::size_t i = 0; i < keys.size(); ++i) {
-            const auto key = pinnedKey(keys[i], *where, parameters);
-            if (key) {
-                return std::pair(i, *key);
-            }
-        }
-        return std::nullopt;
-    }
-
-    std::optional<std::string> pinnedKey(const std::vector<std::size_t> &columns, const Condition &where,
-                                         const std::vector<Value> &parameters) const
-    {
-        Row row(schema().columns.size());
-        for (const std::size_t column : columns) {
-            const Expression *value = pinnedValue(schema().columns[column].name, where);
-            if (value == nullptr) {
-                return std::nullopt;
-            }
-            row[column] = coerced(evaluateConstant(*value, parameters), schema().columns[column].type);
-        }
-        return uniqueKeyOf(row, columns);
-    }
-
-    static const Expression *pinnedValue(const std::string &column, const Condition &where)
-    {
-        if (where.kind == Condition::Kind::Equal) {
-            const bool isColumn = where.operands[0].kind == Expression::Kind::Column && where.operands[0].column == column
-                && !where.operands[0].cast;
-            const auto kind = where.operands[1].kind;
-            const bool isValue = kind == Expression::Kind::Literal || kind == Expression::Kind::Parameter;
-            return isColumn && isValue ? &where.operands[1] : nullptr;
-        }
-        if (where.kind != Condition::Kind::And) {
-            return nullptr;
-        }
-        for (const Condition &part : where.children) {
-            if (const Expression *value = pinnedValue(column, part)) {
-                return value;
-            }
-        }
-        return nullptr;
-    }
-
-    const std::string &m_name;
-    const Table *m_committed;
-    const TableWrites *m_writes = nullptr;
-};
-
 ColumnType typeOf(const Expression &expression, const TableSchema *schema)
 {
     if (expression.cast) {
@@ -460,6 +130,7 @@
 void sortRows(std::vector<const Row *> &rows, const std::vector<OrderBy> &order, const TableSchema &schema)
 {
     std::vector<std::pair<std::size_t, bool>> keys;
+    keys.reserve(order.size());
     for (const OrderBy &key : order) {
         keys.emplace_back(schema.columnNumber(key.column), key.descending);
     }
@@ -631,6 +302,7 @@
                                   const std::map<RowId, const Row *> &matching) const
     {
         std::vector<const Row *> rows;
+        rows.reserve(matching.size());
         for (const auto &entry : matching) {
             rows.push_back(entry.second);
         }
@@ -784,11 +456,6 @@
 
 } // namespace
 
-Value evaluateConstant(const Expression &expression, const std::vector<Value> &parameters)
-{
-    return evaluate(expression, Scope{parameters});
-}
-
 std::vector<ResultColumn> resultColumns(const Statement &statement, const TableSet &tables, const Transaction &transaction)
 {
     const auto columns = [&](const auto &typed) -> std::vector<ResultColumn> {
@@ -807,9 +474,10 @@
     return std::visit(columns, statement);
 }
 
-std::vector<ColumnType> parameterTypes(const Statement &statement, const TableSet &tables, const Transaction &transaction)
+std::vector<ColumnType> parameterTypes(const Statement &statement, int count, const TableSet &tables,
+                                       const Transaction &transaction)
 {
-    std::vector<ColumnType> types(static_cast<std::size_t>(parameterCount(statement)), ColumnType::Text);
+    std::vector<ColumnType> types(static_cast<std::size_t>(count), ColumnType::Text);
     ParameterTyper typer(types);
     const auto note = [&](const auto &typed) {
         using Type = std::decay_t<decltype(typed)>;
--- a/testing/upstream/session.cpp
+++ b/testing/upstream/session.cpp
@@ -2,10 +2,13 @@
 
 #include "testing/upstream/session.h"
 
+#include "testing/upstream/evaluation.h"
 #include "testing/upstream/server.h"
+#include "testing/upstream/valuecodec.h"
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <cstdlib>
 
@@ -15,10 +18,6 @@
 namespace
 {
 
-constexpr std::uint32_t nullLength = 0xffffffffU;
-constexpr std::uint16_t binaryFormat = 1;
-constexpr std::size_t int4Bytes = 4;
-constexpr std::size_t int8Bytes = 8;
 constexpr double maxSleepSeconds = 3600;
 
 [[noreturn]] void malformed()
@@ -48,76 +47,6 @@
     return list;
 }
 
-// One format for all, one for each, or none for text everywhere.
-std::uint16_t formatAt(const std::vector<std::uint16_t> &formats, std::size_t index)
-{
-    if (formats.size() == 1) {
-        return formats.front();
-    }
-    return index < formats.size() ? formats[index] : 0;
-}
-
-std::int64_t bigEndian(std::string_view bytes)
-{
-    std::uint64_t value = 0;
-    for (const char byte : bytes) {
-        value = (value << 8U) | static_cast<unsigned char>(byte);
-    }
-    const bool isShort = bytes.size() == int4Bytes;
-    return isShort ? static_cast<std::int32_t>(static_cast<std::uint32_t>(value)) : static_cast<std::int64_t>(value);
-}
-
-Value parameterOf(std::string_view bytes, std::uint16_t format, ColumnType type)
-{
-    if (format == binaryFormat && type != ColumnType::Text) {
-        if (bytes.size() != int4Bytes && bytes.size() != int8Bytes) {
-            throw SqlError("22P03", "incorrect binary data format in a parameter");
-        }
-        return bigEndian(bytes);
-    }
-    return std::string(bytes);
-}
-
-void appendValue(std::string &payload, const Value &value, ColumnType type, std::uint16_t format)
-{
-    const auto text = textOf(value);
-    if (!text) {
-        pg::appendUint32(payload, nullLength);
-        return;
-    }
-    const auto *number = std::get_if<std::int64_t>(&value);
-    if (format == binaryFormat && type != ColumnType::Text && number != nullptr) {
-        const bool isWide = type == ColumnType::Int8;
-        pg::appendUint32(payload, isWide ? int8Bytes : int4Bytes);
-        if (isWide) {
-            pg::appendUint32(payload, static_cast<std::uint32_t>(static_cast<std::uint64_t>(*number) >> 32U));
-        }
-        pg::appendUint32(payload, static_cast<std::uint32_t>(*number));
-        return;
-    }
-    pg::appendUint32(payload, static_cast<std::uint32_t>(text->size()));
-    payload.append(*text);
-}
-
-void appendTypedRowDescription(std::string &out, const std::vector<ResultColumn> &columns,
-                               const std::vector<std::uint16_t> &formats)
-{
-    std::string payload;
-    pg::appendUint16(payload, static_cast<std::uint16_t>(columns.size()));
-    for (std::size_t i = 0; i < columns.size(); ++i) {
-        const bool isText = columns[i].type == ColumnType::Text;
-        const std::uint16_t width = columns[i].type == ColumnType::Int8 ? int8Bytes : int4Bytes;
-        pg::appendCString(payload, columns[i].name);
-        pg::appendUint32(payload, 0); // table
-        pg::appendUint16(payload, 0); // attribute
-        pg::appendUint32(payload, static_cast<std::uint32_t>(columns[i].type));
-        pg::appendUint16(payload, isText ? 0xffffU : width);
-        pg::appendUint32(payload, nullLength); // no type modifier
-        pg::appendUint16(payload, formatAt(formats, i));
-    }
-    pg::appendMessage(out, 'T', payload);
-}
-
 } // namespace
 
 Session::Session(Server &server, boost::asio::ip::tcp::socket socket, std::uint32_t processId, std::uint32_t secretKey)
@@ -364,23 +293,23 @@
 {
     m_query = SimpleQuery{};
     const std::string sql(payload.c_str());
-    m_query->statements = m_server.statements().parsed(sql);
-    if (m_query->statements->empty()) {
+    m_query->text = m_server.statements().parsed(sql);
+    if (m_query->text->statements.empty()) {
         pg::appendMessage(m_output, 'I', {});
     }
 }
 
 void Session::stepQuery()
 {
-    const auto statements = m_query->statements;
-    if (m_query->next == statements->size()) {
+    const auto text = m_query->text;
+    if (m_query->next == text->statements.size()) {
         endQuery();
         return;
     }
-    const Statement &statement = (*statements)[m_query->next];
-    run({statements, &statement, {}, [this](StatementResult result) {
+    const Statement &statement = text->statements[m_query->next];
+    run({text, &statement, {}, [this](const StatementResult &result) {
              ++m_query->next;
-             if (m_query->next == m_query->statements->size()) {
+             if (m_query->next == m_query->text->statements.size()) {
                  // Before the answer: a caller that reads CommandComplete may count on it.
                  commitImplicit();
              }
@@ -409,48 +338,65 @@
     if (!name.empty() && m_prepared.contains(name)) {
         throw SqlError("42P05", "prepared statement \"" + name + "\" already exists");
     }
-    prepared.statements = m_server.statements().parsed(sql);
-    if (prepared.statements->size() > 1) {
+    prepared.text = m_server.statements().parsed(sql);
+    if (prepared.text->statements.size() > 1) {
         throw SqlError("42601", "cannot insert multiple commands into a prepared statement");
     }
     m_prepared[name] = std::move(prepared);
     pg::appendMessage(m_output, '1', {});
 }
 
-void Session::onBind(pg::PayloadReader payload)
+const Session::Prepared &Session::preparedNamed(const std::string &name) const
 {
-    const std::string portalName = textField(payload);
-    const std::string statementName = textField(payload);
-    const auto found = m_prepared.find(statementName);
+    const auto found = m_prepared.find(name);
     if (found == m_prepared.end()) {
-        throw SqlError("26000", "prepared statement \"" + statementName + "\" does not exist");
+        throw SqlError("26000", "prepared statement \"" + name + "\" does not exist");
+    }
+    return found->second;
+}
+
+const Session::Portal &Session::portalNamed(const std::string &name) const
+{
+    const auto found = m_portals.find(name);
+    if (found == m_portals.end()) {
+        throw SqlError("34000", "portal \"" + name + "\" does not exist");
+    }
+    return found->second;
+}
+
+// The types that the caller declared, and the inferred ones elsewhere.
+std::vector<std::uint32_t> Session::typesOf(const Prepared &prepared) const
+{
+    const ParsedText &text = *prepared.text;
+    if (text.parameterCount == 0) {
+        return {};
+    }
+    std::vector<std::uint32_t> types;
+    const auto &tables = m_server.member().tables();
+    for (const ColumnType type : parameterTypes(text.statements.front(), text.parameterCount, tables, visibleTransaction())) {
+        types.push_back(static_cast<std::uint32_t>(type));
+    }
+    for (std::size_t i = 0; i < std::min(types.size(), prepared.declaredTypes.size()); ++i) {
+        types[i] = prepared.declaredTypes[i] == 0 ? types[i] : prepared.declaredTypes[i];
     }
+    return types;
+}
+
+void Session::onBind(pg::PayloadReader payload)
+{
+    const std::string portalName = textField(payload);
+    const Prepared &prepared = preparedNamed(textField(payload));
     const std::vector<std::uint16_t> formats = uint16List(payload);
-    const StatementList &statements = *found->second.statements;
-    const std::size_t needed = statements.empty() ? 0 : static_cast<std::size_t>(parameterCount(statements.front()));
-    const std::uint16_t count = required(payload.uint16());
-    if (count != needed) {
-        throw SqlError("08P01",
-                       "bind message supplies " + std::to_string(count) + " parameters, but the prepared statement requires "
-                           + std::to_string(needed));
-    }
-    std::vector<ColumnType> types;
-    if (needed > 0) {
-        types = parameterTypes(statements.front(), m_server.member().tables(), visibleTransaction());
-    }
-    Portal portal{found->second.statements, {}, {}};
-    for (std::size_t i = 0; i < count; ++i) {
+    const std::vector<std::uint32_t> types = typesOf(prepared);
+    if (required(payload.uint16()) != types.size()) {
+        throw SqlError("08P01", "the prepared statement requires " + std::to_string(types.size()) + " parameters");
+    }
+    Portal portal{prepared.text, {}, {}};
+    for (std::size_t i = 0; i < types.size(); ++i) {
         const std::uint32_t length = required(payload.uint32());
-        if (length == nullLength) {
-            portal.parameters.emplace_back();
-            continue;
-        }
-        const auto &declared = found->second.declaredTypes;
-        const bool isInteger = i < declared.size()
-            && (declared[i] == static_cast<std::uint32_t>(ColumnType::Int4)
-                || declared[i] == static_cast<std::uint32_t>(ColumnType::Int8));
-        const ColumnType type = isInteger ? ColumnType::Int8 : types[i];
-        portal.parameters.push_back(parameterOf(required(payload.bytes(length)), formatAt(formats, i), type));
+        const bool isMissing = length == nullLength;
+        portal.parameters.push_back(isMissing ? Value()
+                                              : parameterOf(required(payload.bytes(length)), formatAt(formats, i), types[i]));
     }
     portal.resultFormats = uint16List(payload);
     m_portals[portalName] = std::move(portal);
@@ -461,37 +407,24 @@
 {
     const bool isStatement = required(payload.bytes(1)) == "S";
     const std::string name = textField(payload);
-    std::shared_ptr<const StatementList> statements;
-    std::vector<std::uint16_t> formats;
-    if (isStatement) {
-        const auto found = m_prepared.find(name);
-        if (found == m_prepared.end()) {
-            throw SqlError("26000", "prepared statement \"" + name + "\" does not exist");
-        }
-        statements = found->second.statements;
-    } else {
-        const auto found = m_portals.find(name);
-        if (found == m_portals.end()) {
-            throw SqlError("34000", "portal \"" + name + "\" does not exist");
-        }
-        statements = found->second.statements;
-        formats = found->second.resultFormats;
+    if (!isStatement) {
+        describeColumns(*portalNamed(name).text, portalNamed(name).resultFormats);
+        return;
     }
-    if (isStatement) {
-        std::vector<ColumnType> types;
-        if (!statements->empty()) {
-            types = parameterTypes(statements->front(), m_server.member().tables(), visibleTransaction());
-        }
-        const auto &declared = m_prepared.at(name).declaredTypes;
-        std::string description;
-        pg::appendUint16(description, static_cast<std::uint16_t>(types.size()));
-        for (std::size_t i = 0; i < types.size(); ++i) {
-            const bool isDeclared = i < declared.size() && declared[i] != 0;
-            pg::appendUint32(description, isDeclared ? declared[i] : static_cast<std::uint32_t>(types[i]));
-        }
-        pg::appendMessage(m_output, 't', description);
+    const Prepared &prepared = preparedNamed(name);
+    const std::vector<std::uint32_t> types = typesOf(prepared);
+    std::string description;
+    pg::appendUint16(description, static_cast<std::uint16_t>(types.size()));
+    for (const std::uint32_t type : types) {
+        pg::appendUint32(description, type);
     }
-    const auto columns = statements->empty() ? std::vector<ResultColumn>() : columnsOf(statements->front());
+    pg::appendMessage(m_output, 't', description);
+    describeColumns(*prepared.text, {});
+}
+
+void Session::describeColumns(const ParsedText &text, const std::vector<std::uint16_t> &formats)
+{
+    const auto columns = text.statements.empty() ? std::vector<ResultColumn>() : columnsOf(text.statements.front());
     if (columns.empty()) {
         pg::appendMessage(m_output, 'n', {});
         return;
@@ -501,18 +434,13 @@
 
 void Session::onExecute(pg::PayloadReader payload)
 {
-    const std::string name = textField(payload);
-    const auto found = m_portals.find(name);
-    if (found == m_portals.end()) {
-        throw SqlError("34000", "portal \"" + name + "\" does not exist");
-    }
-    const Portal &portal = found->second;
-    if (portal.statements->empty()) {
+    const Portal &portal = portalNamed(textField(payload));
+    if (portal.text->statements.empty()) {
         pg::appendMessage(m_output, 'I', {});
         return;
     }
-    run({portal.statements, &portal.statements->front(), portal.parameters,
-         [this, formats = portal.resultFormats](StatementResult result) { writeRows(result, formats); }});
+    run({portal.text, &portal.text->statements.front(), portal.parameters,
+         [this, formats = portal.resultFormats](const StatementResult &result) { writeRows(result, formats); }});
 }
 
 void Session::onClose(pg::PayloadReader payload)
@@ -683,7 +611,7 @@
     m_state = 'I';
     if (commits && transaction) {
         m_server.member().commit(*transaction);
-        ++m_server.counters().commits;
+        m_server.counters().commits += transaction->hasWrites() ? 1 : 0;
     }
     return {{}, {}, commits ? "COMMIT" : "ROLLBACK"};
 }
@@ -742,9 +670,10 @@
     return resultColumns(statement, m_server.member().tables(), visibleTransaction());
 }
 
-Transaction Session::visibleTransaction() const
+const Transaction &Session::visibleTransaction() const
 {
-    return m_transaction.value_or(Transaction());
+    static const Transaction none;
+    return m_transaction ? *m_transaction : none;
 }
 
 void Session::commitImplicit()
@@ -755,6 +684,7 @@
     const Transaction transaction = std::move(*m_transaction);
     m_transaction.reset();
     m_server.member().commit(transaction);
+    m_server.counters().commits += transaction.hasWrites() ? 1 : 0;
 }
 
 void Session::fail(const SqlError &error)
