Space attempts to connect to an upstream that refuses; no cancels for control calls

The stand-in forgot sessions whose bytes it held during a cut: they stayed counted as connections for ever, which made it refuse everybody once 30 of them had gathered.

--- a/src/runtime/groupcontrol.cpp
+++ b/src/runtime/groupcontrol.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <string_view>
@@ -17,6 +18,10 @@
 namespace
 {
 
+// Between two attempts to connect to an upstream that refuses.
+constexpr milliseconds firstBackoff{10};
+constexpr milliseconds lastBackoff{100};
+
 // A row of the control functions by column name.
 class RowView
 {
@@ -115,7 +120,8 @@
 class GroupControl::Channel : public std::enable_shared_from_this<Channel>
 {
 public:
-    Channel(asio::io_context &context, ConnectionSettings settings) : m_context(context), m_settings(std::move(settings))
+    Channel(asio::io_context &context, ConnectionSettings settings)
+        : m_context(context), m_settings(std::move(settings)), m_openTimer(context)
     {
     }
 
@@ -196,7 +202,7 @@
             return;
         }
         if (!m_connection || !m_connection->isOpen()) {
-            open();
+            openWhenDue();
             return;
         }
         if (m_connection->usable()) {
@@ -204,14 +210,35 @@
         }
     }
 
+    // What goes wrong: an upstream that refuses connections does so at once, and
+    // rounds that follow each other closely would ask it hundreds of times a
+    // second, just when it can't spare a connection.
+    void openWhenDue()
+    {
+        if (Clock::now() >= m_openAt) {
+            open();
+            return;
+        }
+        m_openTimer.expires_at(m_openAt);
+        m_openTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &cancelled) {
+            const auto self = weak.lock();
+            if (!cancelled && self) {
+                self->pump();
+            }
+        });
+    }
+
     void open()
     {
         m_connection = UpstreamConnection::create(m_context, m_settings);
         m_connection->open(m_queue.front()->deadline, [self = shared_from_this()](const tl::expected<void, Error> &opened) {
             if (opened) {
+                self->m_backoff = firstBackoff;
                 self->pump();
                 return;
             }
+            self->m_openAt = Clock::now() + self->m_backoff;
+            self->m_backoff = std::min(self->m_backoff * 2, lastBackoff);
             // Every call that waits shared this attempt; the next call opens anew.
             const ProbeFailure failure = self->m_connection->lossKind();
             self->m_connection.reset();
@@ -265,6 +292,10 @@
     std::deque<CallPointer> m_queue;
     bool m_running = false;
     bool m_closed = false;
+    // No connection is opened before that.
+    TimePoint m_openAt = TimePoint::min();
+    milliseconds m_backoff = firstBackoff;
+    asio::steady_timer m_openTimer;
 };
 
 GroupControl::GroupControl(asio::io_context &context, const DatabaseSpec &database, const std::string &user)
@@ -363,6 +394,7 @@
         settings.address = address->second;
         settings.user = m_user;
         settings.database = m_database;
+        settings.sendsCancel = false;
         channel = std::make_shared<Channel>(m_context, std::move(settings));
     }
     // The name in the row is the upstream's own; here the configuration's counts.
--- a/src/runtime/upstreamconnection.cpp
+++ b/src/runtime/upstreamconnection.cpp
@@ -455,7 +455,7 @@
 void UpstreamConnection::sendCancel()
 {
     const auto endpoint = endpointOf(m_settings.address);
-    if (m_processId == 0 || !endpoint) {
+    if (!m_settings.sendsCancel || m_processId == 0 || !endpoint) {
         return;
     }
     const auto attempt = std::make_shared<CancelAttempt>(m_context);
--- a/src/runtime/upstreamconnection.h
+++ b/src/runtime/upstreamconnection.h
@@ -35,6 +35,8 @@
     std::string address;
     std::string user = "egrettide";
     std::string database;
+    // False to give up batches without a cancel request: worth it for short ones.
+    bool sendsCancel = true;
     // Answers above this are refused: one caller must not take the memory of all.
     std::size_t maxAnswerBytes = std::size_t{64} * 1024 * 1024;
 };
--- a/testing/upstream/session.cpp
+++ b/testing/upstream/session.cpp
@@ -75,6 +75,7 @@
     }
     if (m_server.isCut()) {
         m_heldRead.emplace(error, bytes);
+        m_heldSelf = shared_from_this();
         return;
     }
     if (error) {
@@ -95,6 +96,7 @@
     if (m_heldRead) {
         const auto [error, bytes] = *m_heldRead;
         m_heldRead.reset();
+        const auto keepAlive = std::exchange(m_heldSelf, nullptr);
         onRead(error, bytes);
     }
 }
@@ -134,6 +136,7 @@
     if (m_isClosed) {
         return;
     }
+    const auto keepAlive = std::exchange(m_heldSelf, nullptr);
     m_isClosed = true;
     m_transaction.reset();
     m_openTimer.cancel();
--- a/testing/upstream/session.h
+++ b/testing/upstream/session.h
@@ -125,6 +125,9 @@
     bool m_isClosed = false;
     // A read that ended while the upstream was cut off.
     std::optional<std::pair<boost::system::error_code, std::size_t>> m_heldRead;
+    // Set exactly while m_heldRead is: no pending read keeps the session alive then,
+    // and one that vanished would stay counted among the connections for ever.
+    std::shared_ptr<Session> m_heldSelf;
 
     std::map<std::string, Prepared> m_prepared;
     std::map<std::string, Portal> m_portals;
