--- a/src/wire/pgwire.h
+++ b/src/wire/pgwire.h
@@ -19,7 +19,7 @@
 
 // Larger messages are refused: a proxy that buffers them would let one caller
 // take the memory of all.
-constexpr std::size_t maxMessageBytes = 16U * 1024U * 1024U;
+constexpr std::size_t maxMessageBytes = std::size_t{16} * 1024 * 1024;
 constexpr std::size_t maxStartupBytes = 10000;
 
 constexpr std::uint32_t protocolVersion3 = 196608;
