--- a/bench/egrettide_bench.cpp
+++ b/bench/egrettide_bench.cpp
@@ -32,6 +32,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char *outcomeUnknownState = "08007";
+constexpr const char *leavingRemark = "HINT:  Not run";
 // How much one caller's thread may fall behind its schedule before it skips
 // arrivals: one connection carries one statement at a time.
 constexpr milliseconds maxLag{2000};
@@ -107,7 +108,11 @@
     const char *message = PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY);
     answer.sqlState = state != nullptr ? state : "";
     answer.text = message != nullptr ? message : PQerrorMessage(connection);
-    if (answer.sqlState.empty() || answer.sqlState == outcomeUnknownState) {
+    if (answer.sqlState.empty() && answer.text.find(leavingRemark) != std::string::npos) {
+        // A leaving host said goodbye while the statement was on its way: it claims
+        // that the statement did not run, and the final check holds it to that.
+        answer.verdict = Verdict::NotRun;
+    } else if (answer.sqlState.empty() || answer.sqlState == outcomeUnknownState) {
         // No SQLSTATE: the connection broke with the answer outstanding.
         answer.verdict = Verdict::Unknown;
     } else if (hint != nullptr && isNotRun(hint)) {
