--- a/samples/booking.cpp
+++ b/samples/booking.cpp
@@ -1,6 +1,6 @@
 // Books a session and charges for it, once, whatever happens on the way:
 //
-//   sample_booking "host=10.0.1.5 port=6432 dbname=bookings user=desk" 4711
+//   sample_booking "host=10.0.1.5 port=6432 dbname=bookings user=branch-desks" 4711
 //
 // The booking number is the idempotency key, chosen before the first attempt and
 // kept for all of them. Three cases that programs often treat alike are kept apart:
--- a/samples/freshread.cpp
+++ b/samples/freshread.cpp
@@ -1,6 +1,6 @@
 // Asks for the same rows with three degrees of freshness:
 //
-//   sample_freshread "host=10.0.1.5 port=6432 dbname=bookings user=parent" 1
+//   sample_freshread "host=10.0.1.5 port=6432 dbname=bookings user=parent-portal" 1
 //
 //  - session: the session's own writes and reads are seen; cheapest;
 //  - 500ms: besides, the answer is at most that old;
--- a/samples/movesession.cpp
+++ b/samples/movesession.cpp
@@ -1,7 +1,7 @@
 // Moves a session from one host to another and reads its own write there:
 //
-//   sample_movesession "host=10.0.1.5 port=6432 dbname=bookings user=desk" \
-//                      "host=10.0.2.5 port=6432 dbname=bookings user=desk" 1
+//   sample_movesession "host=10.0.1.5 port=6432 dbname=bookings user=branch-desks"
+//                      "host=10.0.2.5 port=6432 dbname=bookings user=branch-desks" 1
 //
 // The token says how far the session has read and written, so that the second host
 // knows at once how fresh an answer has to be. Without it nothing is lost: the first
