Follow membership's news at once; fix what a read's answer proves

Cause: the tick timer was not moved when news made the next tick earlier; homes were recomputed for changes that move no home and on views known to be old; an answer without a status handed the floor back as if it had been seen; a write that starts over forgot that an earlier attempt had an unknown outcome. Change: re-arm after each event, recompute on placement changes of trusted views, pull from the holder of the highest configuration, drop links of dead hosts; floorSince, seen and startOver as their owners specify.

--- a/src/runtime/homerequest.h
+++ b/src/runtime/homerequest.h
@@ -34,6 +34,8 @@
     std::string frontKey;
     ReplyHandler handler;
     RequestStage stage = RequestStage::AwaitingFreshness;
+    // When this home received it; its floor was fixed by then.
+    TimePoint receivedHere;
     // How long a replica may make it wait to become fresh enough.
     TimePoint replicaWaitUntil;
     // When the freshness is looked at again; meaningful in AwaitingFreshness.
--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -498,8 +498,11 @@
         m_homes->cancel(frontKeyOf(from), cancelled->id);
         return;
     }
-    if (std::holds_alternative<hop::FrontGone>(message)) {
-        m_homes->abandonFront(frontKeyOf(from));
+    if (const auto *gone = std::get_if<hop::FrontGone>(&message)) {
+        // Single transactions are ended by their front's ROLLBACK.
+        if (gone->transaction == 0) {
+            m_homes->abandonFront(frontKeyOf(from));
+        }
         return;
     }
     asio::post(m_control, [this, from, message = std::move(message)] { onControlMessage(from, message); });
@@ -580,9 +583,18 @@
     rebuildRoutes();
 }
 
-void HostDaemon::Impl::onView(const std::shared_ptr<const MembershipView> &)
+void HostDaemon::Impl::onView(const std::shared_ptr<const MembershipView> &view)
 {
-    rebuildRoutes();
+    for (const HostRecord &host : view->hosts) {
+        if (host.health == HostHealth::Dead && host.name != m_settings.host) {
+            asio::post(m_link, [this, name = host.name] { m_network->drop(name); });
+        }
+    }
+    // After a pause the view may be long out of date: what it said before stays in
+    // force until a peer has answered, and homes that moved meanwhile answer Moved.
+    if (view->trusted || !routes()->configuration) {
+        rebuildRoutes();
+    }
 }
 
 void HostDaemon::Impl::rebuildRoutes()
--- a/src/runtime/membershipdriver.cpp
+++ b/src/runtime/membershipdriver.cpp
@@ -44,8 +44,13 @@
     return m_membership.view();
 }
 
+// Also called when an event may have made the next tick earlier: news would
+// otherwise wait for the old timer.
 void MembershipDriver::scheduleTick()
 {
+    if (m_stopped || m_tickTimer.expiry() == m_membership.nextTick()) {
+        return;
+    }
     m_tickTimer.expires_at(m_membership.nextTick());
     m_tickTimer.async_wait([this](const boost::system::error_code &failure) {
         if (failure || m_stopped) {
@@ -91,7 +96,9 @@
 void MembershipDriver::onGossip(const GossipMessage &message)
 {
     deliver(m_membership.onMessage(message, Clock::now()));
-    m_hooks.configurationHeard(message.from, message.configurationVersion);
+    if (const auto holder = m_membership.holderOfHighestConfiguration()) {
+        m_hooks.configurationHeard(*holder, m_membership.highestConfigurationVersion());
+    }
 }
 
 void MembershipDriver::onUnreachable(const std::string &host)
@@ -102,6 +109,7 @@
 void MembershipDriver::setConfigurationVersion(std::uint64_t version)
 {
     m_membership.setConfigurationVersion(version);
+    scheduleTick();
 }
 
 void MembershipDriver::leave()
@@ -120,15 +128,17 @@
         m_hooks.send(send.peer, send.address, hop::Gossip{send.message});
     }
     publish();
+    scheduleTick();
 }
 
 void MembershipDriver::publish()
 {
     const auto view = m_membership.view();
-    if (view->version == m_published && view->trusted == m_publishedTrusted) {
+    const bool isNews = view->placementVersion != m_published || view->trusted != m_publishedTrusted;
+    if (!isNews) {
         return;
     }
-    m_published = view->version;
+    m_published = view->placementVersion;
     m_publishedTrusted = view->trusted;
     log::info("membership_changed", {{"view", view->version}, {"live", m_membership.liveCount()}, {"trusted", view->trusted}});
     m_hooks.changed(view);
--- a/src/runtime/membershipdriver.h
+++ b/src/runtime/membershipdriver.h
@@ -18,9 +18,9 @@
 
 struct MembershipDriverHooks {
     std::function<void(const std::string &host, const std::string &address, hop::HopMessage)> send;
-    // The view has a new version.
+    // Who is there or who leaves has changed, or whether the view is trusted.
     std::function<void(std::shared_ptr<const MembershipView>)> changed;
-    // A heartbeat told of a configuration version.
+    // The highest configuration version heard of, and a host that has it.
     std::function<void(const std::string &host, std::uint64_t version)> configurationHeard;
     // True when this host reads the platform's list for its zone.
     std::function<bool()> isWatcher;
@@ -58,7 +58,7 @@
     Membership m_membership;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_listTimer;
-    // The version last handed to `changed`.
+    // The placement version last handed to `changed`.
     std::uint64_t m_published = 0;
     bool m_publishedTrusted = false;
     bool m_stopped = false;
--- a/src/runtime/requestrunner.cpp
+++ b/src/runtime/requestrunner.cpp
@@ -161,7 +161,7 @@
             self->finish(std::move(refusal));
             return;
         }
-        self->m_attempts = RouteAttempts();
+        self->m_attempts.startOver();
         self->choose();
     });
 }
--- a/src/runtime/upstreamhome.cpp
+++ b/src/runtime/upstreamhome.cpp
@@ -107,7 +107,8 @@
     pending.request = std::move(request);
     pending.frontKey = frontKey;
     pending.handler = std::move(handler);
-    pending.replicaWaitUntil = Clock::now() + m_database.replicaWait;
+    pending.receivedHere = Clock::now();
+    pending.replicaWaitUntil = pending.receivedHere + m_database.replicaWait;
     pending.reply.id = pending.request.id;
     // The ledger refuses a ticket only if it is open already; tickets only rise.
     static_cast<void>(m_ledger.open(factsOf(ticket, pending.request)));
@@ -181,6 +182,7 @@
     request.freshness = pending.request.freshness;
     request.receivedAt = pending.request.receivedAt;
     request.deadline = pending.request.deadline;
+    request.floorSince = pending.receivedHere;
     request.replicaWaitUntil = pending.replicaWaitUntil;
     return m_view.decide(request, now);
 }
@@ -434,14 +436,15 @@
 
 std::optional<LogMark> UpstreamHome::seenBy(const HomeRequest &pending, const std::optional<MemberStatus> &status) const
 {
-    std::optional<LogMark> seen = pending.request.freshness.floor;
-    if (status) {
-        // A write's own mark is at or before `received`; what a read saw is at or
-        // before `replayed`, as both were taken after it ran.
-        const LogMark mark = runsOnReplicas(pending.request) ? status->replayed : status->received;
-        seen = std::max(seen.value_or(mark), mark);
+    if (!status) {
+        // The floor alone proves nothing about this answer: handed back, it would
+        // make a session that arrived without a token count as known.
+        return std::nullopt;
     }
-    return seen;
+    // A write's own mark is at or before `received`; what a read saw is at or
+    // before `replayed`, as both were taken after it ran.
+    const LogMark mark = runsOnReplicas(pending.request) ? status->replayed : status->received;
+    return std::max(pending.request.freshness.floor.value_or(mark), mark);
 }
 
 // After an answer: the slot is free, and the connection goes to its transaction
