--- a/bench/detection_curve.cpp
+++ b/bench/detection_curve.cpp
@@ -307,7 +307,8 @@
         const auto snapshot = monitor.snapshot();
         const auto monitored = Clock::now();
         for (int k = 0; k < commits; ++k) {
-            gate.add(static_cast<CommitId>(i * commits + k), 1, answers[0], now + std::chrono::seconds(1), now);
+            gate.add(static_cast<CommitId>(i) * commits + static_cast<CommitId>(k), 1, answers[0], now + std::chrono::seconds(1),
+                     now);
         }
         for (const MemberStatus &status : answers) {
             confirmed += gate.onMemberStatus(status, now).size();
--- a/tests/core/groupmonitor_test.cpp
+++ b/tests/core/groupmonitor_test.cpp
@@ -197,7 +197,7 @@
 BOOST_AUTO_TEST_CASE(KeepFewWatermarksAndJudgeAgesOfSeconds)
 {
     for (int i = 0; i < 5000; ++i) {
-        settledRound(2 * i, static_cast<Position>(i + 1));
+        settledRound(2 * i, static_cast<Position>(i) + 1);
     }
     const auto snapshot = monitor.snapshot();
     BOOST_TEST(snapshot->watermarks.size() < 120U);
@@ -225,7 +225,7 @@
 BOOST_AUTO_TEST_CASE(MeasureTheReplayRate)
 {
     for (int i = 0; i < 100; ++i) {
-        settledRound(50 * i, static_cast<Position>(10 * i));
+        settledRound(50 * i, 10 * static_cast<Position>(i));
     }
     BOOST_TEST(monitor.snapshot()->members[1].replayRate == 200.0, boost::test_tools::tolerance(0.05));
 }
--- a/tests/core/groupmutations_test.cpp
+++ b/tests/core/groupmutations_test.cpp
@@ -22,7 +22,7 @@
         WorldOptions options = quickWorld(seed);
         mutate(options);
         World world(options);
-        const std::string violation = world.run();
+        std::string violation = world.run();
         if (!violation.empty()) {
             BOOST_TEST_MESSAGE("caught after " << seed << " schedules: " << violation);
             return violation;
