Let a write that a fenced primary refused go elsewhere; split the home by topic

Such a write was answered as not run, yet as sent, so that fronts passed the refusal on to callers instead of asking the new primary.

--- a/src/runtime/upstreamhome.h
+++ b/src/runtime/upstreamhome.h
@@ -145,8 +145,6 @@
     std::optional<Error> refusalOf(const StatementRequest &request) const;
     std::optional<Error> transactionRefusal(const StatementRequest &request, const std::string &frontKey) const;
     std::optional<Error> primaryRefusal() const;
-    Error movedError() const;
-    Error leavingError() const;
     void decideFreshness(Ticket ticket);
     GateDecision gateDecision(const HomeRequest &pending, TimePoint now) const;
     void awaitFreshness(Ticket ticket, TimePoint until);
--- a/tests/runtime/home_test.cpp
+++ b/tests/runtime/home_test.cpp
@@ -96,6 +96,23 @@
     BOOST_TEST(cluster.upstream("b").statistics().commits == before);
 }
 
+// Symptom: a booking fails during a failover although nothing of it ran.
+// Sequence: the primary is fenced; a write arrives before its home hears of it.
+// Cause: the upstream's refusal was passed on, or counted as "sent", so that the
+// front did not ask the new primary.
+BOOST_AUTO_TEST_CASE(AtAFencedPrimaryAreNotRunAndMayGoElsewhere)
+{
+    Cluster cluster;
+    cluster.createTable();
+    const StatementReply fenced = cluster.run("a", StatementKind::Write, "SELECT * FROM group_fence(2, 'stranger')");
+    BOOST_TEST_MESSAGE("fence: " << textOf(fenced));
+    BOOST_REQUIRE((cluster.upstream("a").status().role == UpstreamRole::Fenced));
+    const StatementReply reply = cluster.run("a", StatementKind::Write, insert(1));
+    BOOST_REQUIRE_MESSAGE(reply.error.has_value(), "a fenced upstream took a write");
+    BOOST_TEST((outcomeOf(reply.error->kind) == Outcome::NotRun), textOf(reply));
+    BOOST_TEST(!reply.sent, "a write that is proven not to have run counts as sent: " << textOf(reply));
+}
+
 BOOST_AUTO_TEST_CASE(PassTheUpstreamsOwnErrorOn)
 {
     Cluster cluster;
