Bound a writer's failures by the changes of term that it went through

Cause: the test allowed one failed write over a failover; on a machine with a load of 19 on 12 cores one run of seventeen had two, since a second change of term caught the next statement. One failure is no promise; one for each change is what holds for a writer with one statement at a time. Ruled out: a lost or doubled write (the same test compares every row). Change: the bound is the number of changes of term.

--- a/tests/runtime/groupobserver_test.cpp
+++ b/tests/runtime/groupobserver_test.cpp
@@ -111,8 +111,12 @@
     for (const std::string &failure : first.failures) {
         BOOST_TEST_MESSAGE("failed write: " << failure);
     }
-    BOOST_TEST(first.failures.size() <= 1U,
-               "a writer with one statement at a time had " << first.failures.size() << " writes without an answer");
+    // Each change of term may catch the one statement that the writer has under
+    // way; a busy machine may see two changes.
+    const auto changes = static_cast<std::size_t>(cluster.view()->term - 1);
+    BOOST_TEST(first.failures.size() <= changes,
+               "a writer with one statement at a time had " << first.failures.size() << " writes without an answer over " << changes
+                                                            << " changes of term");
 }
 
 // Symptom: two branches sell the same hour.
