Hold writes after a lost connection until the primary is seen alive

Cause: when the primary dies its connections break one after the other; a write that came after the first loss was sent on the next connection and its outcome was unknown too. Seen as 2 unanswered writes of a one-at-a-time writer in Failover/AKilledPrimaryIsSucceeded..., 3 of 4 whole test runs on the busy machine. Ruled out: a second change of term (the first guess; the stricter bound by terms failed as well, with one change), and a lost or doubled row. Change: from the loss on, new writes stay queued, not sent, until a round that began later confirms the primary; else they go to the successor as not run. An upstream that closes single connections costs one round.

--- a/src/runtime/upstreamhome.cpp
+++ b/src/runtime/upstreamhome.cpp
@@ -254,7 +254,7 @@
     m_ready = std::move(waiting);
 }
 
-// False when the ticket has to wait for a connection.
+// False when the ticket has to wait for a connection, or for a sign of life.
 bool UpstreamHome::sendOne(Ticket ticket)
 {
     const auto found = m_pending.find(ticket);
@@ -264,6 +264,9 @@
     if (!maySendNow(ticket)) {
         return true;
     }
+    if (awaitsProofOfPrimary(found->second)) {
+        return false;
+    }
     const std::uint64_t transaction = found->second.request.transaction;
     const Connection connection = transaction != 0 ? m_transactions.at(transaction).connection : m_pool.take();
     if (!connection) {
@@ -296,6 +299,12 @@
     return false;
 }
 
+bool UpstreamHome::awaitsProofOfPrimary(const HomeRequest &pending) const
+{
+    const bool isNewWrite = pending.request.transaction == 0 && !runsOnReplicas(pending.request);
+    return isNewWrite && !m_view.isPrimarySinceLoss();
+}
+
 void UpstreamHome::start(Ticket ticket, const Connection &connection)
 {
     HomeRequest &pending = m_pending.at(ticket);
--- a/src/runtime/upstreamhome.h
+++ b/src/runtime/upstreamhome.h
@@ -155,6 +155,7 @@
     void sendReady();
     bool sendOne(Ticket ticket);
     bool maySendNow(Ticket ticket);
+    bool awaitsProofOfPrimary(const HomeRequest &pending) const;
     void start(Ticket ticket, const Connection &connection);
     void onAnswer(Ticket ticket, tl::expected<BatchAnswer, BatchFailure> answer);
     void askStatusAgain(Ticket ticket, BatchAnswer answer);
--- a/src/runtime/upstreamhomeanswers.cpp
+++ b/src/runtime/upstreamhomeanswers.cpp
@@ -18,6 +18,8 @@
 {
 
 constexpr std::string_view readOnlyState = "25006";
+// How long rounds are asked for at the fast pace after a connection broke.
+constexpr milliseconds proofPatience{2000};
 // How long a rollback on behalf of a front that is gone may take before its
 // connection is closed instead.
 constexpr milliseconds rollbackTimeout{2000};
@@ -199,6 +201,12 @@
 {
     const StatementRequest &request = m_pending.at(ticket).request;
     const std::string cause = "The upstream '" + m_upstream.name + "' " + failure.message;
+    if (failure.reason == BatchFailure::Reason::Lost) {
+        m_view.onConnectionLost(Clock::now());
+        if (m_hooks.hurry) {
+            m_hooks.hurry(Clock::now() + proofPatience);
+        }
+    }
     const auto actions = m_ledger.hopBroken(ticket, homeerrors::retrySoon, Clock::now());
     const bool repeatable = !actions.empty() && actions.front().kind == LedgerAction::Kind::Retry;
     Error error = homeerrors::lostWrite(cause);
--- a/src/runtime/upstreamview.cpp
+++ b/src/runtime/upstreamview.cpp
@@ -50,6 +50,21 @@
     }
 }
 
+void UpstreamView::onConnectionLost(TimePoint at)
+{
+    m_connectionLostAt = at;
+}
+
+bool UpstreamView::isPrimarySinceLoss() const
+{
+    if (!m_connectionLostAt) {
+        return isPrimary();
+    }
+    const bool confirmedSince = m_snapshot.primaryConfirmed && !m_snapshot.watermarks.empty()
+        && m_snapshot.watermarks.back().sentAt > *m_connectionLostAt;
+    return isPrimary() && confirmedSince;
+}
+
 bool UpstreamView::observed() const
 {
     return !m_snapshot.members.empty();
--- a/src/runtime/upstreamview.h
+++ b/src/runtime/upstreamview.h
@@ -23,6 +23,18 @@
     // The upstream's status, taken after `at`.
     void onStatus(const MemberStatus &status, TimePoint at);
 
+    // A connection to the upstream broke at that moment.
+    void onConnectionLost(TimePoint at);
+    // False from the loss of a connection until a round that began later has
+    // confirmed this upstream as primary.
+    //
+    // What goes wrong without it: the primary dies, and its connections break one
+    // after the other. A write that follows the first loss goes out on the next
+    // connection and its outcome is unknown as well, though the loss was known.
+    // One would notice several unknown outcomes for each failover. Held back, such
+    // writes are not run and go to the successor.
+    bool isPrimarySinceLoss() const;
+
     // True once a snapshot has come in.
     bool observed() const;
     // True when the upstream is the confirmed or last known primary.
@@ -42,6 +54,7 @@
     // The upstream's newest status and the time after which it was taken.
     std::optional<MemberStatus> m_ownStatus;
     TimePoint m_ownStatusAt;
+    std::optional<TimePoint> m_connectionLostAt;
 };
 
 } // namespace egrettide
