--- a/tests/runtime/front_test.cpp
+++ b/tests/runtime/front_test.cpp
@@ -781,6 +781,11 @@
     BOOST_TEST(caller.value("COPY t FROM STDIN") == "0A000");
     BOOST_TEST(caller.transaction() == PQTRANS_INERROR);
     BOOST_TEST(caller.value("COMMIT") == "ROLLBACK");
+    // The caller's answer does not wait for the home's.
+    const auto end = Clock::now() + std::chrono::seconds(20);
+    while (running.home.timesRan("ROLLBACK") == 0U && Clock::now() < end) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
     BOOST_TEST(running.home.timesRan("COMMIT") == 0U);
     BOOST_TEST(running.home.timesRan("ROLLBACK") == 1U);
 }
