--- a/tests/runtime/homecluster.h
+++ b/tests/runtime/homecluster.h
@@ -171,7 +171,8 @@
         }
         for (const std::string &name : upstreamNames) {
             const MemberStatus status = upstream(name).status();
-            out << "\n" << name << " role " << static_cast<int>(status.role) << " promised " << status.promisedTerm << " to "
+            out << "\n"
+                << name << " role " << static_cast<int>(status.role) << " promised " << status.promisedTerm << " to "
                 << status.promisedTo << " received " << status.received << " follows " << status.followingTerm;
             const UpstreamStatistics statistics = upstream(name).statistics();
             out << " connections " << statistics.connections << " refused " << statistics.refusedConnections << " queue "
--- a/tests/runtime/homeoutcomes_test.cpp
+++ b/tests/runtime/homeoutcomes_test.cpp
@@ -125,7 +125,8 @@
     Cluster::awaitTrue(
         [&] {
             if (Clock::now() > end) {
-                std::cerr << "no confirmed read in time: " + textOf(reply) + cluster.describe() << std::endl; std::_Exit(1);
+                std::cerr << "no confirmed read in time: " + textOf(reply) + cluster.describe() << std::endl;
+                std::_Exit(1);
             }
             const std::string primary = cluster.view()->primary;
             StatementRequest request =
