Wait for the rollback that the front sends besides its answer

runtime.front_test failed in one of two runs of the whole ctest at -j4 on a busy machine: the front answers COMMIT of an aborted transaction by itself, so the answer does not say that the home has run ROLLBACK yet. The case now waits for it, and still asks for exactly one.

--- a/tests/runtime/fakehome.h
+++ b/tests/runtime/fakehome.h
@@ -116,6 +116,14 @@
         return static_cast<std::size_t>(std::count(all.begin(), all.end(), sql));
     }
 
+    // Waits until the statement has run at an upstream; false after a generous time.
+    bool waitUntilRan(const std::string &sql)
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        return m_changed.wait_for(lock, std::chrono::seconds(20),
+                                  [&] { return std::find(m_ran.begin(), m_ran.end(), sql) != m_ran.end(); });
+    }
+
     static GroupHint hint()
     {
         GroupHint hint;
@@ -195,6 +203,7 @@
         return std::make_shared<FakeUpstreamConnection>([this](const std::string &sql) {
             const std::lock_guard<std::mutex> lock(m_mutex);
             m_ran.push_back(sql);
+            m_changed.notify_all();
         });
     }
 
--- a/tests/runtime/front_test.cpp
+++ b/tests/runtime/front_test.cpp
@@ -775,12 +775,14 @@
 
 BOOST_AUTO_TEST_CASE(ARefusedStatementAbortsTheTransactionItIsIn)
 {
-    const RunningFront running;
+    RunningFront running;
     const Caller caller(running);
     caller.run("BEGIN");
     BOOST_TEST(caller.value("COPY t FROM STDIN") == "0A000");
     BOOST_TEST(caller.transaction() == PQTRANS_INERROR);
     BOOST_TEST(caller.value("COMMIT") == "ROLLBACK");
+    // The front has answered by itself; the home is told besides, in its own time.
+    BOOST_TEST(running.home.waitUntilRan("ROLLBACK"), "the upstream's transaction was left open; see rollBackAtHome");
     BOOST_TEST(running.home.timesRan("COMMIT") == 0U);
     BOOST_TEST(running.home.timesRan("ROLLBACK") == 1U);
 }
