--- a/src/runtime/homeservice.cpp
+++ b/src/runtime/homeservice.cpp
@@ -24,6 +24,7 @@
     std::string database;
     std::string upstream;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): the check takes the 0 of a rewritten comparison for a pointer.
     friend auto operator<=>(const HomeKey &, const HomeKey &) = default;
 };
 
@@ -486,7 +487,7 @@
     m_impl->stop();
 }
 
-void HomeService::update(std::shared_ptr<const Configuration> configuration, const HomePredicate &isHome)
+void HomeService::update(const std::shared_ptr<const Configuration> &configuration, const HomePredicate &isHome)
 {
     m_impl->update(configuration, isHome);
 }
--- a/src/runtime/homeservice.h
+++ b/src/runtime/homeservice.h
@@ -53,7 +53,7 @@
 
     // Homes that are no longer this host's drain, new ones start. The predicate
     // is asked within the call.
-    void update(std::shared_ptr<const Configuration> configuration, const HomePredicate &isHome);
+    void update(const std::shared_ptr<const Configuration> &configuration, const HomePredicate &isHome);
 
     // Runs a request at its home here, else answers Moved, not run. `handler` is
     // called exactly once, on a traffic thread or within the call. `frontKey`
