--- a/tests/runtime/upstreamconnection_test.cpp
+++ b/tests/runtime/upstreamconnection_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <atomic>
 #include <functional>
 #include <optional>
 #include <string>
@@ -218,7 +219,9 @@
 BOOST_AUTO_TEST_CASE(AskTheUpstreamToCancelWhatPassesItsDeadline)
 {
     std::string cancel;
-    ScriptedUpstream upstream([&cancel](ScriptedUpstream &script) {
+    // The upstream's thread writes `cancel` before it sets this.
+    std::atomic<bool> cancelArrived{false};
+    ScriptedUpstream upstream([&cancel, &cancelArrived](ScriptedUpstream &script) {
         const tcp::socket hanging = [&script] {
             tcp::socket socket = script.login();
             ScriptedUpstream::readMessage(socket);
@@ -226,6 +229,7 @@
         }();
         tcp::socket second = script.accept();
         cancel = ScriptedUpstream::readPlain(second);
+        cancelArrived = true;
     });
     Driver driver(upstream);
     driver.start("SELECT pg_sleep(100)", false, std::chrono::milliseconds{30});
@@ -234,7 +238,7 @@
     BOOST_TEST((result.error().reason == BatchFailure::Reason::DeadlineExceeded));
     BOOST_TEST(result.error().sent);
     BOOST_TEST(!driver.connection->usable(), "a connection with an answer outstanding may be used again");
-    driver.runUntil([&cancel] { return !cancel.empty(); });
+    driver.runUntil([&cancelArrived] { return cancelArrived.load(); });
     upstream.join();
     pg::PayloadReader reader(cancel);
     BOOST_TEST(reader.uint32().value_or(0) == pg::cancelRequestCode);
