--- a/bench/egrettide_bench.cpp
+++ b/bench/egrettide_bench.cpp
@@ -37,6 +37,9 @@
 // arrivals: one connection carries one statement at a time.
 constexpr milliseconds maxLag{2000};
 constexpr int ageBoundMs = 200;
+// Without the told wait a caller that retries asks again at once.
+constexpr const char *waitRemark = "Come back in ";
+constexpr milliseconds timelineStep{100};
 
 struct Options {
     std::vector<std::string> targets;
@@ -53,7 +56,15 @@
     double stormFrom = 0;
     double stormTo = 0;
     int timeoutMs = 3000;
+    // Part of the writes that are transactions of two inserts; the rest are single updates.
+    double transactionShare = 0.5;
+    // How often a caller asks again after "not run", and whether it waits as told.
+    int retries = 0;
+    bool obeyWait = true;
     std::uint64_t seed = 1;
+    // Measures this many sequential reads of each of `probeCallers` instead of the load.
+    int probes = 0;
+    int probeCallers = 1;
     // One statement to run instead of the load.
     std::string statement;
 };
@@ -66,6 +77,8 @@
     std::string sqlState;
     std::string text;
     std::vector<std::vector<std::string>> rows;
+    // How long a refusal told its caller to wait; 0 when it told nothing.
+    milliseconds wait{0};
 };
 
 struct PqConnectionDeleter {
@@ -88,6 +101,13 @@
     return hint.rfind("Not run", 0) == 0;
 }
 
+milliseconds waitOf(const char *hint)
+{
+    const std::string text = hint != nullptr ? hint : "";
+    const std::size_t found = text.find(waitRemark);
+    return milliseconds(found == std::string::npos ? 0 : std::stoll(text.substr(found + std::string(waitRemark).size())));
+}
+
 Answer answerOf(PGconn *connection, PGresult *result)
 {
     Answer answer;
@@ -108,6 +128,7 @@
     const char *message = PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY);
     answer.sqlState = state != nullptr ? state : "";
     answer.text = message != nullptr ? message : PQerrorMessage(connection);
+    answer.wait = waitOf(hint);
     if (answer.sqlState.empty() && answer.text.find(leavingRemark) != std::string::npos) {
         // A leaving host said goodbye while the statement was on its way: it claims
         // that the statement did not run, and the final check holds it to that.
@@ -218,6 +239,11 @@
     std::vector<TimePoint> writesFailed;
     std::map<std::string, int> refusals;
     std::map<std::string, Latencies> latencies;
+    // Of refusals as not run: the time until the refusal came and the wait it told.
+    Latencies refusalDelays;
+    Latencies waitsTold;
+    std::atomic<std::int64_t> retries{0};
+    std::atomic<std::int64_t> skipped{0};
     std::atomic<std::int64_t> nextCharge{1};
     std::atomic<std::int64_t> attempts{0};
     std::atomic<std::int64_t> done{0};
@@ -252,6 +278,8 @@
             std::this_thread::sleep_until(due);
             if (Clock::now() - due < maxLag) {
                 oneRequest(due);
+            } else {
+                m_world.skipped.fetch_add(1);
             }
             due += toDuration(gap(m_random));
         }
@@ -259,6 +287,9 @@
 
     Latencies reads;
     Latencies writes;
+    // The part of both whose arrival was due while the storm blew.
+    Latencies stormRequests;
+    Latencies calmRequests;
 
 private:
     static Clock::duration toDuration(double seconds)
@@ -309,12 +340,28 @@
         m_target = (m_target + 1) % options.targets.size();
     }
 
+    // Asks again after "not run", as a caller's own retry loop would.
+    Answer executeRetrying(const std::string &sql)
+    {
+        const Options &options = m_world.options;
+        Answer answer = execute(sql);
+        for (int retry = 0; retry < options.retries && answer.verdict == Verdict::NotRun; ++retry) {
+            if (options.obeyWait) {
+                std::this_thread::sleep_for(answer.wait);
+            }
+            m_world.retries.fetch_add(1);
+            answer = execute(sql);
+        }
+        return answer;
+    }
+
     Answer execute(const std::string &sql)
     {
         m_world.attempts.fetch_add(1);
+        const TimePoint sent = Clock::now();
         PGconn *open = connection();
         if (open == nullptr) {
-            return Answer{Verdict::NotRun, "connect", "no host accepts connections", {}};
+            return Answer{Verdict::NotRun, "connect", "no host accepts connections", {}, milliseconds{0}};
         }
         const PqResult result(PQexec(open, sql.c_str()));
         Answer answer = answerOf(open, result.get());
@@ -325,6 +372,11 @@
         if (PQstatus(open) != CONNECTION_OK) {
             m_connection.reset();
         }
+        if (answer.verdict == Verdict::NotRun) {
+            const std::lock_guard<std::mutex> lock(m_world.mutex);
+            m_world.refusalDelays.add(std::chrono::duration_cast<microseconds>(Clock::now() - sent));
+            m_world.waitsTold.add(answer.wait);
+        }
         return answer;
     }
 
@@ -333,14 +385,22 @@
         const bool read = std::uniform_real_distribution<>(0, 1)(m_random) < m_world.options.readShare;
         if (read) {
             readOnce();
-            reads.add(std::chrono::duration_cast<microseconds>(Clock::now() - due));
         } else {
             writeOnce();
-            writes.add(std::chrono::duration_cast<microseconds>(Clock::now() - due));
         }
+        const auto latency = std::chrono::duration_cast<microseconds>(Clock::now() - due);
+        (read ? reads : writes).add(latency);
+        (isStorm(due) ? stormRequests : calmRequests).add(latency);
         maybeMove();
     }
 
+    bool isStorm(TimePoint due) const
+    {
+        const Options &options = m_world.options;
+        const double at = std::chrono::duration<double>(due - m_world.start).count();
+        return options.stormFactor > 1 && at >= options.stormFrom && at < options.stormTo;
+    }
+
     void note(const Answer &answer)
     {
         if (answer.verdict == Verdict::Done) {
@@ -365,7 +425,7 @@
 
     void writeOnce()
     {
-        if (std::uniform_int_distribution<>(0, 1)(m_random) == 0) {
+        if (std::uniform_real_distribution<>(0, 1)(m_random) < m_world.options.transactionShare) {
             bookInTransaction();
         } else {
             advanceProgress();
@@ -403,8 +463,8 @@
         const std::int64_t version = ++m_version;
         Progress &mine = m_world.progress[static_cast<std::size_t>(m_number)];
         mine.attempted(version);
-        const Answer answer =
-            execute("UPDATE progress SET version = " + std::to_string(version) + " WHERE caller = " + std::to_string(m_number));
+        const Answer answer = executeRetrying("UPDATE progress SET version = " + std::to_string(version)
+                                              + " WHERE caller = " + std::to_string(m_number));
         noteWrite(answer);
         if (answer.verdict == Verdict::Done) {
             mine.acknowledged(version, Clock::now());
@@ -427,7 +487,7 @@
     {
         const Progress &mine = m_world.progress[static_cast<std::size_t>(m_number)];
         const std::int64_t floor = mine.acknowledgedAt(Clock::now());
-        const Answer answer = execute("SELECT caller, version FROM progress WHERE caller = " + std::to_string(m_number));
+        const Answer answer = executeRetrying("SELECT caller, version FROM progress WHERE caller = " + std::to_string(m_number));
         check(answer, m_number, floor, "own write");
     }
 
@@ -558,16 +618,39 @@
     }
 }
 
-double longestGap(std::vector<TimePoint> &times)
+struct Gap {
+    double from = 0;
+    double seconds = 0;
+};
+
+// The longest time without a write. The run's ends count as edges, so that writes
+// which never came back show as a gap until the end.
+Gap longestGap(const World &world)
 {
+    const auto secondsOf = [&world](TimePoint time) { return std::chrono::duration<double>(time - world.start).count(); };
+    std::vector<double> times{0, world.options.seconds};
+    std::transform(world.writesDone.begin(), world.writesDone.end(), std::back_inserter(times), secondsOf);
     std::sort(times.begin(), times.end());
-    double longest = 0;
+    Gap longest;
     for (std::size_t i = 1; i < times.size(); ++i) {
-        longest = std::max(longest, std::chrono::duration<double>(times[i] - times[i - 1]).count());
+        if (times[i] - times[i - 1] > longest.seconds) {
+            longest = Gap{times[i - 1], times[i] - times[i - 1]};
+        }
     }
     return longest;
 }
 
+std::vector<int> timeline(const World &world, const std::vector<TimePoint> &times)
+{
+    const auto steps = static_cast<std::size_t>(world.options.seconds * 1000 / static_cast<double>(timelineStep.count())) + 1;
+    std::vector<int> counts(steps, 0);
+    for (const TimePoint time : times) {
+        const auto step = static_cast<std::size_t>((time - world.start) / timelineStep);
+        ++counts[std::min(step, steps - 1)];
+    }
+    return counts;
+}
+
 json report(World &world)
 {
     json out;
@@ -575,7 +658,15 @@
     out["done"] = world.done.load();
     out["writes_done"] = world.writesDone.size();
     out["writes_not_done"] = world.writesFailed.size();
-    out["longest_s_without_write"] = longestGap(world.writesDone);
+    const Gap gap = longestGap(world);
+    out["longest_s_without_write"] = gap.seconds;
+    out["longest_without_write_from_s"] = gap.from;
+    out["retries"] = world.retries.load();
+    out["skipped_arrivals"] = world.skipped.load();
+    out["refusal_delay"] = world.refusalDelays.summary();
+    out["wait_told"] = world.waitsTold.summary();
+    out["writes_done_per_100ms"] = timeline(world, world.writesDone);
+    out["writes_not_done_per_100ms"] = timeline(world, world.writesFailed);
     if (!world.writesFailed.empty()) {
         const auto [first, last] = std::minmax_element(world.writesFailed.begin(), world.writesFailed.end());
         out["first_to_last_failed_write_s"] = std::chrono::duration<double>(*last - *first).count();
@@ -618,7 +709,49 @@
     for (std::size_t i = 0; i < callers.size(); ++i) {
         world.latencies[classes[i] + "_read"].merge(callers[i]->reads);
         world.latencies[classes[i] + "_write"].merge(callers[i]->writes);
+        if (options.stormFactor > 1) {
+            world.latencies[classes[i] + "_calm"].merge(callers[i]->calmRequests);
+            world.latencies[classes[i] + "_storm"].merge(callers[i]->stormRequests);
+        }
+    }
+}
+
+// Sequential reads of one row, for the cost of the path alone. The same statement
+// goes to an entry host or straight to an upstream.
+json probe(const Options &options)
+{
+    std::mutex mutex;
+    Latencies all;
+    std::atomic<int> failed{0};
+    const auto reader = [&](std::size_t number) {
+        const std::string &target = options.targets[number % options.targets.size()];
+        const std::size_t colon = target.rfind(':');
+        const PqConnection connection(
+            PQconnectdb(("host=" + target.substr(0, colon) + " port=" + target.substr(colon + 1) + " dbname=" + options.database
+                         + " user=desk connect_timeout=3 gssencmode=disable sslmode=disable")
+                            .c_str()));
+        Latencies own;
+        for (int i = 0; i < options.probes; ++i) {
+            const TimePoint sent = Clock::now();
+            const PqResult result(PQexec(connection.get(), "SELECT caller, version FROM progress WHERE caller = 0"));
+            own.add(std::chrono::duration_cast<microseconds>(Clock::now() - sent));
+            failed += PQresultStatus(result.get()) == PGRES_TUPLES_OK ? 0 : 1;
+        }
+        const std::lock_guard<std::mutex> lock(mutex);
+        all.merge(own);
+    };
+    const TimePoint start = Clock::now();
+    std::vector<std::thread> threads;
+    for (int number = 0; number < options.probeCallers; ++number) {
+        threads.emplace_back(reader, static_cast<std::size_t>(number));
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
     }
+    json out = all.summary();
+    out["failed"] = failed.load();
+    out["seconds"] = std::chrono::duration<double>(Clock::now() - start).count();
+    return out;
 }
 
 } // namespace
@@ -639,10 +772,16 @@
         "requests a second and parent")("read-share", po::value(&options.readShare), "part of requests that read")(
         "move-every", po::value(&options.moveEvery), "sessions move to another host every N requests")(
         "carry-token", po::value(&options.carryToken), "sessions that move present their token")(
-        "storm-factor", po::value(&options.stormFactor), "parents times this during the storm")(
-        "storm-from", po::value(&options.stormFrom), "s")("storm-to", po::value(&options.stormTo), "s")(
-        "timeout-ms", po::value(&options.timeoutMs), "deadline of each statement")("seed", po::value(&options.seed),
-                                                                                   "seed of the schedule");
+        "storm-factor", po::value(&options.stormFactor),
+        "parents times this during the storm")("storm-from", po::value(&options.stormFrom), "s")(
+        "storm-to", po::value(&options.stormTo), "s")("timeout-ms", po::value(&options.timeoutMs), "deadline of each statement")(
+        "transaction-share", po::value(&options.transactionShare), "part of writes that are transactions")(
+        "retries", po::value(&options.retries), "times that a caller asks again after \"not run\"")(
+        "obey-wait", po::value(&options.obeyWait), "such a caller waits as long as it was told")(
+        "execute", po::value(&options.statement), "run this one statement, repeated until it is done, and no load")(
+        "probes", po::value(&options.probes), "sequential reads to time, and no load")(
+        "probe-callers", po::value(&options.probeCallers), "callers that probe at once")("seed", po::value(&options.seed),
+                                                                                         "seed of the schedule");
     po::variables_map values;
     try {
         po::store(po::parse_command_line(argc, argv, description), values);
@@ -663,6 +802,10 @@
         executePatiently(options, options.statement, "session");
         return 0;
     }
+    if (options.probes > 0) {
+        std::cout << probe(options).dump() << std::endl;
+        return 0;
+    }
     World world(options);
     setUp(options, world.progress.size());
     world.start = Clock::now();
--- a/scripts/lab.py
+++ b/scripts/lab.py
@@ -6,6 +6,8 @@
 import os
 import re
 import signal
+import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -41,6 +43,55 @@
         return 0, str(failure)
 
 
+def startup_message(user, database):
+    body = struct.pack("!I", 196608) + f"user\0{user}\0database\0{database}\0\0".encode()
+    return struct.pack("!I", len(body) + 4) + body
+
+
+def messages(connection):
+    """Yields (type, payload) of each PostgreSQL message that comes in."""
+    buffered = b""
+    while True:
+        while len(buffered) < 5 or len(buffered) < 1 + struct.unpack("!I", buffered[1:5])[0]:
+            part = connection.recv(65536)
+            if not part:
+                raise RuntimeError("the connection was closed")
+            buffered += part
+        end = 1 + struct.unpack("!I", buffered[1:5])[0]
+        yield buffered[:1], buffered[5:end]
+        buffered = buffered[end:]
+
+
+def row_values(payload):
+    count, at, values = struct.unpack("!H", payload[:2])[0], 2, []
+    for _ in range(count):
+        length = struct.unpack("!i", payload[at:at + 4])[0]
+        at += 4
+        values.append(None if length < 0 else payload[at:at + length].decode())
+        at += max(length, 0)
+    return values
+
+
+def query(address, statement, user="bench", database="bench"):
+    """Runs one statement over the simple protocol and gives its rows as text."""
+    ip, port = address.rsplit(":", 1)
+    with socket.create_connection((ip, int(port)), timeout=5) as connection:
+        connection.sendall(startup_message(user, database))
+        incoming = messages(connection)
+        while next(incoming)[0] != b"Z":
+            pass
+        text = statement.encode() + b"\0"
+        connection.sendall(b"Q" + struct.pack("!I", len(text) + 4) + text)
+        rows = []
+        for kind, payload in incoming:
+            if kind == b"D":
+                rows.append(row_values(payload))
+            if kind == b"E":
+                raise RuntimeError(f"{statement} failed: {payload!r}")
+            if kind == b"Z":
+                return rows
+
+
 class Process:
     """A program with its output in files."""
 
@@ -198,6 +249,31 @@
                 total[key] = total.get(key, 0) + int(found.group(2))
         return total
 
+    def start_hosts(self, zones, each, policy="adaptive"):
+        """`each` hosts in every zone, host-a1 and on, announced to the platform."""
+        for zone in zones:
+            for number in range(1, each + 1):
+                self.start_host(f"host-{zone}{number}", zone, policy)
+        self.announce_hosts()
+
+    def store_calls(self):
+        status, text = http("GET", self.platform, "/admin/calls")
+        return json.loads(text) if status == 200 else {}
+
+    def group_views(self, database):
+        """What each answering host reports of the group: {host: entry}."""
+        views = {}
+        for host in self.hosts.values():
+            status, text = http("GET", host.operators, "/status") if host.process.alive() else (0, "")
+            if status == 200:
+                entries = [entry for entry in json.loads(text)["groups"] if entry["database"] == database]
+                views.update({host.name: entry for entry in entries})
+        return views
+
+    def sql(self, upstream, statement):
+        """One statement straight to an upstream's stand-in."""
+        return query(self.upstreams[upstream]["address"], statement)
+
     def fresh_tables(self, database):
         """Empties what the load tool left, for another run on the same site."""
         host = next(host for host in self.hosts.values() if host.process.alive())
@@ -206,12 +282,12 @@
             subprocess.run([self.program("egrettide-bench"), "--targets", f"{address}:{port}", "--database", database,
                             "--execute", f"DELETE FROM {table}"], check=True, timeout=60)
 
-    def bench(self, **options):
+    def bench(self, process="load", **options):
         """Starts the load tool; the callers begin once it says so."""
         arguments = [self.program("egrettide-bench"), "--targets", self.targets()]
         for name, value in options.items():
             arguments += ["--" + name.replace("_", "-"), str(value)]
-        load = self.run("load", arguments)
+        load = self.run(process, arguments)
         wait_for("load started", lambda: load.find(load.out_path, r'"started":true'), 120)
         return load
 
