--- a/tests/core/gossipfleet.h
+++ b/tests/core/gossipfleet.h
@@ -33,6 +33,8 @@
 
     // Sees every message as it leaves.
     std::function<void(const std::string &from, const GossipSend &)> onSend;
+    // Sees every message once its receiver has taken it.
+    std::function<void(const std::string &to, const GossipMessage &)> onReceive;
     milliseconds latency{1};
     // Share of messages that are lost.
     double loss = 0;
@@ -53,6 +55,7 @@
         host.address = self.peerAddress;
         host.membership = std::make_unique<Membership>(self, m_options, m_random(), m_now);
         host.membership->onHostList(seeds, m_now);
+        host.process = ++m_processes;
         m_places[host.address] = name;
         m_hosts[name] = std::move(host);
         schedule(name);
@@ -102,6 +105,10 @@
         host.paused = false;
         for (auto &message : std::exchange(host.waiting, {})) {
             send(name, host.membership->onMessage(message, m_now));
+            received(name, message);
+        }
+        for (const auto &action : std::exchange(host.waitingActions, {})) {
+            action();
         }
         send(name, host.membership->tick(m_now));
         schedule(name);
@@ -138,6 +145,31 @@
         schedule(name);
     }
 
+    // Runs an action at a host after a while: later when it is paused then, never
+    // when its process is gone.
+    void after(const std::string &name, Clock::duration delay, std::function<void()> action)
+    {
+        Event event{m_now + delay, ++m_order, nullptr, {}, name};
+        event.action = std::move(action);
+        event.process = m_hosts.at(name).process;
+        m_events.push(std::move(event));
+    }
+
+    // Carries an action to another host as a message, which takes the latency and
+    // `extra`, may be lost and does not cross a cut.
+    void transmit(const std::string &from, const std::string &to, Clock::duration extra, std::function<void()> action)
+    {
+        const bool lost = loss > 0 && std::bernoulli_distribution(loss)(m_random);
+        if (!lost && isRunning(to) && !separated(m_hosts.at(from).zone, m_hosts.at(to).zone)) {
+            after(to, latency + extra, std::move(action));
+        }
+    }
+
+    bool isRunning(const std::string &name) const
+    {
+        return m_hosts.contains(name);
+    }
+
     TimePoint now() const
     {
         return m_now;
@@ -213,6 +245,9 @@
         TimePoint tickAt = TimePoint::max();
         bool paused = false;
         std::vector<GossipMessage> waiting;
+        std::vector<std::function<void()>> waitingActions;
+        // Tells the processes of one name apart.
+        std::uint64_t process = 0;
     };
 
     struct Event {
@@ -223,6 +258,9 @@
         // Set when a link was refused.
         std::string refusedPeer;
         std::string to;
+        // Set for an action, which is meant for one process only.
+        std::function<void()> action{};
+        std::uint64_t process = 0;
 
         bool operator<(const Event &other) const
         {
@@ -267,6 +305,25 @@
         }
     }
 
+    void received(const std::string &to, const GossipMessage &message) const
+    {
+        if (onReceive) {
+            onReceive(to, message);
+        }
+    }
+
+    static void act(Host &host, const Event &event)
+    {
+        if (host.process != event.process) {
+            return;
+        }
+        if (host.paused) {
+            host.waitingActions.push_back(event.action);
+        } else {
+            event.action();
+        }
+    }
+
     void handle(const Event &event)
     {
         const auto found = m_hosts.find(event.to);
@@ -274,6 +331,10 @@
             return;
         }
         Host &host = found->second;
+        if (event.action) {
+            act(host, event);
+            return;
+        }
         if (host.paused) {
             if (event.message) {
                 host.waiting.push_back(*event.message);
@@ -282,6 +343,7 @@
         }
         if (event.message) {
             send(event.to, host.membership->onMessage(*event.message, m_now));
+            received(event.to, *event.message);
         } else if (!event.refusedPeer.empty()) {
             send(event.to, host.membership->onLinkLost(event.refusedPeer, m_now));
         } else {
@@ -295,6 +357,7 @@
     std::mt19937_64 m_random;
     TimePoint m_now{std::chrono::hours{100}};
     std::uint64_t m_order = 0;
+    std::uint64_t m_processes = 0;
     std::map<std::string, Host> m_hosts;
     // Who answers at an address.
     std::map<std::string, std::string> m_places;
