Refuse names that are no text, numbers that no double holds

Found by the new fuzz tests, each with its own failing case first: gossip of a host whose name is no UTF-8 was taken into the view, where writing the status as JSON throws and ends the process; a file with 1e999 ended egrettidectl with an uncaught exception, and so did an operators' answer whose error is no text.

--- a/src/core/configurationfile.cpp
+++ b/src/core/configurationfile.cpp
@@ -204,7 +204,8 @@
             faults.insert(faults.end(), parsed.error().begin(), parsed.error().end());
         }
         return faults.empty() ? parsed : tl::make_unexpected(std::move(faults));
-    } catch (const json::parse_error &error) {
+    } catch (const json::exception &error) {
+        // Not parse_error alone: a number that no double can hold has a kind of its own.
         return tl::make_unexpected(
             std::vector{detail::fault("", std::string("this is not JSON (") + error.what() + "); mend it there")});
     }
--- a/src/runtime/operatorcommands.cpp
+++ b/src/runtime/operatorcommands.cpp
@@ -140,6 +140,14 @@
     return document;
 }
 
+// A text field of an answer, empty when it is missing or no text: what answers may
+// be any program, and json::value throws at a field of another type.
+std::string textIn(const json &document, const char *field)
+{
+    const auto value = document.find(field);
+    return value != document.end() && value->is_string() ? value->get<std::string>() : std::string();
+}
+
 // What a host's answer to a command means.
 CommandResult commandResult(const boost::asio::ip::tcp::endpoint &host, const tl::expected<HttpAnswer, HttpFailure> &answer,
                             const std::string &success)
@@ -155,11 +163,11 @@
         return done(success + '\n');
     }
     const json body = json::parse(answer->body, nullptr, false);
-    const bool explained = body.is_object() && body.contains("message") && body["message"].is_string();
-    const std::string message = explained
-        ? body["message"].get<std::string>()
-        : "The host refused with HTTP status " + std::to_string(static_cast<int>(answer->status)) + ".";
-    const bool unknown = body.is_object() && body.value("error", "") == nameOf(ErrorKind::UnknownOutcome);
+    const std::string explanation = textIn(body, "message");
+    const std::string message = explanation.empty()
+        ? "The host refused with HTTP status " + std::to_string(static_cast<int>(answer->status)) + "."
+        : explanation;
+    const bool unknown = textIn(body, "error") == nameOf(ErrorKind::UnknownOutcome);
     return failed(unknown ? ExitCode::UnknownOutcome : ExitCode::Refused, message);
 }
 
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -5,6 +5,7 @@
 #include "wire/hop_generated.h"
 
 #include <boost/endian/conversion.hpp>
+#include <flatbuffers/util.h>
 
 #include <algorithm>
 #include <limits>
@@ -36,6 +37,21 @@
                  "A frame from a peer is malformed (" + what + "); check that both hosts run the same release.", milliseconds{0}};
 }
 
+// What goes wrong without it: a host takes gossip about a name that is no UTF-8 into
+// its view, and when an operator asks for the status, writing that as JSON throws
+// and ends the process. Names are text in every valid configuration.
+bool isText(const std::string &name)
+{
+    const char *at = name.c_str();
+    const char *const end = at + name.size();
+    while (at < end) {
+        if (flatbuffers::FromUTF8(&at) < 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
 Offset<Bytes> packBytes(FlatBufferBuilder &builder, const std::string &bytes)
 {
     return builder.CreateVector(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
@@ -443,7 +459,8 @@
     record.health = static_cast<HostHealth>(table.health());
     record.leaving = table.leaving();
     record.configurationVersion = table.configuration_version();
-    return true;
+    return isText(record.name) && isText(record.zone) && isText(record.peerAddress) && isText(record.callerAddress)
+        && isText(record.operatorAddress);
 }
 
 bool unpackHealthNotes(const wire::Gossip &table, GossipMessage &message)
@@ -492,6 +509,9 @@
     message.sequence = table.sequence();
     message.target = text(table.target());
     message.targetAddress = text(table.target_address());
+    if (!isText(message.from) || !isText(message.fromAddress) || !isText(message.target) || !isText(message.targetAddress)) {
+        return tl::unexpected(malformed("host name"));
+    }
     message.configurationVersion = table.configuration_version();
     message.digest = table.digest();
     if (table.bucket_digests() != nullptr) {
