--- a/tests/runtime/fuzz_test.cpp
+++ b/tests/runtime/fuzz_test.cpp
@@ -15,6 +15,8 @@
 #include "egrettide/core/sessionstate.h"
 #include "egrettide/core/sessiontoken.h"
 #include "runtime/operatorcommands.h"
+#include "runtime/operatorserver.h"
+#include "runtime/operatorstatus.h"
 #include "runtime/settings.h"
 #include "runtime/storeclient.h"
 #include "wire/batchassembler.h"
@@ -322,6 +324,20 @@
     }
 }
 
+// One request over a connection of its own; the answer up to the server's hanging up.
+std::string askRaw(unsigned short port, const std::string &request)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::address_v4::loopback(), port});
+    boost::system::error_code failure;
+    boost::asio::write(socket, boost::asio::buffer(request), failure);
+    socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, failure);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failure);
+    return answer;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(BytesFromOutside)
@@ -587,6 +603,59 @@
     BOOST_TEST(complaints > 0);
 }
 
+BOOST_AUTO_TEST_CASE(OfHostsStatusAreReports)
+{
+    Bytes bytes(12);
+    const json whole = json::parse(R"({"host":"h1","zone":"z","state":"live","configurationVersion":3,
+        "hosts":[{"name":"h2","zone":"z","state":"dead","operatorAddress":"1.2.3.4:5","configurationVersion":3}],
+        "groups":[{"database":"booking","term":4,"primary":"a","confirmed":true,"members":[]}]})");
+    BOOST_TEST(statusReport(whole).hosts.size() >= 1U);
+    BOOST_TEST(statusReport(whole).groups.size() == 1U);
+    const json flat = whole.flatten();
+    for (int round = 0; round < rounds; ++round) {
+        json document = whole;
+        const auto place = std::next(flat.begin(), static_cast<std::ptrdiff_t>(bytes.below(flat.size())));
+        json::json_pointer pointer(place.key());
+        for (std::size_t up = bytes.below(3); up > 0 && !pointer.empty(); --up) {
+            pointer = pointer.parent_pointer();
+        }
+        const std::vector<json> odd = {json(), json(-1), json("x"), json::array({3}), json::object(), json(1e300), json(true)};
+        document[pointer] = odd[bytes.below(odd.size())];
+        const StatusReport report = statusReport(document);
+        BOOST_TEST(!toText(report).empty());
+        BOOST_TEST(toJson(report).is_object());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(OfOperatorsRequestsAreAnsweredOrDropped)
+{
+    Bytes bytes(13);
+    boost::asio::io_context context;
+    int handled = 0;
+    OperatorServer server(context, [&handled](const OperatorRequest &, const OperatorResponder &respond) {
+        ++handled;
+        respond(OperatorResponse{200, "application/json", "{}"});
+    });
+    const auto port = server.listen("127.0.0.1:0");
+    BOOST_REQUIRE(port.has_value());
+    auto guard = boost::asio::make_work_guard(context);
+    std::thread thread([&context] { context.run(); });
+    const std::string valid =
+        "POST /switchover HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 22\r\n\r\n{\"database\":\"booking\"}";
+    Tally tally;
+    for (int round = 0; round < slowRounds; ++round) {
+        const std::string request = bytes.below(5) == 0 ? bytes.random(300) : bytes.damaged(valid);
+        tally.count(askRaw(*port, request).starts_with("HTTP/1.1 200"));
+    }
+    BOOST_TEST(askRaw(*port, valid).starts_with("HTTP/1.1 200"), "the server no longer answers a valid request");
+    server.stop();
+    guard.reset();
+    context.stop();
+    thread.join();
+    tally.expectBoth("operators' requests");
+    BOOST_TEST(handled > 0);
+}
+
 BOOST_AUTO_TEST_CASE(OfSessionTokensAreOursOrRefused)
 {
     Bytes bytes(10);
