--- a/tests/core/configurationfleet.h
+++ b/tests/core/configurationfleet.h
@@ -3,8 +3,8 @@
 // Router; a fake store; and the rules by which ConfigurationKeeper asks, offers,
 // pulls and pushes and by which UpstreamHome refuses, written down once more,
 // because those parts do their own I/O. What it proves of the rules is proven of
-// that copy: src/runtime/configurationkeeper.cpp and UpstreamHome::refusalOf have
-// to stay the same.
+// that copy: src/runtime/configurationkeeper.cpp and UpstreamHome::refusalOf have to
+// stay the same. One rule, serveIfKnown, is not in the product yet.
 //
 // Checked at every step: no process goes back to a lower version; an upstream that
 // is leaving starts no new work once its bound has passed. Checked once the faults
@@ -41,6 +41,9 @@
     bool frontsIgnoreLeaving = false;
     // Homes take new work for a leaving upstream.
     bool homesIgnoreLeaving = false;
+    // A fresh host serves by the first value that it reads. ConfigurationKeeper does
+    // so today; see docs/PROOFS.md.
+    bool servesUnheard = false;
     // Every host reads the store now and then and takes what it reads.
     bool naive = false;
 };
@@ -116,6 +119,8 @@
 private:
     static constexpr int hostCount = 8;
     static constexpr int zoneCount = 4;
+    // How long a fresh host waits for a peer that knows more than the store told.
+    static constexpr std::chrono::seconds hearsPeersFor{2};
     static constexpr const char *watchKey = "watch";
     static constexpr const char *leavingUpstream = "b";
 
@@ -123,7 +128,11 @@
         std::unique_ptr<ConfigurationState> state;
         std::unique_ptr<Router> router;
         TimePoint pullBefore;
+        TimePoint startedAt;
         std::string zone;
+        bool heardPeer = false;
+        // Whether its file is in force or still waits for a peer's word.
+        bool serves = false;
     };
 
     static std::string nameOf(int i)
@@ -152,6 +161,7 @@
         }
         Host host;
         host.zone = GossipFleet::zoneOf(i, zoneCount);
+        host.startedAt = m_fleet.now();
         host.state = std::make_unique<ConfigurationState>(ConfigurationState::Mutation{m_faults.acceptLower || m_faults.naive});
         RouterOptions options;
         options.zone = host.zone;
@@ -159,6 +169,7 @@
         m_hosts[name] = std::move(host);
         m_fleet.start(name, GossipFleet::zoneOf(i, zoneCount), i, ++m_incarnation, seeds);
         m_fleet.after(name, upTo(200), [this, name] { look(name); });
+        m_fleet.after(name, hearsPeersFor, [this, name] { serveIfKnown(name); });
         m_fleet.after(name, upTo(100), [this, name] { read(name); });
     }
 
@@ -233,11 +244,25 @@
         if (result != OfferResult::Accepted) {
             return;
         }
-        host.router->configure(seenByFront(*host.state->current()));
+        serveIfKnown(name);
         m_fleet.host(name).setConfigurationVersion(version);
         spread(name);
     }
 
+    // What goes wrong without the wait: a host is replaced and reads an old value, by
+    // which an upstream is not leaving; as its home it lets work in until a peer
+    // tells it of the newer file.
+    void serveIfKnown(const std::string &name)
+    {
+        Host &host = m_hosts.at(name);
+        const bool waited = m_fleet.now() >= host.startedAt + hearsPeersFor;
+        const bool known = host.heardPeer && !host.state->isBehind();
+        host.serves = host.serves || known || waited || m_faults.servesUnheard;
+        if (host.serves && host.state->current()) {
+            host.router->configure(seenByFront(*host.state->current()));
+        }
+    }
+
     void spread(const std::string &name)
     {
         if (m_faults.silentPeers || m_faults.naive) {
@@ -259,6 +284,10 @@
     {
         Host &host = m_hosts.at(name);
         host.state->heardOf(version);
+        host.heardPeer = true;
+        if (!host.serves) {
+            serveIfKnown(name);
+        }
         if (m_faults.naive || version <= host.state->version() || m_fleet.now() < host.pullBefore) {
             return;
         }
@@ -332,7 +361,8 @@
     void atHome(const std::shared_ptr<Work> &work, const std::string &upstream, const std::string &home)
     {
         StatementReply reply;
-        const auto held = m_hosts.at(home).state->current();
+        const Host &host = m_hosts.at(home);
+        const auto held = host.serves ? host.state->current() : nullptr;
         reply.hint = hintOf(held);
         const UpstreamSpec *spec = held ? held->databases.front().upstream(upstream) : nullptr;
         const bool leaving = spec == nullptr || spec->leaving;
@@ -527,6 +557,18 @@
         m_fleet.runFor(std::chrono::seconds{2});
         m_cutFromStore.clear();
         expectNewestEverywhere("after the cut from the store ended");
+        freshHostsOfTheZone();
+    }
+
+    // Hosts of the leaving upstream's zone are replaced; some read an old value, by
+    // which the upstream is not leaving.
+    void freshHostsOfTheZone()
+    {
+        for (int round = 0; round < 4; ++round) {
+            replaceHost(round % 2 == 0 ? 1 : 5);
+            m_fleet.runFor(milliseconds{1500});
+        }
+        expectNewestEverywhere("after hosts were replaced");
     }
 
     void fail(const std::string &what)
--- a/tests/core/leaving_test.cpp
+++ b/tests/core/leaving_test.cpp
@@ -80,6 +80,19 @@
     BOOST_TEST(caught, "the leaving upstream got no work although nobody told its zone");
 }
 
+// Symptom: a drained upstream gets reads again, many seconds after it was drained.
+// Sequence: the host that is its home is replaced; the fresh host reads an old value
+// from the store, by which the upstream is not leaving, and takes reads for it until
+// a peer tells it of the newer file.
+// Cause: the first value that a host reads is in force at once.
+BOOST_AUTO_TEST_CASE(GetWorkThroughFreshHostsThatServeUnheard)
+{
+    ConfigurationFleetFaults faults;
+    faults.servesUnheard = true;
+    const std::string violation = firstViolation(faults);
+    BOOST_TEST(violation.find("got new work") != std::string::npos, "found '" << violation << "'");
+}
+
 // The home alone protects the upstream from fronts that do not know or do not care.
 BOOST_AUTO_TEST_CASE(AreProtectedByTheirHomeFromFrontsThatIgnoreIt)
 {
