--- a/include/egrettide/core/configuration.h
+++ b/include/egrettide/core/configuration.h
@@ -47,8 +47,10 @@
     // For callers that do not ask: the oldest state a read may show on top of
     // the session's own floor; unset means the floor alone.
     std::optional<milliseconds> maxAge;
-    // How long a read may wait for a replica before it goes to the primary.
-    milliseconds replicaWait{20};
+    // How long a read may wait for a replica before it goes to the primary. Waits
+    // end as soon as the replica is ready and are not begun when they would be in
+    // vain, so a generous bound costs little; see docs/MEASUREMENTS.md.
+    milliseconds replicaWait{100};
 
     const UpstreamSpec *upstream(std::string_view upstreamName) const;
 };
