--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -60,6 +60,8 @@
     service_us: int = SERVICE_US
     # Members of each database's entry besides the sizes, such as replicaWaitMs.
     database: dict = field(default_factory=dict)
+    # What an option of the command line changed, for the record.
+    varied: dict = field(default_factory=dict)
     # Databases that get the load; the others idle.
     loaded: int = 1
     policies: tuple = ("adaptive",)
@@ -179,7 +181,7 @@
             return record | self.notes
 
     def record_head(self):
-        return {"site": self.size.name, "policy": self.policy, "seed": self.seed}
+        return {"site": self.size.name, "policy": self.policy, "seed": self.seed} | self.scenario.varied
 
     def cost(self, before, after):
         seconds = after.when - before.when
@@ -510,6 +512,7 @@
     parser.add_argument("--site", choices=sorted(SITES), action="append", help="run only this site")
     parser.add_argument("--runs", type=int, help="repetitions, seeds 1 to N; without it 3 of the failover scenarios, 1 of the rest")
     parser.add_argument("--replica-wait-ms", type=int, help="sets the databases' replicaWaitMs")
+    parser.add_argument("--lag-ms", type=int, help="sets the replicas' lag, without bursts")
     parser.add_argument("--json", help="write all records to this file")
     return parser.parse_args()
 
@@ -528,6 +531,10 @@
             scenario = scenarios(size)[name]
             if wanted.replica_wait_ms is not None:
                 scenario.database["replicaWaitMs"] = wanted.replica_wait_ms
+                scenario.varied["replica_wait_ms"] = wanted.replica_wait_ms
+            if wanted.lag_ms is not None:
+                scenario.upstream = ["--lag-ms", str(wanted.lag_ms)]
+                scenario.varied["lag_ms"] = wanted.lag_ms
             runs = wanted.runs or (3 if scenario.repeated else 1)
             outcomes.append(run_scenario(wanted.binaries, name, size, scenario, runs))
             if wanted.json:
