Show each host's own configuration version; let any host take a switchover

Symptom: status says that hosts differ, long after a file is in force on all of them (status exit code 1 for as long as no host comes or goes); switchover without a successor, asked at a host that is not the primary's home, is refused with "'' is no upstream". Cause: /status showed the view that routes were built from, which is renewed only when hosts come or go; the home that a switchover is handed on to took the empty successor for a name. Change: /status shows membership's newest view; the home chooses the successor. Measured: both new cases of deployment_test.py fail without the change and pass three times of three with it (release build).

--- a/scripts/lab.py
+++ b/scripts/lab.py
@@ -155,8 +155,9 @@
 
     def ctl(self, *arguments):
         host = next(host for host in self.hosts.values() if host.process.alive())
-        return subprocess.run([self.program("egrettidectl"), "--platform", self.platform, "--operator", host.operators,
-                               *arguments], capture_output=True, text=True, timeout=90)
+        address = [] if "--operator" in arguments else ["--operator", host.operators]
+        return subprocess.run([self.program("egrettidectl"), "--platform", self.platform, *address, *arguments],
+                              capture_output=True, text=True, timeout=90)
 
     def apply(self, configuration):
         path = os.path.join(self.folder, "configuration.json")
--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -704,9 +704,12 @@
     } else if (request.path == "/metrics") {
         respondMetrics(respond);
     } else if (request.path == "/status") {
+        // The routes' view is renewed when hosts come or go, not when one of them takes
+        // a configuration; status would show others at their former version for ever.
+        const auto view = m_membership->view();
         const HostIdentity self{m_settings.host, m_settings.zone, m_leaving};
-        respond(OperatorResponse{200, "application/json",
-                                 statusDocument(self, *now->view, now->configuration.get(), *m_homes).dump(2)});
+        respond(
+            OperatorResponse{200, "application/json", statusDocument(self, *view, now->configuration.get(), *m_homes).dump(2)});
     } else if (request.path == "/drain" && request.method == "POST") {
         respond(OperatorResponse{202, "application/json", R"({"draining":true})"});
         beginStop();
--- a/src/runtime/switchoverdesk.cpp
+++ b/src/runtime/switchoverdesk.cpp
@@ -149,15 +149,16 @@
 
 void SwitchoverDesk::onRequest(const hop::SwitchoverRequest &request, std::function<void(hop::SwitchoverReply)> reply)
 {
-    m_homes.switchover(request.database, request.to,
-                       [id = request.id, reply = std::move(reply)](const tl::expected<void, Error> &result) {
-                           hop::SwitchoverReply answer;
-                           answer.id = id;
-                           if (!result) {
-                               answer.error = result.error();
-                           }
-                           reply(std::move(answer));
-                       });
+    // The asking host may have left the choice of the successor to this one.
+    changePrimary(request.database, request.to,
+                  [id = request.id, reply = std::move(reply)](const tl::expected<void, Error> &result) {
+                      hop::SwitchoverReply answer;
+                      answer.id = id;
+                      if (!result) {
+                          answer.error = result.error();
+                      }
+                      reply(std::move(answer));
+                  });
 }
 
 void SwitchoverDesk::onReply(const hop::SwitchoverReply &reply)
--- a/tests/process/deployment_test.py
+++ b/tests/process/deployment_test.py
@@ -5,6 +5,7 @@
   EGRETTIDE_BIN=build/dev python3 tests/process/deployment_test.py [Deployment.Case]
 """
 
+import json
 import os
 import re
 import signal
@@ -144,6 +145,52 @@
         result = self.check(load)
         self.assertEqual(result["writes_not_done"], 0, f"a planned change fails no write, but: {result['refusals']}")
 
+    def test_StatusSeesEachAcceptedFileOnEveryHost(self):
+        # Symptom: status says that hosts differ, long after the file is in force on all.
+        # Sequence: one file is applied, hosts settle, another one is applied.
+        # Cause: status shows a view of hosts that is renewed only when hosts come or go.
+        # For a while, since hosts that have just met renew their views all the time.
+        end = time.monotonic() + SECONDS
+        priority = 0
+        while time.monotonic() < end:
+            priority += 1
+            configuration = lab.configuration([self.database])
+            configuration["classes"] = [dict(lab.CLASSES[0], priority=priority), lab.CLASSES[1]]
+            self.site.apply(configuration)
+            for host in self.site.hosts.values():
+                done = self.site.ctl("--operator", host.operators, "status", "--wait", "30")
+                self.assertEqual(done.returncode, 0, f"{host.name} does not see the file everywhere: {done.stdout}{done.stderr}")
+
+    def test_AnyHostTakesAPlannedChangeOfPrimary(self):
+        # Symptom: switchover without a successor is refused, though any host may be asked.
+        # Sequence: asked at a host that is not the home of the primary.
+        # Cause: the question is handed on with no successor, and the home takes none for a name.
+        # A host that knows no other one takes itself for everybody's home.
+        lab.wait_for("hosts to know each other", self.hosts_acquainted, BOUND_S)
+        for _ in range(3):
+            before = lab.wait_for("one primary in all eyes", self.agreed_primary, BOUND_S)
+            zone = next(each["zone"] for each in self.database["upstreams"] if each["name"] == before)
+            host = next(host for host in self.site.hosts.values() if host.zone != zone)
+            done = self.site.ctl("--operator", host.operators, "switchover", "booking1")
+            self.assertEqual(done.returncode, 0, f"refused at {host.name}: {done.stdout}{done.stderr}")
+            self.await_primary(other_than=before)
+
+    def hosts_acquainted(self):
+        for host in self.site.hosts.values():
+            listed = json.loads(lab.http("GET", host.operators, "/status")[1])["hosts"]
+            if [each["state"] for each in listed] != ["live"] * len(self.site.hosts):
+                return False
+        return True
+
+    def agreed_primary(self):
+        """The primary that all hosts report as confirmed, at one term and with all members in reach; or None."""
+        seen = set()
+        for host in self.site.hosts.values():
+            for group in json.loads(lab.http("GET", host.operators, "/status")[1])["groups"]:
+                well = group["confirmed"] and all(member["reachable"] for member in group["members"])
+                seen.add((group["term"], group["primary"]) if well else None)
+        return seen.pop()[1] if len(seen) == 1 and None not in seen else None
+
 
 if __name__ == "__main__":
     unittest.main()
