--- a/src/runtime/upstreamhome.h
+++ b/src/runtime/upstreamhome.h
@@ -145,8 +145,6 @@
     std::optional<Error> refusalOf(const StatementRequest &request) const;
     std::optional<Error> transactionRefusal(const StatementRequest &request, const std::string &frontKey) const;
     std::optional<Error> primaryRefusal() const;
-    Error movedError() const;
-    Error leavingError() const;
     void decideFreshness(Ticket ticket);
     GateDecision gateDecision(const HomeRequest &pending, TimePoint now) const;
     void awaitFreshness(Ticket ticket, TimePoint until);
@@ -157,6 +155,7 @@
     void sendReady();
     bool sendOne(Ticket ticket);
     bool maySendNow(Ticket ticket);
+    bool awaitsProofOfPrimary(const HomeRequest &pending) const;
     void start(Ticket ticket, const Connection &connection);
     void onAnswer(Ticket ticket, tl::expected<BatchAnswer, BatchFailure> answer);
     void askStatusAgain(Ticket ticket, BatchAnswer answer);
