--- a/tests/runtime/frontandhomes_test.cpp
+++ b/tests/runtime/frontandhomes_test.cpp
@@ -62,9 +62,10 @@
     }
 
 private:
-    // Before the cluster, whose homes may still answer while it ends.
-    ContextThread m_accept;
+    // Before the cluster, whose homes may still answer while it ends. The accepting
+    // context goes first: an accept under way holds a socket of the traffic context.
     ContextThread m_traffic;
+    ContextThread m_accept;
 
 public:
     Cluster cluster;
