--- a/tests/runtime/groupobserver_test.cpp
+++ b/tests/runtime/groupobserver_test.cpp
@@ -307,7 +307,8 @@
     Cluster::awaitTrue([&] { return writer.count > before + 10; }, "writes after the change");
     writer.stop();
     BOOST_TEST(cluster.view()->primary != "a");
-    BOOST_TEST(writer.failures.empty(), "a leaving primary failed a write: " << (writer.failures.empty() ? "" : writer.failures.front()));
+    BOOST_TEST(writer.failures.empty(),
+               "a leaving primary failed a write: " << (writer.failures.empty() ? "" : writer.failures.front()));
     requireAllPresent(cluster, writer.acknowledged);
 }
 
