--- a/src/runtime/switchoverdesk.cpp
+++ b/src/runtime/switchoverdesk.cpp
@@ -22,7 +22,9 @@
         {"error", nameOf(error.kind)}, {"message", error.message}, {"retryAfterMs", error.retryAfter.count()}};
     constexpr unsigned conflict = 409;
     constexpr unsigned badRequest = 400;
-    return OperatorResponse{error.kind == ErrorKind::InvalidInput ? badRequest : conflict, "application/json", body.dump()};
+    // The message may come from another host; JSON throws at bytes that are no text.
+    std::string text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return OperatorResponse{error.kind == ErrorKind::InvalidInput ? badRequest : conflict, "application/json", std::move(text)};
 }
 
 // The asked host is not the primary's home; another one is.
@@ -149,15 +151,16 @@
 
 void SwitchoverDesk::onRequest(const hop::SwitchoverRequest &request, std::function<void(hop::SwitchoverReply)> reply)
 {
-    m_homes.switchover(request.database, request.to,
-                       [id = request.id, reply = std::move(reply)](const tl::expected<void, Error> &result) {
-                           hop::SwitchoverReply answer;
-                           answer.id = id;
-                           if (!result) {
-                               answer.error = result.error();
-                           }
-                           reply(std::move(answer));
-                       });
+    // The asking host may have left the choice of the successor to this one.
+    changePrimary(request.database, request.to,
+                  [id = request.id, reply = std::move(reply)](const tl::expected<void, Error> &result) {
+                      hop::SwitchoverReply answer;
+                      answer.id = id;
+                      if (!result) {
+                          answer.error = result.error();
+                      }
+                      reply(std::move(answer));
+                  });
 }
 
 void SwitchoverDesk::onReply(const hop::SwitchoverReply &reply)
