Let a fresh host serve only what may be the newest configuration

Change: it waits until a peer told the highest version, or 2 s when it hears none; also: contexts declared so that pending accepts outlive no socket, two lint findings, and status texts that are no UTF-8 are replaced instead of throwing.

--- a/src/runtime/configurationkeeper.cpp
+++ b/src/runtime/configurationkeeper.cpp
@@ -20,6 +20,7 @@
 // Hosts that watch nothing look whether they have become the watcher.
 constexpr milliseconds watcherCheck{500};
 constexpr milliseconds pullPatience{1000};
+constexpr milliseconds loneHostPatience{2000};
 // Each host tells this many others of a new version: 510 hosts are reached in
 // three rounds, and nobody sends the file itself more than a few times.
 constexpr std::size_t offersPerHost = 8;
@@ -33,6 +34,7 @@
 
 void ConfigurationKeeper::start()
 {
+    m_trustedFrom = Clock::now() + loneHostPatience;
     fetch();
 }
 
@@ -44,7 +46,7 @@
 
 std::shared_ptr<const Configuration> ConfigurationKeeper::current() const
 {
-    return m_state.current();
+    return m_inForce ? m_state.current() : nullptr;
 }
 
 void ConfigurationKeeper::schedule(milliseconds pause)
@@ -54,6 +56,7 @@
         if (failure || m_stopped) {
             return;
         }
+        putInForce();
         if (m_hooks.isWatcher()) {
             watch();
         } else if (m_state.version() == 0 || m_state.isBehind()) {
@@ -80,14 +83,16 @@
 
 void ConfigurationKeeper::watch()
 {
-    m_store.watch(std::string(ConfigurationKey), m_state.version(), Clock::now() + watchTimeout,
+    // Short while nothing is in force yet: the timer that looks again runs between watches.
+    const milliseconds patience = m_inForce || m_state.version() == 0 ? watchTimeout : pauseAfterFailure;
+    m_store.watch(std::string(ConfigurationKey), m_state.version(), Clock::now() + patience,
                   [this](const tl::expected<VersionedObject, StoreError> &answer) {
                       if (m_stopped) {
                           return;
                       }
                       if (answer) {
                           takeObject(answer->value, answer->version, "store");
-                          watch();
+                          schedule(milliseconds{0});
                           return;
                       }
                       if (answer.error().failure == StoreFailure::Unchanged) {
@@ -117,10 +122,36 @@
     }
     m_object = value.dump();
     log::info("configuration_accepted", {{"version", version}, {"source", source}});
+    if (m_inForce) {
+        m_hooks.accepted(m_state.current());
+        spread();
+    } else {
+        putInForce();
+    }
+}
+
+// The first configuration of a fresh host.
+//
+// What goes wrong without it: a host is replaced, reads an old value from a store
+// that lags, becomes home of an upstream that is leaving, and lets new work in.
+// One would notice statements on an upstream that was to be empty. A peer that has
+// been heard tells the highest version known, so an old value is seen as such.
+void ConfigurationKeeper::putInForce()
+{
+    if (m_inForce || !mayPutInForce()) {
+        return;
+    }
+    m_inForce = true;
     m_hooks.accepted(m_state.current());
     spread();
 }
 
+bool ConfigurationKeeper::mayPutInForce() const
+{
+    const bool isNewest = m_peerHeard && !m_state.isBehind();
+    return m_state.version() != 0 && (isNewest || Clock::now() >= m_trustedFrom);
+}
+
 void ConfigurationKeeper::spread()
 {
     for (const std::string &host : m_hooks.someHosts(offersPerHost)) {
@@ -131,6 +162,8 @@
 void ConfigurationKeeper::heardOf(const std::string &host, std::uint64_t version)
 {
     m_state.heardOf(version);
+    m_peerHeard = true;
+    putInForce();
     const TimePoint now = Clock::now();
     if (version <= m_state.version() || now < m_pullBefore) {
         return;
--- a/src/runtime/configurationkeeper.h
+++ b/src/runtime/configurationkeeper.h
@@ -49,9 +49,13 @@
     // A heartbeat told that `host` holds `version`.
     void heardOf(const std::string &host, std::uint64_t version);
 
+    // The configuration in force; null while this host has none, and right after a
+    // start also while it cannot know whether what it read is the newest.
     std::shared_ptr<const Configuration> current() const;
 
 private:
+    void putInForce();
+    bool mayPutInForce() const;
     void fetch();
     void watch();
     void schedule(milliseconds pause);
@@ -62,7 +66,13 @@
     ConfigurationKeeperHooks m_hooks;
     boost::asio::steady_timer m_timer;
     ConfigurationState m_state;
-    // The store's object of the version in force, to be passed on as it is.
+    // When this host puts in force what it holds even though no peer has told what
+    // is newest: it may be the only one, or cut off from all others.
+    TimePoint m_trustedFrom;
+    bool m_peerHeard = false;
+    // False until this host has once put a configuration in force.
+    bool m_inForce = false;
+    // The store's object of the version held, to be passed on as it is.
     std::string m_object;
     // When the last pull was asked for; another is not asked before its answer
     // had a fair chance.
--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -186,9 +186,11 @@
     const std::uint64_t m_incarnation;
     std::mt19937_64 m_random;
 
+    // Before the contexts below: an accept that is pending on the link context
+    // holds a socket of a traffic context.
+    std::vector<std::unique_ptr<asio::io_context>> m_traffic;
     asio::io_context m_control{1};
     asio::io_context m_link{1};
-    std::vector<std::unique_ptr<asio::io_context>> m_traffic;
     std::vector<WorkGuard> m_guards;
     std::vector<std::thread> m_threads;
 
@@ -378,7 +380,7 @@
     makeHomes();
     makeFront();
     makeOperators();
-    const auto addresses = listen();
+    auto addresses = listen();
     if (!addresses) {
         return tl::unexpected(addresses.error());
     }
@@ -572,7 +574,7 @@
 
 void HostDaemon::Impl::sendOn(const PeerRef &peer, hop::HopMessage message)
 {
-    asio::post(m_link, [this, peer, message = std::move(message)]() mutable { m_network->sendOn(peer, std::move(message)); });
+    asio::post(m_link, [this, peer, message = std::move(message)] { m_network->sendOn(peer, message); });
 }
 
 // Configuration and membership.
@@ -720,8 +722,9 @@
         // a configuration; status would show others at their former version for ever.
         const auto view = m_membership->view();
         const HostIdentity self{m_settings.host, m_settings.zone, m_leaving};
-        respond(
-            OperatorResponse{200, "application/json", statusDocument(self, *view, now->configuration.get(), *m_homes).dump(2)});
+        respond(OperatorResponse{200, "application/json",
+                                 statusDocument(self, *view, now->configuration.get(), *m_homes)
+                                     .dump(2, ' ', false, nlohmann::json::error_handler_t::replace)});
     } else if (request.path == "/drain" && request.method == "POST") {
         respond(OperatorResponse{202, "application/json", R"({"draining":true})"});
         beginStop();
--- a/tests/runtime/configurationkeeper_test.cpp
+++ b/tests/runtime/configurationkeeper_test.cpp
@@ -143,6 +143,21 @@
     BOOST_TEST(allAt(version), "the fresh host stayed without a configuration");
 }
 
+BOOST_FIXTURE_TEST_CASE(AFreshHostPutsNoOldValueInForceOnceAPeerToldOfANewerOne, Fleet)
+{
+    // Symptom: statements reach an upstream that was to be empty.
+    // Sequence: a host is replaced and reads an old value; a peer holds a newer one
+    // in which the upstream is leaving.
+    // Cause: serving with the first value that is read.
+    add("fresh", false);
+    const std::uint64_t oldVersion = platform.put(std::string(ConfigurationKey), objectWithReplicaWait(10, "one"));
+    hosts.at("fresh").keeper->heardOf("peer", oldVersion + 1);
+    hosts.at("fresh").keeper->onPush("lagging", hop::ConfigPush{oldVersion, objectWithReplicaWait(10, "one").dump()});
+    BOOST_TEST(versionAt("fresh") == 0U, "an old value was put in force though a peer told of a newer one");
+    hosts.at("fresh").keeper->onPush("peer", hop::ConfigPush{oldVersion + 1, objectWithReplicaWait(20, "two").dump()});
+    BOOST_TEST(versionAt("fresh") == oldVersion + 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(AnOldPushNeverReverts, Fleet)
 {
     // Symptom: an accepted change of the configuration is undone minutes later.
