--- a/tests/runtime/groupobserver_test.cpp
+++ b/tests/runtime/groupobserver_test.cpp
@@ -115,8 +115,8 @@
     // way; a busy machine may see two changes.
     const auto changes = static_cast<std::size_t>(cluster.view()->term - 1);
     BOOST_TEST(first.failures.size() <= changes,
-               "a writer with one statement at a time had " << first.failures.size() << " writes without an answer over " << changes
-                                                            << " changes of term");
+               "a writer with one statement at a time had " << first.failures.size() << " writes without an answer over "
+                                                            << changes << " changes of term");
 }
 
 // Symptom: two branches sell the same hour.
