Make the idle probe interval a setting; name causes truthfully

Cause: at four databases a host the rounds of idle groups take 1.1% of a core (docs/CAPACITY.md), and the interval could not be changed; a caller whose sent booking met its deadline was told that nothing had been sent; reads by a primary that the front had taken for a replica had no reason. Change: setting idleProbeMs; a text of its own for deadlines after sending; the reason 'unlearned'.

--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -64,8 +64,9 @@
     return caller
 
 
-def one_host_site(binaries, databases):
+def one_host_site(binaries, databases, **host_settings):
     site = lab.Lab(binaries)
+    site.host_settings = host_settings
     site.start_platform()
     groups = [site.start_group(f"booking{n}", ["a", "b", "c"], 5, 30, []) for n in range(1, databases + 1)]
     site.start_host("host-a", "a")
@@ -94,10 +95,10 @@
     return {"rss_kib": fit(points_rss), "cpu_cores": fit(points_cpu)}
 
 
-def databases(binaries):
+def databases(binaries, **host_settings):
     points_rss, points_cpu = [], []
     for count in (1, 4, 8, 16):
-        site, _ = one_host_site(binaries, count)
+        site, _ = one_host_site(binaries, count, **host_settings)
         with site:
             host = site.hosts["host-a"]
             pid = host.process.process.pid
@@ -109,6 +110,10 @@
     return {"rss_kib": fit(points_rss), "control_cpu_cores": fit(points_cpu)}
 
 
+def databases_probed_slowly(binaries):
+    return databases(binaries, idleProbeMs=1000)
+
+
 def statements(binaries):
     points_cpu = []
     site, _ = one_host_site(binaries, 1)
--- a/scripts/lab.py
+++ b/scripts/lab.py
@@ -128,7 +128,7 @@
         self.lab, self.name, self.zone = lab, name, zone
         settings = {"host": name, "zone": zone, "callerAddress": "127.0.0.1:0", "peerAddress": "127.0.0.1:0",
                     "operatorAddress": "127.0.0.1:0", "platformAddress": lab.platform, "logLevel": "info",
-                    "sessionKey": "a key for tests only", "routingPolicy": policy}
+                    "sessionKey": "a key for tests only", "routingPolicy": policy, **lab.host_settings}
         path = os.path.join(lab.folder, name + ".json")
         with open(path, "w") as file:
             json.dump(settings, file)
@@ -152,6 +152,8 @@
         self.directory = tempfile.TemporaryDirectory(prefix="egrettide-lab-")
         self.folder = self.directory.name
         self.processes, self.hosts, self.upstreams = {}, {}, {}
+        # Further settings of the hosts started from now on.
+        self.host_settings = {}
         self.platform = None
 
     def __enter__(self):
--- a/src/runtime/homeerrors.cpp
+++ b/src/runtime/homeerrors.cpp
@@ -44,6 +44,11 @@
     return {ErrorKind::DeadlineExceeded, "The deadline passed before anything was sent; ask again with more time.", retrySoon};
 }
 
+Error deadlinePassedUnanswered()
+{
+    return {ErrorKind::DeadlineExceeded, "the deadline passed before it came", retrySoon};
+}
+
 Error noSlot()
 {
     return {ErrorKind::Overloaded, "No slot is free in time; retry later.", retrySoon};
--- a/src/runtime/homeerrors.h
+++ b/src/runtime/homeerrors.h
@@ -29,6 +29,8 @@
 Error notFresh(const std::string &upstream, FreshnessReason reason);
 // Nothing was sent: the deadline had passed.
 Error deadlinePassed();
+// The cause of an unknown outcome; it completes the ledger's sentence.
+Error deadlinePassedUnanswered();
 Error noSlot();
 // Nothing was sent: its transaction was rolled back before.
 Error transactionGone();
--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -294,6 +294,7 @@
     settings.observer.incarnation = m_settings.host + "/" + std::to_string(m_incarnation);
     settings.observer.upstreamUser = m_settings.upstreamUser;
     settings.observer.seed = m_random();
+    settings.observer.monitor.idleInterval = m_settings.idleProbe;
     settings.home.upstreamUser = m_settings.upstreamUser;
     settings.home.firstTransaction = (m_random() >> 2U) | 1U;
     m_homes = std::make_unique<HomeService>(m_control, trafficContexts(), settings, std::move(hooks));
--- a/src/runtime/requestrunner.cpp
+++ b/src/runtime/requestrunner.cpp
@@ -221,7 +221,9 @@
     const bool reads = m_request.kind == StatementKind::Read || m_request.kind == StatementKind::BeginReadOnly;
     if (reads && observation.byPrimary) {
         const auto reason = isPinned() ? std::optional(PrimaryReason::Transaction) : m_route.reason;
-        observation.primaryReason = reason ? nameOf(*reason) : std::string_view();
+        // A route without a reason was meant for a replica: this front had not yet
+        // learnt that the upstream is the primary.
+        observation.primaryReason = reason ? nameOf(*reason) : std::string_view("unlearned");
     }
     observation.attempts = m_sends;
     m_shard->common->hooks.observe(observation);
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -27,6 +27,7 @@
     "logLevel": {"enum": ["debug", "info", "warning", "error"]},
     "trafficThreads": {"type": "integer", "minimum": 1, "maximum": 64},
     "maxCallers": {"type": "integer", "minimum": 1, "maximum": 1000000},
+    "idleProbeMs": {"type": "integer", "minimum": 10, "maximum": 5000},
     "sessionKey": {"type": "string", "minLength": 16},
     "upstreamUser": {"type": "string", "minLength": 1},
     "routingPolicy": {"enum": ["adaptive", "baseline"]}
@@ -52,6 +53,7 @@
     settings.logLevel = document.value("logLevel", settings.logLevel);
     settings.trafficThreads = document.value("trafficThreads", settings.trafficThreads);
     settings.maxCallers = document.value("maxCallers", settings.maxCallers);
+    settings.idleProbe = milliseconds(document.value("idleProbeMs", settings.idleProbe.count()));
     settings.upstreamUser = document.value("upstreamUser", settings.upstreamUser);
     settings.routingPolicy = document.value("routingPolicy", settings.routingPolicy);
     return settings;
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -28,6 +28,9 @@
     int maxCallers = 5000;
     // Signs session tokens; the same on all hosts of a deployment.
     std::string sessionKey;
+    // The pause between two looks at a group that nobody waits for. Longer costs
+    // less and notices a silent primary later; see docs/CAPACITY.md.
+    milliseconds idleProbe{50};
     // The role under which hosts connect to upstreams.
     std::string upstreamUser = "egrettide";
     // "adaptive", or "baseline" to measure against.
--- a/src/runtime/upstreamhomeupkeep.cpp
+++ b/src/runtime/upstreamhomeupkeep.cpp
@@ -92,7 +92,9 @@
 void UpstreamHome::giveUpOverdue(TimePoint now)
 {
     for (const Ticket ticket : m_ledger.overdue(now)) {
-        giveUp(ticket, homeerrors::deadlinePassed());
+        const auto found = m_pending.find(ticket);
+        const bool sent = found != m_pending.end() && found->second.sent;
+        giveUp(ticket, sent ? homeerrors::deadlinePassedUnanswered() : homeerrors::deadlinePassed());
     }
 }
 
--- a/tests/runtime/home_test.cpp
+++ b/tests/runtime/home_test.cpp
@@ -71,6 +71,22 @@
     BOOST_TEST(reply.sent);
 }
 
+// Symptom: a desk reads "its answer was lost: the deadline passed before anything was
+// sent" and cannot tell whether to book again.
+// Sequence: a booking is sent to a primary that stands still; its deadline passes.
+// Cause: one text for deadlines before and after sending.
+BOOST_AUTO_TEST_CASE(AreNeverSaidToBeUnsentOnceTheyWereSent)
+{
+    Cluster cluster;
+    cluster.createTable();
+    cluster.upstream("a").freeze(true);
+    const StatementReply reply = cluster.run("a", StatementKind::Write, insert(1), milliseconds{250});
+    cluster.upstream("a").freeze(false);
+    BOOST_REQUIRE_MESSAGE(reply.error.has_value(), "a frozen primary answered");
+    const bool saysUnsent = reply.error->message.find("before anything was sent") != std::string::npos;
+    BOOST_TEST(saysUnsent == !reply.sent, "sent: " << reply.sent << ", but the caller was told: " << reply.error->message);
+}
+
 BOOST_AUTO_TEST_CASE(WouldBeAcknowledgedUnprovenWithoutConfirmation)
 {
     ClusterOptions options;
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -43,6 +43,7 @@
     BOOST_TEST_REQUIRE(settings.has_value(), "a valid file was refused");
     BOOST_TEST(settings->host == "a1");
     BOOST_TEST(settings->trafficThreads == 2);
+    BOOST_TEST(settings->idleProbe.count() == 50);
     BOOST_TEST(settings->routingPolicy == "adaptive");
 }
 
@@ -59,6 +60,17 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(TakesThePauseBetweenLooksWithinItsBounds)
+{
+    auto document = validSettings();
+    document["idleProbeMs"] = 1000;
+    const auto settings = parseSettings(document.dump());
+    BOOST_TEST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings->idleProbe.count() == 1000);
+    document["idleProbeMs"] = 0;
+    BOOST_TEST(!parseSettings(document.dump()).has_value(), "a pause of 0 ms would never end");
+}
+
 BOOST_AUTO_TEST_CASE(RefusesWhatIsNoJson)
 {
     BOOST_TEST(!parseSettings("{\"host\": ").has_value());
