Close the operators' acceptor on its own thread

Cause: ThreadSanitizer reports a race between stop() on the caller's thread and an accept on the context's (fuzz_test, OfOperatorsRequestsAreAnsweredOrDropped). Change: stop() hands the closing over to the context.

--- a/src/runtime/operatorserver.cpp
+++ b/src/runtime/operatorserver.cpp
@@ -105,10 +105,14 @@
         return m_acceptor.local_endpoint().port();
     }
 
+    // The acceptor belongs to its context's thread, and stop may be called from
+    // another: closing it here would race with an accept.
     void stop()
     {
-        beast::error_code ignored;
-        m_acceptor.close(ignored);
+        asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            beast::error_code ignored;
+            self->m_acceptor.close(ignored);
+        });
     }
 
 private:
--- a/src/runtime/operatorserver.h
+++ b/src/runtime/operatorserver.h
@@ -43,6 +43,7 @@
     // Listens on "IP:port"; port 0 takes a free one. Returns the port bound, or
     // an InvalidInput error that names the address.
     tl::expected<unsigned short, Error> listen(const std::string &address);
+    // Stops listening, soon; from any thread. Exchanges in progress go on.
     void stop();
 
 private:
