--- a/include/egrettide/core/configuration.h
+++ b/include/egrettide/core/configuration.h
@@ -76,6 +76,31 @@
     double share = 1.0;
 };
 
+// How fresh the reads of a route have to be.
+enum class RouteFreshness {
+    // Every acknowledged write is seen; only the primary can serve them.
+    Latest,
+    // The session's own writes are seen, and nothing older than RouteSpec::maxAge.
+    OwnWrites,
+    // Nothing older than RouteSpec::maxAge is shown.
+    Bounded,
+};
+
+// A name under which callers reach a database, with what holds for their statements.
+struct RouteSpec {
+    std::string name;
+    std::string database;
+    RouteFreshness freshness = RouteFreshness::OwnWrites;
+    // Unset: any age.
+    std::optional<milliseconds> maxAge;
+    // The deadline of one statement, counted from its receipt.
+    milliseconds timeout{5000};
+    // How long a whole operation may take to be of full use to its caller.
+    std::optional<milliseconds> latencyObjective;
+    // The class that its statements count under.
+    std::string className;
+};
+
 struct Configuration {
     // Set by the store; only rises.
     std::uint64_t version = 0;
@@ -84,10 +109,15 @@
     std::vector<DatabaseSpec> databases;
     std::vector<ClassSpec> classes;
     std::vector<TenantSpec> tenants;
+    std::vector<RouteSpec> routes;
+    // How long a transaction may send nothing before it is rolled back; unset: as
+    // the host's own settings say.
+    std::optional<milliseconds> transactionIdleTimeout;
 
     const DatabaseSpec *database(std::string_view databaseName) const;
     const ClassSpec *classNamed(std::string_view className) const;
     const TenantSpec *tenant(std::string_view tenantName) const;
+    const RouteSpec *route(std::string_view routeName) const;
 };
 
 } // namespace egrettide
--- a/include/egrettide/core/error.h
+++ b/include/egrettide/core/error.h
@@ -38,6 +38,7 @@
     StoreUnavailable, // the platform's store did not answer
     AuthenticationFailed,
     Internal,
+    UnknownStatement, // no prepared statement of that name in the session
 };
 
 // An error and what to do about it.
--- a/include/egrettide/core/failuredetector.h
+++ b/include/egrettide/core/failuredetector.h
@@ -15,7 +15,13 @@
 {
 
 // How a probe failed, as far as the driver can tell.
-enum class ProbeFailure { Refused, Reset, Timeout };
+enum class ProbeFailure {
+    Refused,
+    Reset,
+    Timeout,
+    // It answered that it has no room for the probe now: a sign of life.
+    Busy,
+};
 
 struct FailureDetectorOptions {
     // The shortest silence that raises a suspicion, however steady the link is. The
--- a/include/egrettide/core/freshnessgate.h
+++ b/include/egrettide/core/freshnessgate.h
@@ -44,6 +44,9 @@
 // does behind a write, and that row's `replayed` is StatementReply::seen.
 struct Serve {
     LogMark shown;
+    // Where upstreams check marks themselves: what this one's log must hold for the
+    // read to be fresh enough. Unset when any state is.
+    std::optional<LogMark> requiredMark;
 };
 
 // Decide again with the next snapshot, at `until` at the latest. `reason` says
@@ -92,6 +95,10 @@
     milliseconds nextSnapshot{3};
     // A waiting read is looked at again at least this often, in case no snapshot comes.
     milliseconds recheck{5};
+    // True when the upstream itself checks a required mark with the read. What was
+    // last heard of it then decides nothing: Serve names the mark, and an upstream
+    // that lacks it refuses. Needs no probe of a replica.
+    bool upstreamChecksMarks = false;
     GateChecks checks;
 };
 
@@ -148,6 +155,9 @@
         TimePoint now;
     };
 
+    GateDecision decideByMark(const Case &about) const;
+    static std::optional<LogMark> markOfAge(const Case &about, TimePoint oldest);
+    static std::optional<LogMark> markOfFloor(const Case &about);
     bool follows(const Case &about) const;
     bool floorHolds(LogMark floor, const Case &about) const;
     bool shows(LogMark mark, const Case &about) const;
--- a/include/egrettide/core/groupmonitor.h
+++ b/include/egrettide/core/groupmonitor.h
@@ -59,6 +59,10 @@
     // Split promises are left to the orders to follow for this long.
     milliseconds splitPatience{1000};
     FailureDetectorOptions detector;
+    // True when a replaced primary knows that it is replaced: its own word proves
+    // that it leads. Marks of a replaced primary may then name entries that the
+    // group has given up, so they are dropped with it.
+    bool leaderProvesItself = false;
     GroupMonitorFaults faults;
 };
 
--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -81,6 +81,9 @@
     std::string upstream;
     Term term = 0;
     std::string token;
+    // The version of the claim's record: it rises with every claim, and no two
+    // claims share it. 0 without a claim.
+    std::uint64_t fencingToken = 0;
 };
 
 // group_follow(term, token, address of `primary`) at `upstream`; report with
@@ -120,6 +123,8 @@
     ClockGap,
     // The group has a confirmed primary after all.
     PrimaryReturned,
+    // The store gave no claim, and nobody may promote without one.
+    NoClaim,
 };
 
 // The attempt is over; suspicions are ignored until `until`.
@@ -172,7 +177,20 @@
     bool withoutOpinions = false;
 };
 
+// Where the order to promote goes.
+enum class PromoteBy {
+    // To the member itself, which has promised the term to the attempt's token.
+    // Orders are idempotent for one token and are sent again while unanswered.
+    Member,
+    // To a third party that checks a fencing token and carries the order out in its
+    // own time. The token is the claim's version, so nothing is promoted without a
+    // claim; an order is sent once for each claim, since one that is unanswered may
+    // still be carried out; and only the group itself shows that it was.
+    ThirdParty,
+};
+
 struct PromoterOptions {
+    PromoteBy promoteBy = PromoteBy::Member;
     // How long opinions, the claim, each round of fences and the promotion may
     // take. Fences and promotions are sent again every `resendInterval`.
     milliseconds opinionTimeout{300};
@@ -290,6 +308,7 @@
     PromoterActions enterStore(TimePoint now);
     PromoterActions judgeRecord(const VersionedRecord &current, TimePoint now);
     bool foreignClaimStands(const VersionedRecord &current, TimePoint now);
+    PromoterActions withoutClaim(TimePoint now);
     PromoterActions claim(std::uint64_t expectedVersion);
     PromoterActions beginFence(TimePoint now);
     PromoterActions sendFences() const;
--- a/include/egrettide/core/request.h
+++ b/include/egrettide/core/request.h
@@ -1,5 +1,7 @@
-// What travels between a front and the home of an upstream: one batch of
-// PostgreSQL messages with all that the home needs to decide, and its answer.
+// What travels between a front and the home of an upstream: one batch with all
+// that the home needs to decide, and its answer. What is to be decided on is typed;
+// the batch itself and the answer's rows stay in the encoding of the protocol that
+// both edges speak and are not looked into on the way.
 
 #pragma once
 
@@ -16,16 +18,23 @@
 {
 
 // A prepared statement that a batch refers to. The name is derived from the
-// text, so every connection of an upstream can share it. The home sends
-// `parseMessage` first on connections that do not have it yet, and drops that
-// extra ParseComplete.
+// text, so every connection of an upstream can share it. The connection sends
+// `parseMessage` first where it has not done so yet, and drops the extra answer.
 struct PreparedStatement {
     std::string name;
+    // What prepares it, in the protocol's own encoding.
     std::string parseMessage;
 };
 
-// One request of a caller. The whole batch ends in one Query or one Sync, so its
-// answer ends in exactly one ReadyForQuery.
+// A value that a session has set and that its statements rely on.
+struct SessionValue {
+    std::string name;
+    std::string value;
+
+    friend bool operator==(const SessionValue &, const SessionValue &) = default;
+};
+
+// One request of a caller, answered as a whole.
 struct StatementRequest {
     // Unique among the requests of one front.
     std::uint64_t id = 0;
@@ -43,7 +52,18 @@
     bool idempotent = false;
     // The home's number of the open transaction this batch belongs to, 0 for none.
     std::uint64_t transaction = 0;
+    // True when only the primary may run it although it reads: its caller must see
+    // every acknowledged write.
+    bool needsPrimary = false;
+    // True when the batch may hold more statements than one.
+    bool mayHoldSeveral = false;
     std::vector<PreparedStatement> prepared;
+    // Sorted by name; names are unique.
+    //
+    // What goes wrong without them: a session sets a value, its next statement runs
+    // on another of the shared connections, and sees the value of a stranger. So
+    // the values travel with each statement and the connection is made to match.
+    std::vector<SessionValue> sessionValues;
     std::string batch;
 };
 
--- a/include/egrettide/core/sessionstate.h
+++ b/include/egrettide/core/sessionstate.h
@@ -41,6 +41,11 @@
     milliseconds timeout{5000};
     // As DatabaseSpec::maxAge.
     std::optional<milliseconds> maxAge;
+    // True to start in FreshnessMode::Latest; `maxAge` is then unset.
+    bool latest = false;
+    // True when a session is one connection and nothing before: it arrives with
+    // nothing that it could have to see.
+    bool startsKnown = false;
 };
 
 // The names of the settings, as callers write them.
@@ -80,6 +85,9 @@
     tl::expected<void, Error> set(std::string_view name, std::string_view value);
     tl::expected<std::string, Error> show(std::string_view name) const;
     tl::expected<void, Error> reset(std::string_view name);
+    // Takes over new defaults, for a route that was changed, and forgets what the
+    // caller set on top of them. The floor and the transaction stay.
+    void setDefaults(SessionDefaults defaults);
     // RESET ALL and DISCARD ALL. The floor stays: it is what the caller has seen.
     void resetAll();
 
--- a/scripts/lab.py
+++ b/scripts/lab.py
@@ -134,7 +134,7 @@
             json.dump(settings, file)
         self.process = Process(lab, name, [lab.program("egrettided"), "--settings", path])
         found = wait_for(f"{name} started", lambda: self.process.find(
-            self.process.err_path,
+            self.process.out_path,
             r'"event":"started".*?"caller_address":"([^"]+)","peer_address":"([^"]+)","operator_address":"([^"]+)"'))
         self.caller, self.peer, self.operators = found.groups()
 
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -38,4 +38,9 @@
     return named(tenants, tenantName);
 }
 
+const RouteSpec *Configuration::route(std::string_view routeName) const
+{
+    return named(routes, routeName);
+}
+
 } // namespace egrettide
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -47,6 +47,8 @@
         return {"store_unavailable", "57P03", Outcome::NotRun};
     case ErrorKind::AuthenticationFailed:
         return {"authentication_failed", "28P01", Outcome::NotRun};
+    case ErrorKind::UnknownStatement:
+        return {"unknown_statement", "26000", Outcome::NotRun};
     case ErrorKind::Internal:
         break;
     }
--- a/src/core/failuredetector.cpp
+++ b/src/core/failuredetector.cpp
@@ -47,6 +47,11 @@
     if (failure == ProbeFailure::Timeout) {
         return; // silence is judged by the send times
     }
+    if (failure == ProbeFailure::Busy) {
+        m_unanswered.clear();
+        m_refusals = 0;
+        return;
+    }
     if (m_refusals == 0) {
         m_firstRefusal = now;
     }
--- a/src/core/freshnessgate.cpp
+++ b/src/core/freshnessgate.cpp
@@ -72,10 +72,68 @@
         return GoElsewhere{FreshnessReason::Unreachable};
     }
     const Case about{request, snapshot, *member, now};
+    if (m_options.upstreamChecksMarks) {
+        return decideByMark(about);
+    }
     if (const auto reason = firstObstacle(about)) {
         return waitOrLeave(about, *reason);
     }
-    return Serve{member->replayed};
+    return Serve{member->replayed, std::nullopt};
+}
+
+// A watermark that was taken since the accepted age covers all that the read has to
+// see, so an upstream whose log holds it is fresh enough, whatever it follows.
+GateDecision FreshnessGate::decideByMark(const Case &about) const
+{
+    const Freshness &wanted = about.request.freshness;
+    if (!about.member.reachable) {
+        return GoElsewhere{FreshnessReason::Unreachable};
+    }
+    Serve serve{about.member.replayed, std::nullopt};
+    if (wanted.floor) {
+        serve.requiredMark = markOfFloor(about);
+        if (!serve.requiredMark) {
+            return waitOrLeave(about, FreshnessReason::Unconfirmed);
+        }
+    }
+    if (wanted.maxAge || wanted.latest) {
+        // Later, not at the same moment; see confirmedSince.
+        const TimePoint oldest =
+            wanted.latest ? about.request.receivedAt + Clock::duration{1} : about.now + m_options.sendMargin - *wanted.maxAge;
+        const auto mark = markOfAge(about, oldest);
+        if (!mark) {
+            return waitOrLeave(about, wanted.latest ? FreshnessReason::Latest : FreshnessReason::Age);
+        }
+        serve.requiredMark = std::max(serve.requiredMark.value_or(*mark), *mark);
+    }
+    return serve;
+}
+
+// The lowest mark that is recent enough: most replicas hold it.
+std::optional<LogMark> FreshnessGate::markOfAge(const Case &about, TimePoint oldest)
+{
+    for (const Watermark &watermark : about.snapshot.watermarks) {
+        if (watermark.sentAt >= oldest) {
+            return watermark.mark;
+        }
+    }
+    return std::nullopt;
+}
+
+// What goes wrong with a floor of an earlier term: the change of primary may have
+// given that entry up, no log will ever hold it, and every read of the session is
+// refused. Any mark taken under the present term covers all of an earlier term that
+// is still there.
+std::optional<LogMark> FreshnessGate::markOfFloor(const Case &about)
+{
+    const LogMark floor = *about.request.freshness.floor;
+    if (floor.term >= about.snapshot.term) {
+        return floor;
+    }
+    if (about.snapshot.watermarks.empty()) {
+        return std::nullopt;
+    }
+    return about.snapshot.watermarks.back().mark;
 }
 
 std::optional<FreshnessReason> FreshnessGate::obstacle(const FreshnessRequest &request, const GroupSnapshot &snapshot,
--- a/src/core/groupmonitor.cpp
+++ b/src/core/groupmonitor.cpp
@@ -399,6 +399,9 @@
 
 void GroupMonitor::adopt(Term term, const std::string &primary, TimePoint now)
 {
+    if (m_options.leaderProvesItself && term > m_term) {
+        m_watermarks.clear();
+    }
     m_term = term;
     m_primary = primary;
     m_confirmed = false;
@@ -417,6 +420,9 @@
 
 bool GroupMonitor::majorityPromisedAbove(Term term) const
 {
+    if (m_options.leaderProvesItself) {
+        return false;
+    }
     const auto above = std::ranges::count_if(m_members, [term](const Member &each) { return each.promised > term; });
     return static_cast<std::size_t>(above) >= majority();
 }
@@ -432,7 +438,7 @@
         answering += each.reachable ? 1 : 0;
         standing += each.reachable && each.promised == m_term ? 1 : 0;
     }
-    return !m_primary.empty() && answering >= majority() && standing < majority();
+    return !m_options.leaderProvesItself && !m_primary.empty() && answering >= majority() && standing < majority();
 }
 
 void GroupMonitor::watchSplit(TimePoint now)
@@ -456,7 +462,8 @@
         const Term term = status.followingTerm;
         const auto standing =
             std::ranges::count_if(round.answers, [term](const auto &answer) { return answer.second.promisedTerm == term; });
-        if (static_cast<std::size_t>(standing) < majority() && !m_options.faults.confirmWithoutMajority) {
+        const bool needsMajority = !m_options.leaderProvesItself && !m_options.faults.confirmWithoutMajority;
+        if (needsMajority && static_cast<std::size_t>(standing) < majority()) {
             continue;
         }
         round.proven = true;
--- a/src/core/promoter.cpp
+++ b/src/core/promoter.cpp
@@ -59,6 +59,10 @@
     beginAttempt(highestPromised, now);
     m_suspicion = Suspicion{};
     m_preferred = preferred;
+    if (m_options.promoteBy == PromoteBy::ThirdParty) {
+        m_suspicion.term = highestPromised;
+        return enterStore(now);
+    }
     // The claim would only cost time while writes are paused: a planned change
     // that meets another promoter loses to it harmlessly.
     return beginFence(now);
@@ -85,7 +89,7 @@
         return {};
     }
     if (!record) {
-        return beginFence(now);
+        return withoutClaim(now);
     }
     return judgeRecord(*record, now);
 }
@@ -109,8 +113,13 @@
     case ClaimResult::Unavailable:
         break;
     }
+    return withoutClaim(now);
+}
+
+PromoterActions Promoter::withoutClaim(TimePoint now)
+{
     m_record.reset();
-    return beginFence(now);
+    return m_options.promoteBy == PromoteBy::ThirdParty ? giveUp(GiveUpReason::NoClaim, now) : beginFence(now);
 }
 
 PromoterActions Promoter::onFence(AttemptId attempt, const ControlAnswer &answer, TimePoint now)
@@ -139,10 +148,13 @@
     }
     const MemberStatus &status = answer.status;
     m_highestPromised = std::max(m_highestPromised, status.promisedTerm);
-    if (answer.granted && status.promisedTerm == m_term) {
-        return succeed(now);
+    if (!answer.granted) {
+        return giveUp(GiveUpReason::Outbid, now);
+    }
+    if (m_options.promoteBy == PromoteBy::ThirdParty) {
+        return {}; // accepted; the group will show it
     }
-    return giveUp(GiveUpReason::Outbid, now);
+    return status.promisedTerm == m_term ? succeed(now) : giveUp(GiveUpReason::Outbid, now);
 }
 
 PromoterActions Promoter::onFollow(const ControlAnswer &answer, TimePoint now)
@@ -516,7 +528,7 @@
     m_graceUntil.reset();
     m_phaseDeadline = now + m_options.promoteTimeout;
     m_resendAt = now + m_options.resendInterval;
-    return {SendPromote{m_attempt, m_candidate, m_term, m_token}};
+    return {SendPromote{m_attempt, m_candidate, m_term, m_token, m_record ? m_record->version : 0}};
 }
 
 // What goes wrong with a second candidate in the same term: the first one may have
@@ -529,7 +541,9 @@
         m_promises.erase(m_candidate);
         return sendPromote(now);
     }
-    if (m_retries >= retryLimit) {
+    // A second order under the same fencing token could be overtaken by the first.
+    if (m_retries >= retryLimit || m_options.promoteBy == PromoteBy::ThirdParty) {
+        m_record.reset();
         return giveUp(GiveUpReason::PromotionUnanswered, now);
     }
     ++m_retries;
@@ -590,8 +604,7 @@
     if (m_phase == Phase::AskingOpinions) {
         return giveUp(GiveUpReason::NoAgreement, now);
     }
-    m_record.reset();
-    return beginFence(now);
+    return withoutClaim(now);
 }
 
 PromoterActions Promoter::onFenceTimer(TimePoint now)
@@ -614,11 +627,11 @@
     if (now >= *m_phaseDeadline) {
         return candidateLost(now);
     }
-    if (now < *m_resendAt) {
+    if (now < *m_resendAt || m_options.promoteBy == PromoteBy::ThirdParty) {
         return {};
     }
     m_resendAt = now + m_options.resendInterval;
-    return {SendPromote{m_attempt, m_candidate, m_term, m_token}};
+    return {SendPromote{m_attempt, m_candidate, m_term, m_token, m_record ? m_record->version : 0}};
 }
 
 // Whether the view makes the running attempt pointless.
@@ -629,7 +642,7 @@
             snapshot.term > m_term || (snapshot.term == m_term && !snapshot.primary.empty() && m_candidate != snapshot.primary);
         return outbid ? std::optional(GiveUpReason::Outbid) : std::nullopt;
     }
-    if (snapshot.primary.empty()) {
+    if (snapshot.primary.empty() || planned()) {
         return std::nullopt;
     }
     const bool proven = !snapshot.watermarks.empty() && snapshot.watermarks.back().sentAt > m_startedAt;
@@ -645,8 +658,11 @@
             continue;
         }
         stranded = stranded || status.promisedTerm > m_leaderTerm;
-        const bool follows = status.role == UpstreamRole::Replica && status.followingTerm == m_leaderTerm;
-        const bool refuses = status.promisedTerm > m_leaderTerm;
+        const bool follows =
+            status.role == UpstreamRole::Replica && status.followingTerm == m_leaderTerm && status.promisedTerm <= m_leaderTerm;
+        const bool released = m_options.promoteBy == PromoteBy::ThirdParty && m_strandedSince
+            && now - *m_strandedSince >= m_options.strandedPatience;
+        const bool refuses = status.promisedTerm > m_leaderTerm && !released;
         const auto order = std::ranges::find(m_orders, status.upstream, &Order::upstream);
         if ((follows || refuses) && order != m_orders.end()) {
             m_orders.erase(order);
@@ -659,7 +675,9 @@
     } else if (!m_strandedSince) {
         m_strandedSince = now;
     }
-    m_renewal = m_strandedSince && now - *m_strandedSince >= m_options.strandedPatience;
+    // A third party keeps no promises that could stand in the way of its orders.
+    m_renewal =
+        m_options.promoteBy == PromoteBy::Member && m_strandedSince && now - *m_strandedSince >= m_options.strandedPatience;
 }
 
 PromoterActions Promoter::sendDueOrders(TimePoint now)
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -189,14 +189,16 @@
     }
     const Case about{*found, request, attempts, now};
     std::optional<Route> route;
-    if (readsOnly(request.kind)) {
+    if (readsOnly(request.kind) && !request.needsPrimary) {
         PrimaryReason reason = PrimaryReason::NoReplica;
         route = replicaRoute(about, attempts, random, reason);
         route = route ? route : primaryRoute(about, attempts, reason);
         route = route ? route : lastResort(about, attempts);
     } else {
         const bool begins = request.kind == StatementKind::Begin;
-        route = primaryRoute(about, attempts, begins ? PrimaryReason::Transaction : PrimaryReason::NotRead);
+        const bool reads = readsOnly(request.kind);
+        const PrimaryReason reason = begins ? PrimaryReason::Transaction : PrimaryReason::NotRead;
+        route = primaryRoute(about, attempts, reads ? PrimaryReason::Latest : reason);
     }
     if (!route) {
         return tl::unexpected(noPrimary(request.database));
@@ -247,7 +249,8 @@
     if (!group.primary.empty() && !about.attempts.tried(group.primary, group.term)) {
         return route(group, attempts, group.primary, reason);
     }
-    if (!about.attempts.m_askOthers || readsOnly(about.request.kind)) {
+    const bool mayBeReplica = readsOnly(about.request.kind) && !about.request.needsPrimary;
+    if (!about.attempts.m_askOthers || mayBeReplica) {
         return std::nullopt;
     }
     // Any home of the group may know the primary; its refusal names it.
--- a/src/core/sessionstate.cpp
+++ b/src/core/sessionstate.cpp
@@ -126,6 +126,13 @@
 SessionState::SessionState(SessionDefaults defaults, std::shared_ptr<const SessionTokenCodec> codec, TimePoint arrivedAt)
     : m_defaults(std::move(defaults)), m_codec(std::move(codec)), m_arrivedAt(arrivedAt)
 {
+    m_unknownArrival = !m_defaults.startsKnown;
+    resetAll();
+}
+
+void SessionState::setDefaults(SessionDefaults defaults)
+{
+    m_defaults = std::move(defaults);
     resetAll();
 }
 
@@ -235,6 +242,7 @@
     if (setting == settingnames::freshness) {
         m_maxAge = m_defaults.maxAge;
         m_mode = m_maxAge ? FreshnessMode::MaxAge : FreshnessMode::Session;
+        m_mode = m_defaults.latest ? FreshnessMode::Latest : m_mode;
     } else if (setting == settingnames::className) {
         m_className = m_defaults.className;
     } else if (setting == settingnames::timeout) {
--- a/src/runtime/applyrunner.cpp
+++ b/src/runtime/applyrunner.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-ApplyRunner::ApplyRunner(boost::asio::io_context &context, StoreClient &store, ConfigurationApply::Settings settings,
+ApplyRunner::ApplyRunner(boost::asio::io_context &context, Store &store, ConfigurationApply::Settings settings,
                          nlohmann::json file)
     : m_store(store), m_apply(std::move(settings)), m_file(std::move(file)), m_pauseTimer(context), m_deadlineTimer(context)
 {
--- a/src/runtime/applyrunner.h
+++ b/src/runtime/applyrunner.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "egrettide/core/configurationapply.h"
-#include "runtime/storeclient.h"
+#include "runtime/store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -22,7 +22,7 @@
 {
 public:
     // `file` is a valid configuration in its file form.
-    ApplyRunner(boost::asio::io_context &context, StoreClient &store, ConfigurationApply::Settings settings, nlohmann::json file);
+    ApplyRunner(boost::asio::io_context &context, Store &store, ConfigurationApply::Settings settings, nlohmann::json file);
     ApplyRunner(const ApplyRunner &) = delete;
     ApplyRunner &operator=(const ApplyRunner &) = delete;
 
@@ -37,7 +37,7 @@
     void after(TimePoint moment, std::function<void()> step);
     TimePoint callDeadline() const;
 
-    StoreClient &m_store;
+    Store &m_store;
     ConfigurationApply m_apply;
     const nlohmann::json m_file;
     boost::asio::steady_timer m_pauseTimer;
--- a/src/runtime/callerconnection.cpp
+++ b/src/runtime/callerconnection.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/callerconnection.h"
 
+#include "runtime/socketoptions.h"
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -10,8 +12,6 @@
 
 #include <algorithm>
 
-#include <netinet/tcp.h>
-
 namespace egrettide::detail
 {
 
@@ -28,12 +28,6 @@
 constexpr std::size_t keptBufferBytes = std::size_t{16} * 1024;
 // How long the caller gets to read the last words.
 constexpr milliseconds lingerTime{1000};
-// Seconds without traffic after which the peer is probed, so that connections
-// whose host vanished do not stay for ever.
-constexpr int keepAliveIdleSeconds = 60;
-
-using KeepAliveIdle = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-
 std::array<unsigned char, EVP_MAX_MD_SIZE> digestOf(std::string_view text)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
@@ -125,10 +119,8 @@
 void CallerConnection::setSocketOptions()
 {
     boost::system::error_code ignored;
-    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    m_socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
     m_socket.non_blocking(true, ignored);
-    m_socket.set_option(KeepAliveIdle(keepAliveIdleSeconds), ignored);
+    setCallerOptions(m_socket);
 }
 
 void CallerConnection::armTimer(milliseconds timeout)
@@ -583,3 +575,17 @@
 }
 
 } // namespace egrettide::detail
+
+namespace egrettide
+{
+
+CallerLinkFactory postgresCallers()
+{
+    return [](std::shared_ptr<detail::TrafficShard> shard, boost::asio::ip::tcp::socket socket, std::optional<Error> refusal,
+              std::function<void()> closed) -> std::shared_ptr<detail::CallerLink> {
+        return std::make_shared<detail::CallerConnection>(std::move(shard), std::move(socket), std::move(refusal),
+                                                          std::move(closed));
+    };
+}
+
+} // namespace egrettide
--- a/src/runtime/callerconnection.h
+++ b/src/runtime/callerconnection.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "runtime/callerlink.h"
 #include "runtime/callersession.h"
 #include "runtime/trafficshard.h"
 #include "wire/batchassembler.h"
@@ -20,8 +21,7 @@
 namespace egrettide::detail
 {
 
-// Lives on the thread of its shard; all functions but `post` are called there.
-class CallerConnection : public std::enable_shared_from_this<CallerConnection>
+class CallerConnection : public CallerLink, public std::enable_shared_from_this<CallerConnection>
 {
 public:
     // `refusal`, when set, is what the caller is told instead of being served.
@@ -31,14 +31,10 @@
     CallerConnection(const CallerConnection &) = delete;
     CallerConnection &operator=(const CallerConnection &) = delete;
 
-    // Runs `action` on the connection's thread.
-    void post(std::function<void()> action);
-
-    void start();
-    // Ends the connection at the next moment at which nothing is under way.
-    void drain();
-    // Ends it now.
-    void close();
+    void post(std::function<void()> action) override;
+    void start() override;
+    void drain() override;
+    void close() override;
 
 private:
     enum class Phase {
--- a/src/runtime/callersession.cpp
+++ b/src/runtime/callersession.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/callersession.h"
 
+#include "egrettide/core/transactionfailure.h"
+
 #include <algorithm>
 
 namespace egrettide::detail
@@ -33,21 +35,6 @@
     return bytes.size() >= readyBytes && bytes[bytes.size() - readyBytes] == 'Z';
 }
 
-// Kinds of errors that say that the transaction's connection cannot go on.
-bool losesTransaction(ErrorKind kind)
-{
-    switch (kind) {
-    case ErrorKind::UnknownOutcome:
-    case ErrorKind::Internal:
-    case ErrorKind::Moved:
-    case ErrorKind::Leaving:
-    case ErrorKind::NoPrimary:
-        return true;
-    default:
-        return false;
-    }
-}
-
 constexpr std::string_view readHint = "The statement only reads. It can be sent again.";
 
 } // namespace
@@ -325,6 +312,7 @@
     // Routes by the newest configuration.
     m_shard->configuration();
     StatementRequest request = requestFor(plan, kind.kind, receivedAt);
+    request.mayHoldSeveral = kind.multiStatement;
     auto pending = std::make_shared<Pending>(Pending{std::move(plan), request, kind.multiStatement, answer});
     pending->request.batch.clear();
     auto self = shared_from_this();
@@ -416,23 +404,9 @@
 Error CallerSession::failInTransaction(const Pending &pending, const StatementReply &reply)
 {
     rollBack();
-    Error error = *reply.error;
-    const StatementKind kind = pending.request.kind;
-    m_aborted = !isEnd(kind) && !m_shard->common->options.faults.forgetsLostTransactions;
-    // A text of several statements may hold the COMMIT.
-    const bool mayHaveCommitted = kind == StatementKind::Commit || (kind == StatementKind::Write && pending.multiStatement);
-    if (mayHaveCommitted && reply.sent) {
-        error.kind = ErrorKind::UnknownOutcome;
-        return error;
-    }
-    if (losesTransaction(error.kind)) {
-        // Nothing of it was committed, so all of it counts as not run.
-        return Error{ErrorKind::Conflict,
-                     "The transaction was lost with its upstream and is rolled back; run it again from its start.",
-                     error.retryAfter};
-    }
-    error.message += " The transaction is rolled back.";
-    return error;
+    const FailedStatement failed{pending.request.kind, pending.multiStatement, reply.sent};
+    m_aborted = leavesAborted(failed.kind) && !m_shard->common->options.faults.forgetsLostTransactions;
+    return errorInTransaction(failed, *reply.error);
 }
 
 void CallerSession::refuse(const Error &error, pg::BatchEnd end, const AnswerHandler &answer)
--- /dev/null
+++ b/src/runtime/collection.h
@@ -0,0 +1,100 @@
+// Collections of named objects that others keep in a store, and how to follow one:
+// list it once, then wait for changes from there on.
+
+#pragma once
+
+#include "egrettide/core/types.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace egrettide
+{
+
+struct CollectedObject {
+    std::string name;
+    nlohmann::json value;
+};
+
+// A whole collection as it stood at one revision of the store.
+struct CollectionPage {
+    std::vector<CollectedObject> objects;
+    std::uint64_t revision = 0;
+};
+
+struct CollectionChange {
+    CollectedObject object;
+    bool removed = false;
+};
+
+// Everything that changed up to `revision`, in order; empty when nothing did.
+struct CollectionChanges {
+    std::vector<CollectionChange> changes;
+    std::uint64_t revision = 0;
+};
+
+enum class CollectionFailure {
+    // The store has forgotten what changed since then: list it anew.
+    HistoryGone,
+    // No answer, or a refusal for now.
+    Unavailable,
+};
+
+// Access to one collection; used from one thread only. Every handler runs exactly
+// once, at the deadline at the latest.
+struct CollectionSource {
+    std::function<void(TimePoint deadline, std::function<void(tl::expected<CollectionPage, CollectionFailure>)>)> list;
+    // Answers as soon as something changed, at the deadline at the latest.
+    std::function<void(std::uint64_t since, TimePoint deadline,
+                       std::function<void(tl::expected<CollectionChanges, CollectionFailure>)>)>
+        changes;
+};
+
+struct CollectionFollowerHooks {
+    // What is there now; called with every change, and after each new list.
+    std::function<void(const std::map<std::string, nlohmann::json> &objects)> changed;
+    // The store does not answer any more, or does again.
+    std::function<void(bool reached)> reachability;
+};
+
+// Keeps a copy of one collection current. Used from the thread of its io_context.
+class CollectionFollower
+{
+public:
+    CollectionFollower(boost::asio::io_context &control, CollectionSource source, CollectionFollowerHooks hooks);
+    CollectionFollower(const CollectionFollower &) = delete;
+    CollectionFollower &operator=(const CollectionFollower &) = delete;
+
+    void start();
+    void stop();
+    // False until it has been listed once, and while the store does not answer.
+    bool isReached() const;
+
+private:
+    void list();
+    void wait();
+    void retry();
+    void apply(const CollectionChanges &changes);
+    void setReached(bool reached);
+
+    CollectionSource m_source;
+    CollectionFollowerHooks m_hooks;
+    boost::asio::steady_timer m_timer;
+    std::map<std::string, nlohmann::json> m_objects;
+    // Everything up to this revision is in m_objects.
+    std::uint64_t m_revision = 0;
+    bool m_listed = false;
+    bool m_reached = false;
+    milliseconds m_backoff;
+    bool m_stopped = false;
+};
+
+} // namespace egrettide
--- a/src/runtime/configurationkeeper.cpp
+++ b/src/runtime/configurationkeeper.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-ConfigurationKeeper::ConfigurationKeeper(boost::asio::io_context &control, StoreClient &store, ConfigurationKeeperHooks hooks)
+ConfigurationKeeper::ConfigurationKeeper(boost::asio::io_context &control, Store &store, ConfigurationKeeperHooks hooks)
     : m_store(store), m_hooks(std::move(hooks)), m_timer(control)
 {
 }
--- a/src/runtime/configurationkeeper.h
+++ b/src/runtime/configurationkeeper.h
@@ -6,7 +6,8 @@
 
 #include "egrettide/core/configuration.h"
 #include "egrettide/core/configurationstate.h"
-#include "runtime/storeclient.h"
+#include "runtime/configurationsource.h"
+#include "runtime/store.h"
 #include "wire/hopcodec.h"
 
 #include <boost/asio/io_context.hpp>
@@ -20,38 +21,25 @@
 namespace egrettide
 {
 
-struct ConfigurationKeeperHooks {
-    // A higher version came into force here.
-    std::function<void(std::shared_ptr<const Configuration>)> accepted;
-    // Sends to one host by name.
-    std::function<void(const std::string &host, hop::HopMessage)> send;
-    // Some live hosts other than this one, in random order, at most `count`.
-    std::function<std::vector<std::string>(std::size_t count)> someHosts;
-    // True when this host holds its zone's watch on the store.
-    std::function<bool()> isWatcher;
-};
-
 // Used from the control thread only.
-class ConfigurationKeeper
+class ConfigurationKeeper : public ConfigurationSource
 {
 public:
-    ConfigurationKeeper(boost::asio::io_context &control, StoreClient &store, ConfigurationKeeperHooks hooks);
+    ConfigurationKeeper(boost::asio::io_context &control, Store &store, ConfigurationKeeperHooks hooks);
     ConfigurationKeeper(const ConfigurationKeeper &) = delete;
     ConfigurationKeeper &operator=(const ConfigurationKeeper &) = delete;
 
-    void start();
-    void stop();
+    void start() override;
+    void stop() override;
 
-    // Messages of other hosts.
-    void onOffer(const std::string &from, const hop::ConfigOffer &offer);
-    void onPull(const std::string &from, const hop::ConfigPull &pull);
-    void onPush(const std::string &from, const hop::ConfigPush &push);
-    // A heartbeat told that `host` holds `version`.
-    void heardOf(const std::string &host, std::uint64_t version);
+    void onOffer(const std::string &from, const hop::ConfigOffer &offer) override;
+    void onPull(const std::string &from, const hop::ConfigPull &pull) override;
+    void onPush(const std::string &from, const hop::ConfigPush &push) override;
+    void heardOf(const std::string &host, std::uint64_t version) override;
 
     // The configuration in force; null while this host has none, and right after a
     // start also while it cannot know whether what it read is the newest.
-    std::shared_ptr<const Configuration> current() const;
+    std::shared_ptr<const Configuration> current() const override;
 
 private:
     void putInForce();
@@ -62,7 +50,7 @@
     void takeObject(const nlohmann::json &value, std::uint64_t version, std::string_view source);
     void spread();
 
-    StoreClient &m_store;
+    Store &m_store;
     ConfigurationKeeperHooks m_hooks;
     boost::asio::steady_timer m_timer;
     ConfigurationState m_state;
--- a/src/runtime/front.cpp
+++ b/src/runtime/front.cpp
@@ -2,7 +2,7 @@
 
 #include "runtime/front.h"
 
-#include "runtime/callerconnection.h"
+#include "runtime/callerlink.h"
 #include "runtime/trafficshard.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -53,13 +53,13 @@
     void learn(const GroupHint &hint, const std::string &upstream);
 
 private:
-    using Connections = absl::flat_hash_map<std::uint64_t, std::weak_ptr<CallerConnection>>;
+    using Connections = absl::flat_hash_map<std::uint64_t, std::weak_ptr<CallerLink>>;
 
     void accept();
     void onAccepted(boost::asio::ip::tcp::socket socket, const std::shared_ptr<TrafficShard> &shard);
     void closeAcceptor();
-    std::vector<std::shared_ptr<CallerConnection>> connections() const;
-    void forEachConnection(void (CallerConnection::*action)());
+    std::vector<std::shared_ptr<CallerLink>> connections() const;
+    void forEachConnection(void (CallerLink::*action)());
 
     const std::shared_ptr<FrontCommon> m_common;
     boost::asio::io_context &m_acceptContext;
@@ -136,7 +136,7 @@
 void FrontState::onAccepted(boost::asio::ip::tcp::socket socket, const std::shared_ptr<TrafficShard> &shard)
 {
     std::optional<Error> refusal;
-    std::shared_ptr<CallerConnection> connection;
+    std::shared_ptr<CallerLink> connection;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         const std::size_t limit = m_common->options.maxConnections;
@@ -155,7 +155,7 @@
                 self->m_connections.erase(number);
             }
         };
-        connection = std::make_shared<CallerConnection>(shard, std::move(socket), std::move(refusal), std::move(closed));
+        connection = m_common->options.makeCaller(shard, std::move(socket), std::move(refusal), std::move(closed));
         m_connections.emplace(number, connection);
     }
     boost::asio::post(shard->context, [connection] { connection->start(); });
@@ -170,9 +170,9 @@
     });
 }
 
-std::vector<std::shared_ptr<CallerConnection>> FrontState::connections() const
+std::vector<std::shared_ptr<CallerLink>> FrontState::connections() const
 {
-    std::vector<std::shared_ptr<CallerConnection>> open;
+    std::vector<std::shared_ptr<CallerLink>> open;
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (const auto &[number, weakConnection] : m_connections) {
         if (auto connection = weakConnection.lock()) {
@@ -182,7 +182,7 @@
     return open;
 }
 
-void FrontState::forEachConnection(void (CallerConnection::*action)())
+void FrontState::forEachConnection(void (CallerLink::*action)())
 {
     for (const auto &connection : connections()) {
         connection->post([connection, action] { ((*connection).*action)(); });
@@ -194,13 +194,13 @@
     // Before the connections are told, so that one that starts now sees it.
     m_common->draining = true;
     closeAcceptor();
-    forEachConnection(&CallerConnection::drain);
+    forEachConnection(&CallerLink::drain);
 }
 
 void FrontState::stop()
 {
     closeAcceptor();
-    forEachConnection(&CallerConnection::close);
+    forEachConnection(&CallerLink::close);
 }
 
 std::size_t FrontState::openConnections() const
--- a/src/runtime/front.h
+++ b/src/runtime/front.h
@@ -8,6 +8,7 @@
 #include "egrettide/core/error.h"
 #include "egrettide/core/request.h"
 #include "egrettide/core/types.h"
+#include "runtime/upstreamdialect.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -60,6 +61,21 @@
     std::function<void(const RequestObservation &)> observe = [](const RequestObservation &) {};
 };
 
+namespace detail
+{
+class CallerLink;
+class TrafficShard;
+} // namespace detail
+
+// Makes the connection of one caller in the callers' protocol. `refusal`, when set,
+// is what the caller is told instead of being served; `closed` is called once.
+using CallerLinkFactory = std::function<std::shared_ptr<detail::CallerLink>(
+    std::shared_ptr<detail::TrafficShard> shard, boost::asio::ip::tcp::socket socket, std::optional<Error> refusal,
+    std::function<void()> closed)>;
+
+// Callers that speak PostgreSQL.
+CallerLinkFactory postgresCallers();
+
 // Switches single safeguards off, for the tests that prove that these are needed.
 struct FrontFaults {
     // Takes any reply for the answer to the request under way.
@@ -97,6 +113,9 @@
     std::uint64_t seed = 1;
     // What a caller that came before any configuration is told to wait.
     milliseconds noConfigurationRetry{1000};
+    CallerLinkFactory makeCaller = postgresCallers();
+    // As UpstreamDialect::rollback.
+    std::string rollback = postgresDialect()->rollback;
     FrontFaults faults;
 };
 
--- a/src/runtime/groupcontrol.cpp
+++ b/src/runtime/groupcontrol.cpp
@@ -1,4 +1,4 @@
-// Control functions of upstreams over SQL.
+// Control calls over one lasting connection for each upstream.
 
 #include "runtime/groupcontrol.h"
 
@@ -6,9 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <deque>
-#include <string_view>
 
 namespace egrettide
 {
@@ -22,106 +20,15 @@
 constexpr milliseconds firstBackoff{10};
 constexpr milliseconds lastBackoff{100};
 
-// A row of the control functions by column name.
-class RowView
-{
-public:
-    RowView(const std::vector<std::string> &columns, const std::vector<std::optional<std::string>> &values)
-        : m_columns(columns), m_values(values)
-    {
-    }
-
-    std::optional<std::string> text(std::string_view column) const
-    {
-        for (std::size_t i = 0; i < m_columns.size() && i < m_values.size(); ++i) {
-            if (m_columns[i] == column) {
-                return m_values[i];
-            }
-        }
-        return std::nullopt;
-    }
-
-    std::optional<std::uint64_t> number(std::string_view column) const
-    {
-        const auto value = text(column);
-        std::uint64_t number = 0;
-        if (!value) {
-            return std::nullopt;
-        }
-        const auto parsed = std::from_chars(value->data(), value->data() + value->size(), number);
-        if (parsed.ec != std::errc{}) {
-            return std::nullopt;
-        }
-        return number;
-    }
-
-private:
-    const std::vector<std::string> &m_columns;
-    const std::vector<std::optional<std::string>> &m_values;
-};
-
-std::optional<UpstreamRole> roleFrom(const std::optional<std::string> &text)
-{
-    if (text == "primary") {
-        return UpstreamRole::Primary;
-    }
-    if (text == "replica") {
-        return UpstreamRole::Replica;
-    }
-    if (text == "fenced") {
-        return UpstreamRole::Fenced;
-    }
-    return std::nullopt;
-}
-
-std::string quoted(std::string_view text)
-{
-    std::string out = "'";
-    for (const char c : text) {
-        out += c == '\'' ? "''" : std::string(1, c);
-    }
-    return out + "'";
-}
-
-std::string termCall(std::string_view function, Term term, const std::string &arguments)
-{
-    return "SELECT * FROM " + std::string(function) + "(" + std::to_string(term) + ", " + arguments + ")";
-}
-
 } // namespace
 
-std::optional<MemberStatus> memberStatusFromRow(const std::vector<std::string> &columns,
-                                                const std::vector<std::optional<std::string>> &values)
-{
-    const RowView row(columns, values);
-    const auto role = roleFrom(row.text("role"));
-    const auto promised = row.number("promised_term");
-    const auto receivedTerm = row.number("received_term");
-    const auto received = row.number("received");
-    const auto replayedTerm = row.number("replayed_term");
-    const auto replayed = row.number("replayed");
-    const auto following = row.number("following_term");
-    if (!role || !promised || !receivedTerm || !received || !replayedTerm || !replayed || !following) {
-        return std::nullopt;
-    }
-    MemberStatus status;
-    status.upstream = row.text("name").value_or("");
-    status.role = *role;
-    status.promisedTerm = *promised;
-    status.promisedTo = row.text("promised_to").value_or("");
-    status.received = LogMark{*receivedTerm, *received};
-    status.replayed = LogMark{*replayedTerm, *replayed};
-    status.followingTerm = *following;
-    return status;
-}
-
 // One upstream's control connection and the calls that wait for it, which run
 // one after the other.
 class GroupControl::Channel : public std::enable_shared_from_this<Channel>
 {
 public:
-    Channel(asio::io_context &context, ConnectionSettings settings)
-        : m_context(context), m_settings(std::move(settings)), m_openTimer(context)
+    Channel(asio::io_context &context, const ControlPort &port, ConnectionSettings settings)
+        : m_context(context), m_port(port), m_settings(std::move(settings)), m_openTimer(context)
     {
     }
 
@@ -130,10 +37,10 @@
         return m_settings.address;
     }
 
-    void call(const std::string &sql, TimePoint deadline, ControlHandler handler)
+    void call(std::string batch, TimePoint deadline, ControlHandler handler)
     {
         const auto call = std::make_shared<Call>(m_context, deadline, std::move(handler));
-        pg::appendQuery(call->bytes, sql);
+        call->bytes = std::move(batch);
         call->timer.expires_at(deadline);
         call->timer.async_wait([weak = weak_from_this(), call](const boost::system::error_code &cancelled) {
             const auto self = weak.lock();
@@ -146,7 +53,7 @@
         asio::post(m_context, [self = shared_from_this()] { self->pump(); });
     }
 
-    // Ends without calling anybody; see UpstreamConnection::abandon.
+    // Ends without calling anybody; see UpstreamLink::abandon.
     void abandon()
     {
         m_closed = true;
@@ -230,7 +137,7 @@
 
     void open()
     {
-        m_connection = UpstreamConnection::create(m_context, m_settings);
+        m_connection = m_port.makeLink(m_context, m_settings);
         m_connection->open(m_queue.front()->deadline, [self = shared_from_this()](const tl::expected<void, Error> &opened) {
             if (opened) {
                 self->m_backoff = firstBackoff;
@@ -265,7 +172,7 @@
     {
         m_running = false;
         if (answer) {
-            finish(call, controlAnswer(*answer));
+            finish(call, m_port.codec.answer(*answer));
         } else {
             const ProbeFailure failure = m_connection ? m_connection->lossKind() : ProbeFailure::Reset;
             finish(call, tl::unexpected(ControlFailure{failure, answer.error().message}));
@@ -273,21 +180,10 @@
         pump();
     }
 
-    static tl::expected<ControlAnswer, ControlFailure> controlAnswer(const BatchAnswer &answer)
-    {
-        if (!answer.row.empty()) {
-            if (const auto status = memberStatusFromRow(answer.columns, answer.row)) {
-                const RowView row(answer.columns, answer.row);
-                return ControlAnswer{row.text("granted").value_or("t") == "t", *status};
-            }
-        }
-        return tl::unexpected(ControlFailure{ProbeFailure::Refused,
-                                             "the upstream refused a control function with SQLSTATE '" + answer.sqlState + "'"});
-    }
-
     asio::io_context &m_context;
+    const ControlPort &m_port;
     const ConnectionSettings m_settings;
-    std::shared_ptr<UpstreamConnection> m_connection;
+    std::shared_ptr<UpstreamLink> m_connection;
     // Not sent yet, oldest first.
     std::deque<CallPointer> m_queue;
     bool m_running = false;
@@ -298,8 +194,8 @@
     asio::steady_timer m_openTimer;
 };
 
-GroupControl::GroupControl(asio::io_context &context, const DatabaseSpec &database, const std::string &user)
-    : m_context(context), m_user(user)
+GroupControl::GroupControl(asio::io_context &context, ControlPort port, const DatabaseSpec &database, const std::string &user)
+    : m_context(context), m_port(std::move(port)), m_user(user)
 {
     update(database);
 }
@@ -339,6 +235,20 @@
     }
 }
 
+// An upstream that takes no token has granted the fence to the call that it answers.
+ControlHandler GroupControl::namedToken(const std::string &token, ControlHandler handler) const
+{
+    if (m_port.codec.answersNameToken) {
+        return handler;
+    }
+    return [token, handler = std::move(handler)](tl::expected<ControlAnswer, ControlFailure> answer) {
+        if (answer && answer->granted) {
+            answer->status.promisedTo = token;
+        }
+        handler(std::move(answer));
+    };
+}
+
 GroupControlHooks GroupControl::hooks()
 {
     GroupControlHooks hooks;
@@ -347,11 +257,11 @@
     };
     hooks.fence = [this](const std::string &upstream, Term term, const std::string &token, TimePoint deadline,
                          ControlHandler handler) {
-        call(upstream, termCall("group_fence", term, quoted(token)), deadline, std::move(handler));
+        call(upstream, m_port.codec.fence(term, token), deadline, namedToken(token, std::move(handler)));
     };
-    hooks.promote = [this](const std::string &upstream, Term term, const std::string &token, TimePoint deadline,
-                           ControlHandler handler) {
-        call(upstream, termCall("group_promote", term, quoted(token)), deadline, std::move(handler));
+    hooks.promote = [this](const std::string &upstream, Term term, const std::string &token, std::uint64_t fencingToken,
+                           TimePoint deadline, ControlHandler handler) {
+        promote(PromoteOrder{m_database, upstream, term, fencingToken}, token, deadline, std::move(handler));
     };
     hooks.follow = [this](const std::string &upstream, Term term, const std::string &token, const std::string &primary,
                           TimePoint deadline,
@@ -368,18 +278,27 @@
             handler(tl::unexpected(answer.error()));
         }
     };
-    call(upstream, "SELECT * FROM group_status()", deadline, passOn);
+    call(upstream, m_port.codec.status(), deadline, passOn);
 }
 
 void GroupControl::follow(const std::string &upstream, Term term, const std::string &token, const std::string &primary,
                           TimePoint deadline, ControlHandler handler)
 {
     const auto address = m_addresses.find(primary);
-    const std::string arguments = quoted(token) + ", " + quoted(address == m_addresses.end() ? "" : address->second);
-    call(upstream, termCall("group_follow", term, arguments), deadline, std::move(handler));
+    const std::string primaryAddress = address == m_addresses.end() ? std::string() : address->second;
+    call(upstream, m_port.codec.follow(term, token, primaryAddress), deadline, std::move(handler));
+}
+
+void GroupControl::promote(const PromoteOrder &order, const std::string &token, TimePoint deadline, ControlHandler handler)
+{
+    if (m_port.promote) {
+        m_port.promote(order, deadline, std::move(handler));
+        return;
+    }
+    call(order.upstream, m_port.codec.promote(order.term, token), deadline, std::move(handler));
 }
 
-void GroupControl::call(const std::string &upstream, const std::string &sql, TimePoint deadline, ControlHandler handler)
+void GroupControl::call(const std::string &upstream, std::string batch, TimePoint deadline, ControlHandler handler)
 {
     const auto address = m_addresses.find(upstream);
     if (address == m_addresses.end()) {
@@ -394,8 +313,9 @@
         settings.address = address->second;
         settings.user = m_user;
         settings.database = m_database;
+        settings.upstream = upstream;
         settings.sendsCancel = false;
-        channel = std::make_shared<Channel>(m_context, std::move(settings));
+        channel = std::make_shared<Channel>(m_context, m_port, std::move(settings));
     }
     // The name in the row is the upstream's own; here the configuration's counts.
     const auto renamed = [upstream, handler = std::move(handler)](tl::expected<ControlAnswer, ControlFailure> answer) {
@@ -404,7 +324,7 @@
         }
         handler(std::move(answer));
     };
-    channel->call(sql, deadline, renamed);
+    channel->call(std::move(batch), deadline, renamed);
 }
 
 } // namespace egrettide
--- a/src/runtime/groupcontrol.h
+++ b/src/runtime/groupcontrol.h
@@ -1,7 +1,7 @@
 // The narrow interface through which egrettide controls upstreams: status,
 // fence, promote and follow. Everything else of the system knows upstreams'
-// control functions through GroupControlHooks alone, so that another adapter
-// takes the place of the SQL one without a change elsewhere.
+// control functions through GroupControlHooks alone; a ControlPort fits them to a
+// protocol.
 
 #pragma once
 
@@ -10,11 +10,12 @@
 #include "egrettide/core/failuredetector.h"
 #include "egrettide/core/promoter.h"
 #include "egrettide/core/types.h"
-#include "runtime/upstreamconnection.h"
+#include "runtime/upstreamlink.h"
 
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,7 +41,9 @@
     std::function<void(const std::string &upstream, TimePoint deadline, StatusHandler)> status;
     std::function<void(const std::string &upstream, Term term, const std::string &token, TimePoint deadline, ControlHandler)>
         fence;
-    std::function<void(const std::string &upstream, Term term, const std::string &token, TimePoint deadline, ControlHandler)>
+    // `fencingToken` as in PromoteOrder.
+    std::function<void(const std::string &upstream, Term term, const std::string &token, std::uint64_t fencingToken,
+                       TimePoint deadline, ControlHandler)>
         promote;
     // `primary` names the upstream to follow.
     std::function<void(const std::string &upstream, Term term, const std::string &token, const std::string &primary,
@@ -48,17 +51,43 @@
         follow;
 };
 
-// Reads one row of the control functions' columns; nothing when a column is
-// missing or malformed.
-std::optional<MemberStatus> memberStatusFromRow(const std::vector<std::string> &columns,
-                                                const std::vector<std::optional<std::string>> &values);
+// How one protocol words the control calls and their answers.
+struct ControlCodec {
+    // Each makes the batch of one call.
+    std::function<std::string()> status;
+    std::function<std::string(Term term, const std::string &token)> fence;
+    std::function<std::string(Term term, const std::string &token)> promote;
+    std::function<std::string(Term term, const std::string &token, const std::string &primaryAddress)> follow;
+    // True when a granted fence names the token that it was granted to.
+    bool answersNameToken = true;
+    // Reads the answer to any of them.
+    std::function<tl::expected<ControlAnswer, ControlFailure>(const BatchAnswer &)> answer;
+};
+
+// A promotion that is ordered elsewhere than at the upstream itself.
+struct PromoteOrder {
+    std::string database;
+    std::string upstream;
+    Term term = 0;
+    // Rises with every holder of the group's claim; 0 when there is no claim.
+    std::uint64_t fencingToken = 0;
+};
+using PromoteHook = std::function<void(const PromoteOrder &order, TimePoint deadline, ControlHandler handler)>;
+
+// What GroupControl needs to know of a protocol.
+struct ControlPort {
+    UpstreamLinkFactory makeLink;
+    ControlCodec codec;
+    // Set where the upstream itself cannot be told to lead.
+    PromoteHook promote;
+};
 
-// The adapter that calls the functions by SQL over one lasting connection for
-// each upstream. Used from the thread of its io_context alone.
+// Makes the calls over one lasting connection for each upstream. Used from the
+// thread of its io_context alone.
 class GroupControl
 {
 public:
-    GroupControl(boost::asio::io_context &context, const DatabaseSpec &database, const std::string &user);
+    GroupControl(boost::asio::io_context &context, ControlPort port, const DatabaseSpec &database, const std::string &user);
     ~GroupControl();
     GroupControl(const GroupControl &) = delete;
     GroupControl &operator=(const GroupControl &) = delete;
@@ -72,12 +101,15 @@
 
 private:
     class Channel;
-    void call(const std::string &upstream, const std::string &sql, TimePoint deadline, ControlHandler handler);
+    void call(const std::string &upstream, std::string batch, TimePoint deadline, ControlHandler handler);
+    ControlHandler namedToken(const std::string &token, ControlHandler handler) const;
+    void promote(const PromoteOrder &order, const std::string &token, TimePoint deadline, ControlHandler handler);
     void status(const std::string &upstream, TimePoint deadline, StatusHandler handler);
     void follow(const std::string &upstream, Term term, const std::string &token, const std::string &primary, TimePoint deadline,
                 ControlHandler handler);
 
     boost::asio::io_context &m_context;
+    const ControlPort m_port;
     const std::string m_user;
     std::string m_database;
     // "IP:port" by upstream.
--- a/src/runtime/groupcoordination.cpp
+++ b/src/runtime/groupcoordination.cpp
@@ -61,7 +61,7 @@
     return "egrettide/groups/" + database;
 }
 
-GroupCoordination::GroupCoordination(StoreClient &store, GroupCoordinationHooks hooks) : m_store(store), m_hooks(std::move(hooks))
+GroupCoordination::GroupCoordination(Store &store, GroupCoordinationHooks hooks) : m_store(store), m_hooks(std::move(hooks))
 {
 }
 
--- a/src/runtime/groupcoordination.h
+++ b/src/runtime/groupcoordination.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include "runtime/groupobserver.h"
-#include "runtime/storeclient.h"
+#include "runtime/store.h"
 #include "wire/hopcodec.h"
 
 #include <functional>
@@ -30,7 +30,7 @@
 class GroupCoordination
 {
 public:
-    GroupCoordination(StoreClient &store, GroupCoordinationHooks hooks);
+    GroupCoordination(Store &store, GroupCoordinationHooks hooks);
     GroupCoordination(const GroupCoordination &) = delete;
     GroupCoordination &operator=(const GroupCoordination &) = delete;
 
@@ -57,7 +57,7 @@
     void writeRecord(const std::string &database, const GroupRecord &record, int attemptsLeft);
     void announce(const std::string &database, Term term, const std::string &primary);
 
-    StoreClient &m_store;
+    Store &m_store;
     GroupCoordinationHooks m_hooks;
     // Questions without an answer yet, by their number.
     std::map<std::uint64_t, Question> m_questions;
--- a/src/runtime/groupobserver.cpp
+++ b/src/runtime/groupobserver.cpp
@@ -91,7 +91,7 @@
         , m_homes(homes)
         , m_settings(settings)
         , m_hooks(std::move(hooks))
-        , m_control(control, database, settings.upstreamUser)
+        , m_control(control, settings.dialect->control, database, settings.upstreamUser)
         , m_calls(m_control.hooks())
         , m_monitor(database.name, membersOf(database), settings.monitor)
         , m_gate(namesOf(database), database.durability, settings.commitFaults)
@@ -462,7 +462,7 @@
 
     void carryOut(const SendPromote &action)
     {
-        m_calls.promote(action.upstream, action.term, action.token, Clock::now() + m_settings.controlTimeout,
+        m_calls.promote(action.upstream, action.term, action.token, action.fencingToken, Clock::now() + m_settings.controlTimeout,
                         controlHandler(action.attempt, action.upstream, &Promoter::onPromote));
     }
 
--- a/src/runtime/groupobserver.h
+++ b/src/runtime/groupobserver.h
@@ -14,6 +14,7 @@
 #include "egrettide/core/switchover.h"
 #include "egrettide/core/types.h"
 #include "runtime/groupcontrol.h"
+#include "runtime/upstreamdialect.h"
 
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
@@ -86,6 +87,8 @@
     // A timer that fires this much late means that the process stood still.
     milliseconds clockGap{500};
     std::uint64_t seed = 1;
+    // Never null.
+    std::shared_ptr<const UpstreamDialect> dialect = postgresDialect();
     GroupMonitorOptions monitor;
     PromoterOptions promoter;
     SwitchoverOptions switchover;
--- a/src/runtime/homeerrors.cpp
+++ b/src/runtime/homeerrors.cpp
@@ -54,6 +54,11 @@
     return {ErrorKind::Overloaded, "No slot is free in time; retry later.", retrySoon};
 }
 
+Error upstreamBusy(const std::string &upstream)
+{
+    return {ErrorKind::Overloaded, "The upstream '" + upstream + "' has no room for another statement; retry later.", retrySoon};
+}
+
 Error transactionGone()
 {
     return {ErrorKind::Moved, "The transaction is no longer open; it was rolled back. Start it again.", retrySoon};
--- a/src/runtime/homeerrors.h
+++ b/src/runtime/homeerrors.h
@@ -32,6 +32,7 @@
 // The cause of an unknown outcome; it completes the ledger's sentence.
 Error deadlinePassedUnanswered();
 Error noSlot();
+Error upstreamBusy(const std::string &upstream);
 // Nothing was sent: its transaction was rolled back before.
 Error transactionGone();
 // Nothing was sent: the transaction's last statement has no answer yet.
--- a/src/runtime/homerequest.cpp
+++ b/src/runtime/homerequest.cpp
@@ -2,30 +2,17 @@
 
 #include "runtime/homerequest.h"
 
-#include <string_view>
-
 namespace egrettide
 {
 
 namespace
 {
 
-constexpr std::size_t queryHeaderBytes = 5;
-
 // A batch of several statements may hold a COMMIT that its kind does not tell of:
-// if such a batch is lost, its outcome is not known to be a rollback. A semicolon
-// inside a literal is taken for one between statements, which errs to "unknown".
+// if such a batch is lost, its outcome is not known to be a rollback.
 bool mayHideCommit(const StatementRequest &request)
 {
-    const bool plainQuery =
-        request.kind == StatementKind::Write && request.batch.size() > queryHeaderBytes && request.batch.front() == 'Q';
-    if (!plainQuery) {
-        return false;
-    }
-    const std::string_view text = std::string_view(request.batch).substr(queryHeaderBytes);
-    const auto semicolon = text.find(';');
-    const auto lastText = text.find_last_not_of(std::string_view("\0; \t\r\n", 6));
-    return semicolon != std::string_view::npos && lastText != std::string_view::npos && semicolon < lastText;
+    return request.kind == StatementKind::Write && request.mayHoldSeveral;
 }
 
 } // namespace
@@ -47,7 +34,7 @@
 
 bool runsOnReplicas(const StatementRequest &request)
 {
-    return isRead(request.kind) || request.kind == StatementKind::BeginReadOnly;
+    return !request.needsPrimary && (isRead(request.kind) || request.kind == StatementKind::BeginReadOnly);
 }
 
 bool isUnsent(const HomeRequest &request)
@@ -66,11 +53,19 @@
     return facts;
 }
 
-BatchOrder orderFor(const StatementRequest &request)
+BatchOrder orderFor(const HomeRequest &pending)
 {
+    const StatementRequest &request = pending.request;
     BatchOrder order;
     order.batch = request.batch;
     order.prepared = request.prepared;
+    order.sessionValues = request.sessionValues;
+    if (request.transaction == 0 && runsOnReplicas(request)) {
+        order.requiredMark = pending.terms.requiredMark;
+    }
+    // Any other statement that needs the primary is refused by an upstream that
+    // does not lead; a read is not.
+    order.requiresLead = request.transaction == 0 && isRead(request.kind) && request.needsPrimary;
     // Inside a transaction nothing is to be confirmed before its end.
     order.askStatus = request.transaction != 0 ? endsTransaction(request.kind) : !opensTransaction(request.kind);
     order.deadline = request.deadline;
--- a/src/runtime/homerequest.h
+++ b/src/runtime/homerequest.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "egrettide/core/freshnessgate.h"
 #include "egrettide/core/request.h"
 #include "egrettide/core/requestledger.h"
 #include "egrettide/core/types.h"
@@ -40,6 +41,8 @@
     TimePoint replicaWaitUntil;
     // When the freshness is looked at again; meaningful in AwaitingFreshness.
     TimePoint recheckAt;
+    // On which terms the freshness gate let it through.
+    Serve terms;
     bool holdsSlot = false;
     // True while the scheduler counts a transaction for it that is not open yet.
     bool countsTransaction = false;
@@ -71,7 +74,8 @@
 bool isRead(StatementKind kind);
 bool opensTransaction(StatementKind kind);
 bool endsTransaction(StatementKind kind);
-// True for what any upstream that is fresh enough may run.
+// True for what any upstream that is fresh enough may run; false also for reads
+// whose caller wants the primary.
 bool runsOnReplicas(const StatementRequest &request);
 // True when nothing of the request has left for the upstream.
 bool isUnsent(const HomeRequest &request);
@@ -79,6 +83,6 @@
 // What the ledger needs to know of a request.
 RequestFacts factsOf(Ticket ticket, const StatementRequest &request);
 // What to send for it, the question for the upstream's status included.
-BatchOrder orderFor(const StatementRequest &request);
+BatchOrder orderFor(const HomeRequest &pending);
 
 } // namespace egrettide
--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -6,7 +6,6 @@
 #include "egrettide/core/placement.h"
 #include "egrettide/core/retrybudget.h"
 #include "runtime/address.h"
-#include "runtime/configurationkeeper.h"
 #include "runtime/front.h"
 #include "runtime/groupcoordination.h"
 #include "runtime/homeservice.h"
@@ -16,7 +15,6 @@
 #include "runtime/membershipdriver.h"
 #include "runtime/operatorserver.h"
 #include "runtime/peernetwork.h"
-#include "runtime/storeclient.h"
 #include "runtime/switchoverdesk.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -41,8 +39,6 @@
 namespace asio = boost::asio;
 using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
 
-// How long a graceful stop waits for callers' transactions and for homes' work.
-constexpr std::chrono::seconds drainBound{30};
 constexpr milliseconds drainPoll{20};
 // The news of a departure gets this long to leave the sockets.
 constexpr milliseconds farewell{100};
@@ -51,6 +47,24 @@
 constexpr milliseconds movedRetry{100};
 // In large zones a host hears from a sample of its zone mates only.
 constexpr std::size_t confirmingHosts = 3;
+// An order to promote is carried out some hundred milliseconds after it was taken, a
+// second at most; twice that is left before another attempt.
+constexpr milliseconds orderedPromotionTimeout{2500};
+// Upstreams that drop a vanished host's connections after this long.
+constexpr milliseconds upstreamLinger{3000};
+
+// Shares of connections where upstreams themselves drop what a lost home leaves
+// behind: a new home need not wait for its predecessor's own bound, and two settled
+// homes at once cannot last.
+ConnectionBudgetOptions lingeringBudget()
+{
+    ConnectionBudgetOptions budget;
+    budget.settledShare = 0.75;
+    budget.takeoverShare = 0.25;
+    budget.shedBound = upstreamLinger;
+    budget.takeoverBound = upstreamLinger + budget.confirmationBound;
+    return budget;
+}
 
 // Where every upstream's home is, under one view and one configuration. Threads
 // that route read it without a lock.
@@ -102,8 +116,9 @@
 class HostDaemon::Impl
 {
 public:
-    explicit Impl(Settings settings)
+    Impl(Settings settings, HostParts parts)
         : m_settings(std::move(settings))
+        , m_parts(std::move(parts))
         , m_incarnation(static_cast<std::uint64_t>(
               std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()))
         , m_random(randomNumber())
@@ -183,6 +198,7 @@
     }
 
     Settings m_settings;
+    const HostParts m_parts;
     const std::uint64_t m_incarnation;
     std::mt19937_64 m_random;
 
@@ -194,15 +210,18 @@
     std::vector<WorkGuard> m_guards;
     std::vector<std::thread> m_threads;
 
-    std::unique_ptr<StoreClient> m_store;
+    std::unique_ptr<Store> m_store;
+    std::shared_ptr<const UpstreamDialect> m_dialect;
     std::unique_ptr<PeerNetwork> m_network;
     std::unique_ptr<MembershipDriver> m_membership;
-    std::unique_ptr<ConfigurationKeeper> m_keeper;
+    std::unique_ptr<ConfigurationSource> m_keeper;
     std::unique_ptr<GroupCoordination> m_coordination;
     std::unique_ptr<HomeService> m_homes;
     std::unique_ptr<SwitchoverDesk> m_switchovers;
     std::unique_ptr<Front> m_front;
     std::unique_ptr<OperatorServer> m_operators;
+    // Null without a listener of its own for readiness.
+    std::unique_ptr<OperatorServer> m_ready;
     std::unique_ptr<asio::steady_timer> m_drainTimer;
 
     // When each host was last heard from; control thread only.
@@ -242,11 +261,16 @@
 
 tl::expected<void, Error> HostDaemon::Impl::makeStore()
 {
-    const auto platform = parseEndpoint(m_settings.platformAddress);
-    if (!platform) {
-        return tl::unexpected(platform.error());
+    auto store = m_parts.makeStore(m_control);
+    if (!store) {
+        return tl::unexpected(store.error());
+    }
+    m_store = std::move(*store);
+    auto dialect = m_parts.makeDialect(m_control);
+    if (!dialect) {
+        return tl::unexpected(dialect.error());
     }
-    m_store = std::make_unique<StoreClient>(m_control, *platform);
+    m_dialect = std::move(*dialect);
     return {};
 }
 
@@ -295,6 +319,17 @@
     settings.observer.upstreamUser = m_settings.upstreamUser;
     settings.observer.seed = m_random();
     settings.observer.monitor.idleInterval = m_settings.idleProbe;
+    settings.observer.dialect = m_dialect;
+    settings.observer.monitor.leaderProvesItself = m_dialect->leaderProvesItself;
+    if (m_dialect->control.promote) {
+        settings.observer.promoter.promoteBy = PromoteBy::ThirdParty;
+        settings.observer.promoter.promoteTimeout = orderedPromotionTimeout;
+    }
+    settings.home.dialect = m_dialect;
+    settings.home.gate.upstreamChecksMarks = m_dialect->checksMarks;
+    if (m_dialect->leaderProvesItself) {
+        settings.home.budget = lingeringBudget();
+    }
     settings.home.upstreamUser = m_settings.upstreamUser;
     settings.home.firstTransaction = (m_random() >> 2U) | 1U;
     m_homes = std::make_unique<HomeService>(m_control, trafficContexts(), settings, std::move(hooks));
@@ -312,6 +347,8 @@
     options.tokenKey = m_settings.sessionKey;
     options.baselineRouting = m_settings.routingPolicy == "baseline";
     options.seed = m_random();
+    options.makeCaller = m_parts.makeCaller;
+    options.rollback = m_dialect->rollback;
     FrontHooks hooks;
     hooks.configuration = [this] { return routes()->configuration; };
     hooks.execute = [this](StatementRequest request, ReplyHandler handler) { execute(std::move(request), std::move(handler)); };
@@ -339,10 +376,13 @@
 
 void HostDaemon::Impl::makeOperators()
 {
-    m_operators =
-        std::make_unique<OperatorServer>(m_control, [this](const OperatorRequest &request, const OperatorResponder &respond) {
-            handleOperator(request, respond);
-        });
+    const auto handler = [this](const OperatorRequest &request, const OperatorResponder &respond) {
+        handleOperator(request, respond);
+    };
+    m_operators = std::make_unique<OperatorServer>(m_control, handler);
+    if (!m_settings.readyAddress.empty()) {
+        m_ready = std::make_unique<OperatorServer>(m_control, handler);
+    }
 }
 
 tl::expected<HostAddresses, Error> HostDaemon::Impl::listen()
@@ -365,10 +405,16 @@
     if (!operatorPort) {
         return tl::unexpected(operatorPort.error());
     }
+    if (m_ready) {
+        if (const auto readyPort = m_ready->listen(m_settings.readyAddress); !readyPort) {
+            return tl::unexpected(readyPort.error());
+        }
+    }
     const auto text = [](const asio::ip::tcp::endpoint &endpoint, unsigned short port) {
         return endpoint.address().to_string() + ":" + std::to_string(port);
     };
-    return HostAddresses{text(*caller, m_front->port()), text(*peer, m_network->port()), text(*operators, *operatorPort)};
+    return HostAddresses{text(*caller, m_front->port()), text(*peer, m_network->port()), text(*operators, *operatorPort),
+                         m_settings.readyAddress};
 }
 
 tl::expected<HostAddresses, Error> HostDaemon::Impl::start()
@@ -400,7 +446,7 @@
                               [this](const std::shared_ptr<const MembershipView> &view) { onView(view); },
                               [this](const std::string &host, std::uint64_t version) { m_keeper->heardOf(host, version); },
                               [this] { return isWatcher(); }});
-    m_keeper = std::make_unique<ConfigurationKeeper>(
+    m_keeper = m_parts.makeConfiguration(
         m_control, *m_store,
         ConfigurationKeeperHooks{
             [this](const std::shared_ptr<const Configuration> &configuration) { onConfiguration(configuration); },
@@ -713,7 +759,7 @@
     const auto now = routes();
     if (request.path == "/health") {
         respond(OperatorResponse{200, "application/json", R"({"status":"ok"})"});
-    } else if (request.path == "/ready") {
+    } else if (request.path == "/ready" || request.path == m_settings.readyPath) {
         const bool ready = now->configuration != nullptr && !m_leaving;
         respond(OperatorResponse{ready ? 200U : 503U, "application/json", ready ? R"({"ready":true})" : R"({"ready":false})"});
     } else if (request.path == "/metrics") {
@@ -767,8 +813,14 @@
     asio::post(m_control, [this] {
         log::info("stop_begun", {{"callers", m_front->openConnections()}});
         m_membership->leave();
-        m_front->beginDrain();
-        drainCallers(Clock::now() + drainBound);
+        const TimePoint begun = Clock::now();
+        m_drainTimer->expires_at(begun + m_settings.balancerNotice);
+        m_drainTimer->async_wait([this, begun](const boost::system::error_code &failure) {
+            if (!failure) {
+                m_front->beginDrain();
+                drainCallers(begun + m_settings.stopBound);
+            }
+        });
     });
 }
 
@@ -850,7 +902,7 @@
     m_threads.clear();
 }
 
-HostDaemon::HostDaemon(Settings settings) : m_impl(std::make_unique<Impl>(std::move(settings)))
+HostDaemon::HostDaemon(Settings settings, HostParts parts) : m_impl(std::make_unique<Impl>(std::move(settings), std::move(parts)))
 {
 }
 
--- a/src/runtime/hostdaemon.h
+++ b/src/runtime/hostdaemon.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "egrettide/core/error.h"
+#include "runtime/hostparts.h"
 #include "runtime/settings.h"
 
 #include <tl/expected.hpp>
@@ -20,12 +21,14 @@
     std::string caller;
     std::string peer;
     std::string operators;
+    // Empty without a listener of its own for readiness.
+    std::string ready;
 };
 
 class HostDaemon
 {
 public:
-    explicit HostDaemon(Settings settings);
+    HostDaemon(Settings settings, HostParts parts);
     ~HostDaemon();
     HostDaemon(const HostDaemon &) = delete;
     HostDaemon &operator=(const HostDaemon &) = delete;
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/httpclient.h"
 
+#include "runtime/socketoptions.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -91,6 +93,9 @@
         request.set(http::field::content_type, "application/json");
         request.body() = call.body;
     }
+    for (const auto &[name, value] : call.headers) {
+        request.set(name, value);
+    }
     request.prepare_payload();
     return request;
 }
@@ -149,8 +154,7 @@
             self->fail(connection, false, "connect", error);
             return;
         }
-        error_code ignored;
-        connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        setLastingOptions(connection->stream.socket());
         self->send(connection);
     });
 }
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -17,6 +17,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace egrettide
 {
@@ -41,6 +43,7 @@
     boost::beast::http::verb verb = boost::beast::http::verb::get;
     std::string target;
     std::string body;
+    std::vector<std::pair<std::string, std::string>> headers = {};
 };
 
 // Runs calls against one server. Use it from the io_context's one thread only.
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -85,7 +85,7 @@
     hostName() = host;
     threshold = level;
     auto backend = boost::make_shared<blog::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     backend->auto_flush(true);
     blog::core::get()->add_sink(boost::make_shared<TextSink>(backend));
 }
--- a/src/runtime/log.h
+++ b/src/runtime/log.h
@@ -53,11 +53,11 @@
     Value value;
 };
 
-// Sends lines of `level` and above to standard error, each with the host's name.
+// Sends lines of `level` and above to standard output, each with the host's name.
 // To be called once, before other threads start.
 void open(std::string_view host, Level level);
 
-// Writes one line. Thread-safe; may block on a slow standard error.
+// Writes one line. Thread-safe; may block on a slow standard output.
 void event(Level level, std::string_view name, std::initializer_list<Field> fields = {});
 
 inline void debug(std::string_view name, std::initializer_list<Field> fields = {})
--- a/src/runtime/membershipdriver.cpp
+++ b/src/runtime/membershipdriver.cpp
@@ -15,13 +15,15 @@
 
 } // namespace
 
-MembershipDriver::MembershipDriver(boost::asio::io_context &control, StoreClient &store, HostRecord self, std::uint64_t seed,
+MembershipDriver::MembershipDriver(boost::asio::io_context &control, Store &store, HostRecord self, std::uint64_t seed,
                                    MembershipDriverHooks hooks)
     : m_store(store)
     , m_hooks(std::move(hooks))
+    , m_self{self.name, self.zone, self.peerAddress, false}
     , m_membership(std::move(self), MembershipOptions{}, seed, Clock::now())
     , m_tickTimer(control)
     , m_listTimer(control)
+    , m_registerTimer(control)
 {
 }
 
@@ -29,7 +31,31 @@
 {
     publish();
     scheduleTick();
-    readHostList();
+    registerSelf();
+}
+
+// Before the first look at the list: of two hosts that start together, at least the
+// one that registers later sees the other.
+void MembershipDriver::registerSelf()
+{
+    m_store.registerHost(m_self, Clock::now() + listTimeout, [this](const tl::expected<void, StoreError> &registered) {
+        if (m_stopped) {
+            return;
+        }
+        if (!registered) {
+            log::warning("host_not_registered", {{"error", registered.error().error.message}});
+            m_registerTimer.expires_after(listInterval);
+            m_registerTimer.async_wait([this](const boost::system::error_code &cancelled) {
+                if (!cancelled && !m_stopped) {
+                    registerSelf();
+                }
+            });
+        }
+        if (!m_reads) {
+            m_reads = true;
+            readHostList();
+        }
+    });
 }
 
 void MembershipDriver::stop()
@@ -37,6 +63,7 @@
     m_stopped = true;
     m_tickTimer.cancel();
     m_listTimer.cancel();
+    m_registerTimer.cancel();
 }
 
 std::shared_ptr<const MembershipView> MembershipDriver::view() const
@@ -120,6 +147,7 @@
 void MembershipDriver::depart()
 {
     deliver(m_membership.depart(Clock::now()));
+    m_store.removeHost(m_self.name, Clock::now() + listTimeout, [](const tl::expected<void, StoreError> &) {});
 }
 
 void MembershipDriver::deliver(const std::vector<GossipSend> &sends)
--- a/src/runtime/membershipdriver.h
+++ b/src/runtime/membershipdriver.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "egrettide/core/membership.h"
-#include "runtime/storeclient.h"
+#include "runtime/store.h"
 #include "wire/hopcodec.h"
 
 #include <boost/asio/io_context.hpp>
@@ -30,7 +30,7 @@
 class MembershipDriver
 {
 public:
-    MembershipDriver(boost::asio::io_context &control, StoreClient &store, HostRecord self, std::uint64_t seed,
+    MembershipDriver(boost::asio::io_context &control, Store &store, HostRecord self, std::uint64_t seed,
                      MembershipDriverHooks hooks);
     MembershipDriver(const MembershipDriver &) = delete;
     MembershipDriver &operator=(const MembershipDriver &) = delete;
@@ -49,18 +49,23 @@
 
 private:
     void scheduleTick();
+    void registerSelf();
     void readHostList();
     void deliver(const std::vector<GossipSend> &sends);
     void publish();
 
-    StoreClient &m_store;
+    Store &m_store;
     MembershipDriverHooks m_hooks;
+    const ListedHost m_self;
     Membership m_membership;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_listTimer;
+    boost::asio::steady_timer m_registerTimer;
     // The placement version last handed to `changed`.
     std::uint64_t m_published = 0;
     bool m_publishedTrusted = false;
+    // True once the list is read at its interval.
+    bool m_reads = false;
     bool m_stopped = false;
 };
 
--- a/src/runtime/peerlink.cpp
+++ b/src/runtime/peerlink.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/peerlink.h"
 
+#include "runtime/socketoptions.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
@@ -32,8 +34,7 @@
     // Requests and answers are small and each waits for the next: Nagle's
     // algorithm would hold them back for a round trip.
     boost::system::error_code ignored;
-    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    m_socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    setLastingOptions(m_socket);
     m_socket.non_blocking(true, ignored);
     read();
 }
--- a/src/runtime/requestrunner.cpp
+++ b/src/runtime/requestrunner.cpp
@@ -2,8 +2,6 @@
 
 #include "runtime/requestrunner.h"
 
-#include "wire/pgwire.h"
-
 #include <boost/asio/dispatch.hpp>
 
 #include <variant>
@@ -235,8 +233,7 @@
     request.kind = StatementKind::Rollback;
     request.deadline = shard.now() + std::chrono::seconds(5);
     request.prepared.clear();
-    request.batch.clear();
-    pg::appendQuery(request.batch, "ROLLBACK");
+    request.batch = shard.common->options.rollback;
     shard.common->hooks.execute(std::move(request), [](const StatementReply &) {});
 }
 
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -30,7 +30,13 @@
     "idleProbeMs": {"type": "integer", "minimum": 10, "maximum": 5000},
     "sessionKey": {"type": "string", "minLength": 16},
     "upstreamUser": {"type": "string", "minLength": 1},
-    "routingPolicy": {"enum": ["adaptive", "baseline"]}
+    "routingPolicy": {"enum": ["adaptive", "baseline"]},
+    "interface": {"enum": ["postgresql", "platform"]},
+    "ordersAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+    "readyAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
+    "readyPath": {"type": "string", "pattern": "^/[A-Za-z0-9/._-]*$"},
+    "balancerNoticeMs": {"type": "integer", "minimum": 0, "maximum": 60000},
+    "stopBoundMs": {"type": "integer", "minimum": 100, "maximum": 600000}
   }
 }
 )json";
@@ -56,6 +62,12 @@
     settings.idleProbe = milliseconds(document.value("idleProbeMs", settings.idleProbe.count()));
     settings.upstreamUser = document.value("upstreamUser", settings.upstreamUser);
     settings.routingPolicy = document.value("routingPolicy", settings.routingPolicy);
+    settings.interface = document.value("interface", settings.interface);
+    settings.ordersAddress = document.value("ordersAddress", settings.ordersAddress);
+    settings.readyAddress = document.value("readyAddress", settings.readyAddress);
+    settings.readyPath = document.value("readyPath", settings.readyPath);
+    settings.balancerNotice = milliseconds(document.value("balancerNoticeMs", settings.balancerNotice.count()));
+    settings.stopBound = milliseconds(document.value("stopBoundMs", settings.stopBound.count()));
     return settings;
 }
 
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -33,6 +33,20 @@
     milliseconds idleProbe{50};
     // The role under which hosts connect to upstreams.
     std::string upstreamUser = "egrettide";
+    // "postgresql", or "platform" for callers, upstreams and the store of the
+    // users' platform.
+    std::string interface = "postgresql";
+    // Takes orders to promote; with the interface "platform" only.
+    std::string ordersAddress;
+    // Answers the balancer's question for readiness; empty when the operators'
+    // listener alone does.
+    std::string readyAddress;
+    std::string readyPath = "/ready";
+    // After the start of a graceful stop the balancer may go on sending new callers
+    // for this long; they are served.
+    milliseconds balancerNotice{0};
+    // The whole of a graceful stop; what is still open then is cut.
+    milliseconds stopBound{30000};
     // "adaptive", or "baseline" to measure against.
     std::string routingPolicy = "adaptive";
 };
--- /dev/null
+++ b/src/runtime/statementsession.cpp
@@ -0,0 +1,344 @@
+// One caller's session of single statements.
+
+#include "runtime/statementsession.h"
+
+#include "egrettide/core/transactionfailure.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace egrettide::detail
+{
+
+namespace
+{
+
+constexpr milliseconds noRetry{0};
+
+SessionDefaults defaultsOf(const RouteSpec &route)
+{
+    SessionDefaults defaults;
+    defaults.database = route.database;
+    defaults.className = route.className;
+    defaults.timeout = route.timeout;
+    defaults.latest = route.freshness == RouteFreshness::Latest;
+    if (!defaults.latest) {
+        defaults.maxAge = route.maxAge;
+    }
+    // A session is a connection: whatever its caller did over another one belongs
+    // to another session.
+    defaults.startsKnown = true;
+    return defaults;
+}
+
+// Names of prepared statements collide between callers, and connections are shared.
+// A name derived from the definition means the same for all of them.
+std::string sharedNameOf(const std::string &definition)
+{
+    constexpr std::size_t digits = 16;
+    static constexpr char hex[] = "0123456789abcdef";
+    std::string name = "p";
+    const std::uint64_t hash = XXH3_64bits(definition.data(), definition.size());
+    for (std::size_t i = 0; i < digits; ++i) {
+        name += hex[(hash >> (4 * i)) & 0xFU];
+    }
+    return name;
+}
+
+Error unknownRoute(const std::string &name)
+{
+    return Error{ErrorKind::UnknownDatabase, "There is no route \"" + name + "\"; check the name of the database.", noRetry};
+}
+
+Error abortedError()
+{
+    return Error{ErrorKind::InvalidInput, "The transaction has failed; end it first.", noRetry};
+}
+
+Error outOfOrder(const std::string &what)
+{
+    return Error{ErrorKind::InvalidInput, what, noRetry};
+}
+
+Error startFailed()
+{
+    // A home ends a transaction whose caller it cannot reach.
+    return Error{ErrorKind::Conflict, "The transaction could not be started; start it again.", noRetry};
+}
+
+bool begins(CallerVerb verb)
+{
+    return verb == CallerVerb::Begin || verb == CallerVerb::BeginReadOnly;
+}
+
+bool ends(CallerVerb verb)
+{
+    return verb == CallerVerb::Commit || verb == CallerVerb::Rollback;
+}
+
+bool begins(StatementKind kind)
+{
+    return kind == StatementKind::Begin || kind == StatementKind::BeginReadOnly;
+}
+
+} // namespace
+
+StatementSession::StatementSession(std::shared_ptr<TrafficShard> shard, const Configuration &configuration, std::string routeName,
+                                   StatementWording wording)
+    : m_shard(std::move(shard))
+    , m_routeName(std::move(routeName))
+    , m_wording(std::move(wording))
+    , m_state(defaultsOf(*configuration.route(m_routeName)), m_shard->common->tokens, m_shard->now())
+    , m_route(*configuration.route(m_routeName))
+{
+}
+
+bool StatementSession::isIdle() const
+{
+    return !m_isRunning && state() == 'I';
+}
+
+char StatementSession::state() const
+{
+    return m_aborted ? 'E' : m_upstreamState;
+}
+
+void StatementSession::run(CallerStatement statement, TimePoint receivedAt, AnswerHandler handler)
+{
+    if (answerHere(statement, handler)) {
+        return;
+    }
+    auto request = requestFor(std::move(statement), receivedAt);
+    if (!request) {
+        reject(std::move(request.error()), handler);
+        return;
+    }
+    auto pending = std::make_shared<Pending>(Pending{request->kind, request->freshness, std::move(handler)});
+    auto done = [self = shared_from_this(), pending](StatementReply reply, const std::string &upstream) {
+        self->onReply(*pending, std::move(reply), upstream);
+    };
+    m_isRunning = true;
+    std::make_shared<RequestRunner>(m_shard, std::move(*request), std::move(done))->start();
+}
+
+// True when the statement needs no upstream.
+bool StatementSession::answerHere(const CallerStatement &statement, const AnswerHandler &handler)
+{
+    if (m_aborted && ends(statement.verb)) {
+        m_aborted = false;
+        handler(StatementAnswer{std::nullopt, {}, state()});
+        return true;
+    }
+    if (state() == 'E' && !ends(statement.verb)) {
+        handler(StatementAnswer{abortedError(), {}, state()});
+        return true;
+    }
+    switch (statement.verb) {
+    case CallerVerb::SetValue:
+        setValue(statement);
+        break;
+    case CallerVerb::Prepare:
+        prepare(statement);
+        break;
+    case CallerVerb::Deallocate:
+        m_prepared.erase(statement.name);
+        break;
+    default:
+        return false;
+    }
+    handler(StatementAnswer{std::nullopt, {}, state()});
+    return true;
+}
+
+void StatementSession::setValue(const CallerStatement &statement)
+{
+    const auto place = std::ranges::lower_bound(m_values, statement.name, {}, &SessionValue::name);
+    if (place != m_values.end() && place->name == statement.name) {
+        place->value = statement.definition;
+        return;
+    }
+    m_values.insert(place, SessionValue{statement.name, statement.definition});
+}
+
+void StatementSession::prepare(const CallerStatement &statement)
+{
+    m_prepared[statement.name] = Prepared{sharedNameOf(statement.definition), statement.definition, statement.preparesWrite};
+}
+
+// Routes are followed between transactions only: what began under one goes on under it.
+tl::expected<void, Error> StatementSession::followRoute()
+{
+    const auto current = m_shard->configuration();
+    if (!current || current == m_configuration) {
+        return {};
+    }
+    const RouteSpec *route = current->route(m_routeName);
+    if (route == nullptr) {
+        return tl::unexpected(unknownRoute(m_routeName));
+    }
+    m_configuration = current;
+    m_route = *route;
+    m_state.setDefaults(defaultsOf(m_route));
+    return {};
+}
+
+tl::expected<StatementRequest, Error> StatementSession::requestFor(CallerStatement statement, TimePoint receivedAt)
+{
+    const bool inTransaction = m_state.inTransaction();
+    if (inTransaction && begins(statement.verb)) {
+        return tl::unexpected(outOfOrder("A transaction is open already; end it first."));
+    }
+    if (!inTransaction && ends(statement.verb)) {
+        return tl::unexpected(outOfOrder("No transaction is open; begin one first."));
+    }
+    if (!inTransaction) {
+        if (const auto followed = followRoute(); !followed) {
+            return tl::unexpected(followed.error());
+        }
+    }
+    const bool latest = m_state.mode() == FreshnessMode::Latest;
+    StatementRequest request;
+    request.kind = kindOf(statement);
+    request.database = m_state.database();
+    request.className = m_state.className();
+    request.deadline = receivedAt + m_state.timeout();
+    request.receivedAt = m_state.freshSince(receivedAt);
+    request.transaction = m_state.transaction();
+    if (inTransaction) {
+        request.upstream = m_state.transactionUpstream();
+    }
+    request.needsPrimary = latest;
+    if (!latest) {
+        request.freshness = m_state.freshnessFor(request.kind);
+    }
+    request.sessionValues = m_values;
+    if (const auto written = writeBatch(statement, request); !written) {
+        return tl::unexpected(written.error());
+    }
+    return request;
+}
+
+// A read-only transaction whose reads must be the latest ones runs as any other:
+// only then does the upstream check with each statement that it leads.
+StatementKind StatementSession::kindOf(const CallerStatement &statement) const
+{
+    switch (statement.verb) {
+    case CallerVerb::Begin:
+        return StatementKind::Begin;
+    case CallerVerb::BeginReadOnly:
+        return m_state.mode() == FreshnessMode::Latest ? StatementKind::Begin : StatementKind::BeginReadOnly;
+    case CallerVerb::Commit:
+        return StatementKind::Commit;
+    case CallerVerb::Rollback:
+        return StatementKind::Rollback;
+    case CallerVerb::Read:
+        return StatementKind::Read;
+    case CallerVerb::Execute: {
+        const auto found = m_prepared.find(statement.name);
+        return found != m_prepared.end() && !found->second.writes ? StatementKind::Read : StatementKind::Write;
+    }
+    default:
+        return StatementKind::Write;
+    }
+}
+
+tl::expected<void, Error> StatementSession::writeBatch(CallerStatement &statement, StatementRequest &request) const
+{
+    if (begins(request.kind)) {
+        request.batch = request.kind == StatementKind::Begin ? m_wording.begin : m_wording.beginReadOnly;
+        return {};
+    }
+    request.batch = std::move(statement.batch);
+    if (statement.verb != CallerVerb::Execute) {
+        return {};
+    }
+    const auto found = m_prepared.find(statement.name);
+    if (found == m_prepared.end()) {
+        return tl::unexpected(Error{ErrorKind::UnknownStatement,
+                                    "No statement \"" + statement.name + "\" is prepared in this session; prepare it first.",
+                                    noRetry});
+    }
+    request.batch += found->second.sharedName + statement.batchTail;
+    request.prepared.push_back(PreparedStatement{found->second.sharedName, found->second.definition});
+    return {};
+}
+
+void StatementSession::onReply(const Pending &pending, StatementReply reply, const std::string &upstream)
+{
+    m_isRunning = false;
+    if (reply.error) {
+        onFailure(pending, reply);
+    } else {
+        onAnswer(pending, std::move(reply), upstream);
+    }
+    if (m_abandoned) {
+        rollBack();
+    }
+}
+
+void StatementSession::onAnswer(const Pending &pending, StatementReply reply, const std::string &upstream)
+{
+    m_state.onTransactionState(reply.transactionState, reply.transaction, upstream);
+    m_upstreamState = reply.transactionState;
+    if (reply.seen) {
+        m_state.onSeen(*reply.seen, pending.freshness, pending.kind);
+    }
+    const bool local = begins(pending.kind);
+    pending.answer(StatementAnswer{std::nullopt, local ? std::string() : std::move(reply.bytes), state()});
+}
+
+void StatementSession::onFailure(const Pending &pending, const StatementReply &reply)
+{
+    Error error = *reply.error;
+    if (m_state.inTransaction()) {
+        const FailedStatement failed{pending.kind, false, reply.sent};
+        rollBack();
+        m_aborted = leavesAborted(pending.kind);
+        error = errorInTransaction(failed, std::move(error));
+    } else if (begins(pending.kind) && outcomeOf(error.kind) == Outcome::Unknown) {
+        error = startFailed();
+    }
+    pending.answer(StatementAnswer{std::move(error), {}, state()});
+}
+
+// Refuses a statement that never left. An open transaction is rolled back: its
+// caller could otherwise commit the rest without the refused part.
+void StatementSession::reject(Error error, const AnswerHandler &handler)
+{
+    if (m_state.inTransaction()) {
+        rollBack();
+        m_aborted = true;
+    }
+    handler(StatementAnswer{std::move(error), {}, state()});
+}
+
+void StatementSession::rollBack()
+{
+    if (!m_state.inTransaction()) {
+        return;
+    }
+    StatementRequest request;
+    request.database = m_state.database();
+    request.upstream = m_state.transactionUpstream();
+    request.className = m_state.className();
+    request.transaction = m_state.transaction();
+    m_state.onTransactionState('I', 0, {});
+    m_upstreamState = 'I';
+    if (request.transaction != 0) {
+        rollBackAtHome(*m_shard, std::move(request));
+    }
+}
+
+// What is under way ends by itself: giving it up would cost the upstream's
+// connection, whose answer is still to come.
+void StatementSession::abandon()
+{
+    m_abandoned = true;
+    if (!m_isRunning) {
+        rollBack();
+    }
+}
+
+} // namespace egrettide::detail
--- a/src/runtime/storeclient.cpp
+++ b/src/runtime/storeclient.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/storeclient.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -154,7 +156,7 @@
 } // namespace
 
 StoreClient::StoreClient(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint platform)
-    : m_http(context, std::move(platform))
+    : m_context(context), m_http(context, std::move(platform))
 {
 }
 
@@ -199,6 +201,17 @@
         [handler = std::move(handler)](const tl::expected<HttpAnswer, HttpFailure> &answer) { handler(toHosts(answer)); });
 }
 
+// The platform lists its hosts itself.
+void StoreClient::registerHost(const ListedHost & /*self*/, TimePoint /*deadline*/, DoneHandler handler)
+{
+    boost::asio::post(m_context, [handler = std::move(handler)] { handler({}); });
+}
+
+void StoreClient::removeHost(const std::string & /*name*/, TimePoint /*deadline*/, DoneHandler handler)
+{
+    boost::asio::post(m_context, [handler = std::move(handler)] { handler({}); });
+}
+
 const StoreCallCounts &StoreClient::callCounts() const
 {
     return m_counts;
--- a/src/runtime/storeclient.h
+++ b/src/runtime/storeclient.h
@@ -1,120 +1,38 @@
-// The one door to the platform's object store and host list. All access goes
-// through this narrow interface, since the platform is the users' own and may
-// speak differently one day. It never repeats a call by itself: whether a repeat
-// is safe is for the caller to decide.
+// The product's own API of the object store and host list, over keep-alive HTTP.
 
 #pragma once
 
-#include "egrettide/core/error.h"
-#include "egrettide/core/types.h"
 #include "runtime/httpclient.h"
+#include "runtime/store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
-#include <tl/expected.hpp>
 
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace egrettide
 {
 
-// One object of the store at one version.
-struct VersionedObject {
-    std::string key;
-    // Taken from one counter of the whole store, so it rises with every write of
-    // any object and is never used twice, not even after a deletion.
-    std::uint64_t version = 0;
-    // A write's answer carries back the value that was written.
-    nlohmann::json value;
-};
-
-// Why a call to the store brought no object.
-enum class StoreFailure {
-    // There is no such object.
-    NotFound,
-    // A watch ended at its deadline and the object had not changed.
-    Unchanged,
-    // The object is not at the expected version; nothing was written.
-    Conflict,
-    // The store refused the call as malformed or too large; nothing was written.
-    Refused,
-    // Nothing was written and nothing is known: the store is out or slow.
-    Unavailable,
-    // The request left and its answer did not come: a write may have taken
-    // effect, or may still do so. Only reading the object again can tell.
-    OutcomeUnknown,
-};
-
-struct StoreError {
-    StoreFailure failure = StoreFailure::Unavailable;
-    // Kinds: Conflict, InvalidInput (Refused), UnknownOutcome (OutcomeUnknown)
-    // and StoreUnavailable (all others).
-    Error error;
-    // On a Conflict: the version the object is at now, 0 when it does not exist.
-    std::uint64_t currentVersion = 0;
-
-    // True when a lost answer may hide a change that took effect.
-    bool mayHaveApplied() const
-    {
-        return failure == StoreFailure::OutcomeUnknown;
-    }
-};
-
-// One host as the platform lists it; the list lags behind reality.
-struct ListedHost {
-    std::string name;
-    std::string zone;
-    // "IP:port" of its peer listener.
-    std::string address;
-    bool leaving = false;
-};
-
-// Calls started, by kind: what the platform counts, and therefore what must grow
-// more slowly than the fleet.
-struct StoreCallCounts {
-    std::uint64_t reads = 0;
-    std::uint64_t writes = 0;
-    std::uint64_t watches = 0;
-    std::uint64_t hostLists = 0;
-};
-
-using ObjectHandler = std::function<void(tl::expected<VersionedObject, StoreError>)>;
-using HostsHandler = std::function<void(tl::expected<std::vector<ListedHost>, StoreError>)>;
-
-// Speaks the platform's API over keep-alive HTTP. Use it from the io_context's
-// one thread only. Every handler runs exactly once, at the call's deadline at
-// the latest, and never inside the call that registered it; handlers of calls
-// that are outstanding when the client is destroyed do not run.
-class StoreClient
+// See Store for what each call promises. Use it from the io_context's one thread.
+class StoreClient : public Store
 {
 public:
     StoreClient(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint platform);
 
-    // Reads the object; fails with NotFound or Unavailable.
-    void read(const std::string &key, TimePoint deadline, ObjectHandler handler);
-
-    // Writes the object when it is at `expectedVersion` (0: when it does not
-    // exist); without one, writes it in any case. Fails with Conflict, Refused,
-    // Unavailable or OutcomeUnknown.
+    void read(const std::string &key, TimePoint deadline, ObjectHandler handler) override;
     void write(const std::string &key, const nlohmann::json &value, std::optional<std::uint64_t> expectedVersion,
-               TimePoint deadline, ObjectHandler handler);
-
-    // Waits until the object exists at a version above `afterVersion`. Ends with
-    // Unchanged shortly before the deadline, so that the end of a quiet watch is
-    // told apart from an outage (Unavailable).
-    void watch(const std::string &key, std::uint64_t afterVersion, TimePoint deadline, ObjectHandler handler);
-
-    // Fetches the list of live and leaving hosts; fails with Unavailable.
-    void hosts(TimePoint deadline, HostsHandler handler);
-
-    const StoreCallCounts &callCounts() const;
+               TimePoint deadline, ObjectHandler handler) override;
+    void watch(const std::string &key, std::uint64_t afterVersion, TimePoint deadline, ObjectHandler handler) override;
+    void hosts(TimePoint deadline, HostsHandler handler) override;
+    void registerHost(const ListedHost &self, TimePoint deadline, DoneHandler handler) override;
+    void removeHost(const std::string &name, TimePoint deadline, DoneHandler handler) override;
+    const StoreCallCounts &callCounts() const override;
 
 private:
+    boost::asio::io_context &m_context;
     HttpClient m_http;
     StoreCallCounts m_counts;
 };
--- a/src/runtime/upstreamconnection.cpp
+++ b/src/runtime/upstreamconnection.cpp
@@ -2,7 +2,8 @@
 
 #include "runtime/upstreamconnection.h"
 
-#include "runtime/groupcontrol.h"
+#include "runtime/socketoptions.h"
+#include "runtime/sqlcontrol.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
@@ -25,6 +26,7 @@
 // each one in memory for as long as the connection lives.
 constexpr std::size_t maxPreparedStatements = 2000;
 constexpr std::string_view unknownStatementState = "26000";
+constexpr std::string_view readOnlyState = "25006";
 constexpr std::string_view tooManyConnectionsState = "53300";
 // A cancel request that has not left by then is of no use.
 constexpr milliseconds cancelTimeout{1000};
@@ -117,8 +119,7 @@
 
 void UpstreamConnection::startLogin()
 {
-    boost::system::error_code ignored;
-    m_socket.set_option(tcp::no_delay(true), ignored);
+    setLastingOptions(m_socket);
     std::string startup;
     pg::appendStartup(startup, {{"user", m_settings.user}, {"database", m_settings.database}, {"application_name", "egrettide"}});
     enqueueWrite(std::move(startup));
@@ -288,17 +289,22 @@
         // After an error the upstream skips the rest up to the Sync, injected
         // Parses included.
         work.injectedNames.clear();
-        if (work.answer.sqlState.empty()) {
-            work.answer.sqlState = pg::parseErrorFields(message.payload).sqlState;
+        if (work.answer.errorCode.empty()) {
+            work.answer.errorCode = pg::parseErrorFields(message.payload).sqlState;
         }
-        if (work.answer.sqlState == unknownStatementState) {
+        if (work.answer.errorCode == unknownStatementState) {
             m_prepared.clear();
         }
-    } else if (message.type == 'C' && work.answer.sqlState.empty()) {
+    } else if (message.type == 'C' && work.answer.errorCode.empty()) {
         ++work.answer.completedStatements;
     } else if (message.type == 'Z') {
         m_transactionState = message.payload.empty() ? 'I' : message.payload.front();
         work.answer.state = m_transactionState;
+        // A fenced upstream refuses a write with "read-only transaction"; if that is
+        // all it did, nothing ran.
+        if (work.answer.errorCode == readOnlyState && work.answer.completedStatements == 0) {
+            work.answer.refusal = ErrorKind::Moved;
+        }
         work.answered = true;
         work.complete = !work.order.askStatus;
     }
--- a/src/runtime/upstreamconnection.h
+++ b/src/runtime/upstreamconnection.h
@@ -1,6 +1,4 @@
-// One connection to an upstream, as a PostgreSQL v3 client. It runs one batch at
-// a time and hands back the whole answer or nothing: an answer that is cut short,
-// late or too large closes the connection, so that its rest can reach nobody.
+// One connection to an upstream, as a PostgreSQL v3 client.
 
 #pragma once
 
@@ -8,6 +6,7 @@
 #include "egrettide/core/failuredetector.h"
 #include "egrettide/core/request.h"
 #include "egrettide/core/types.h"
+#include "runtime/upstreamlink.h"
 #include "wire/pgwire.h"
 
 #include <boost/asio/io_context.hpp>
@@ -29,102 +28,27 @@
 namespace egrettide
 {
 
-// Where and as whom a connection is opened.
-struct ConnectionSettings {
-    // "IP:port"; names are not resolved.
-    std::string address;
-    std::string user = "egrettide";
-    std::string database;
-    // False to give up batches without a cancel request: worth it for short ones.
-    bool sendsCancel = true;
-    // Answers above this are refused: one caller must not take the memory of all.
-    std::size_t maxAnswerBytes = std::size_t{64} * 1024 * 1024;
-};
-
-// What a connection is asked to run.
-struct BatchOrder {
-    // Ends in exactly one Query or Sync. Empty to ask for the status alone.
-    std::string batch;
-    // Parsed first where this connection does not have them yet.
-    std::vector<PreparedStatement> prepared;
-    // True to ask for the upstream's status right behind the batch, in the same
-    // round trip.
-    bool askStatus = false;
-    // True to hand out the last row as values, too.
-    bool keepRow = false;
-    // When the batch is given up and the connection is closed.
-    TimePoint deadline;
-};
-
-// The whole answer to one batch.
-struct BatchAnswer {
-    // Everything up to and including the ReadyForQuery of the batch itself.
-    std::string bytes;
-    // 'I', 'T' or 'E' of that ReadyForQuery.
-    char state = 'I';
-    // SQLSTATE of the first error, empty when there was none.
-    std::string sqlState;
-    // Statements that completed before the first error.
-    std::size_t completedStatements = 0;
-    // The columns and the last row of the batch's last result, kept for control
-    // calls alone (BatchOrder::keepRow).
-    std::vector<std::string> columns;
-    std::vector<std::optional<std::string>> row;
-    // The upstream's own status taken after the batch, when it was asked for and
-    // could be read.
-    std::optional<MemberStatus> status;
-};
-
-// Why a batch has no answer.
-struct BatchFailure {
-    enum class Reason { Lost, DeadlineExceeded, TooLarge, GivenUp, Protocol };
-    Reason reason = Reason::Lost;
-    // True when bytes of the batch may have reached the upstream.
-    bool sent = false;
-    std::string message;
-};
-
-// A connection of one io_context, used from its thread alone.
-class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection>
+// See UpstreamLink. A batch ends in exactly one Query or Sync.
+class UpstreamConnection : public UpstreamLink, public std::enable_shared_from_this<UpstreamConnection>
 {
 public:
-    using OpenHandler = std::function<void(tl::expected<void, Error>)>;
-    using BatchHandler = std::function<void(tl::expected<BatchAnswer, BatchFailure>)>;
-
     static std::shared_ptr<UpstreamConnection> create(boost::asio::io_context &context, ConnectionSettings settings);
-    ~UpstreamConnection();
+    ~UpstreamConnection() override;
     UpstreamConnection(const UpstreamConnection &) = delete;
     UpstreamConnection &operator=(const UpstreamConnection &) = delete;
 
-    // Connects and logs in; `handler` is called once, at the latest at `deadline`.
-    void open(TimePoint deadline, OpenHandler handler);
-
-    // Runs one batch on an open, unused connection. `handler` is called once, at
-    // the latest at the order's deadline, and never from within this call. After
-    // a failure the connection is closed.
-    void run(BatchOrder order, BatchHandler handler);
-
-    // Answers the batch in progress at once with GivenUp, asks the upstream to
-    // cancel it, and closes: its answer may still come and must reach nobody.
-    void giveUp();
-
-    void close();
-
-    // Closes without a word to anybody: no handler is called, nothing is sent.
-    // For destructors, which may run while the io_context itself is being torn
-    // down and can't start operations any more.
-    void abandon();
-
-    // True when a batch may be run on it now.
-    bool usable() const;
-    bool busy() const;
-    bool isOpen() const;
-    // State of the last ReadyForQuery.
-    char transactionState() const;
-    // How a lost connection was lost, for the failure detector.
-    ProbeFailure lossKind() const;
-    // Called once when the connection is lost while nothing runs on it.
-    void onIdleLoss(std::function<void()> handler);
+    void open(TimePoint deadline, OpenHandler handler) override;
+    void run(BatchOrder order, BatchHandler handler) override;
+    // Asks the upstream to cancel the batch.
+    void giveUp() override;
+    void close() override;
+    void abandon() override;
+    bool usable() const override;
+    bool busy() const override;
+    bool isOpen() const override;
+    char transactionState() const override;
+    ProbeFailure lossKind() const override;
+    void onIdleLoss(std::function<void()> handler) override;
 
 private:
     enum class State { New, Opening, Idle, Busy, Closed };
--- a/src/runtime/upstreamhome.cpp
+++ b/src/runtime/upstreamhome.cpp
@@ -24,6 +24,7 @@
     connection.address = upstream.address;
     connection.user = settings.upstreamUser;
     connection.database = database;
+    connection.upstream = upstream.name;
     return connection;
 }
 
@@ -46,8 +47,9 @@
     , m_settings(settings)
     , m_hooks(std::move(hooks))
     , m_view(database.name, upstream.name, settings.gate)
-    , m_pool(context, connectionSettings(settings, database.name, upstream), budgetOptions(settings, upstream),
-             settings.openTimeout, UpstreamPool::Hooks{[this] { settle(); }, [this](const Error &) { settle(); }})
+    , m_pool(context, settings.dialect->control.makeLink, connectionSettings(settings, database.name, upstream),
+             budgetOptions(settings, upstream), settings.openTimeout,
+             UpstreamPool::Hooks{[this] { settle(); }, [this](const Error &) { settle(); }})
     , m_scheduler(schedulerOptions())
     , m_nextTransaction(std::max<std::uint64_t>(1, settings.firstTransaction))
     , m_timer(context)
@@ -185,7 +187,8 @@
         return;
     }
     const GateDecision decision = gateDecision(m_pending.at(ticket), now);
-    if (std::holds_alternative<Serve>(decision)) {
+    if (const auto *serve = std::get_if<Serve>(&decision)) {
+        m_pending.at(ticket).terms = *serve;
         enqueue(ticket);
     } else if (const auto *wait = std::get_if<WaitUntil>(&decision)) {
         awaitFreshness(ticket, wait->until);
@@ -291,7 +294,12 @@
         }
         return !refusal;
     }
-    if (m_settings.faults.skipFreshness || std::holds_alternative<Serve>(gateDecision(pending, Clock::now()))) {
+    if (m_settings.faults.skipFreshness) {
+        return true;
+    }
+    const GateDecision decision = gateDecision(pending, Clock::now());
+    if (const auto *serve = std::get_if<Serve>(&decision)) {
+        pending.terms = *serve;
         return true;
     }
     release(ticket, pending, std::chrono::nanoseconds{0});
@@ -316,7 +324,7 @@
     pending.sentUnder = m_view.term();
     pending.sent = true;
     ++m_sent;
-    connection->run(orderFor(pending.request), [weak = weak_from_this(), ticket](tl::expected<BatchAnswer, BatchFailure> answer) {
+    connection->run(orderFor(pending), [weak = weak_from_this(), ticket](tl::expected<BatchAnswer, BatchFailure> answer) {
         if (const auto self = weak.lock()) {
             self->onAnswer(ticket, std::move(answer));
         }
--- a/src/runtime/upstreamhome.h
+++ b/src/runtime/upstreamhome.h
@@ -14,6 +14,7 @@
 #include "egrettide/core/slotscheduler.h"
 #include "egrettide/core/types.h"
 #include "runtime/homerequest.h"
+#include "runtime/upstreamdialect.h"
 #include "runtime/upstreampool.h"
 #include "runtime/upstreamview.h"
 
@@ -59,6 +60,8 @@
     ConnectionBudgetOptions budget;
     SlotSchedulerOptions scheduler;
     GateOptions gate;
+    // Never null.
+    std::shared_ptr<const UpstreamDialect> dialect = postgresDialect();
     UpstreamHomeFaults faults;
 };
 
@@ -162,7 +165,7 @@
 
     // Answers.
     bool needsConfirmation(const HomeRequest &pending, const BatchAnswer &answer) const;
-    bool isFencedRefusal(const HomeRequest &pending, const BatchAnswer &answer) const;
+    std::optional<Error> refusalIn(const HomeRequest &pending, const BatchAnswer &answer) const;
     void onWholeAnswer(Ticket ticket, BatchAnswer answer);
     void settleConnection(Ticket ticket, char state);
     void bindTransaction(HomeRequest &pending);
@@ -182,6 +185,7 @@
     GroupHint hint(const std::string &className) const;
 
     // Transactions.
+    milliseconds transactionIdleTimeout() const;
     void endTransaction(std::uint64_t id);
     void abandonTransaction(std::uint64_t id);
 
--- a/src/runtime/upstreamhomeanswers.cpp
+++ b/src/runtime/upstreamhomeanswers.cpp
@@ -17,7 +17,6 @@
 namespace
 {
 
-constexpr std::string_view readOnlyState = "25006";
 // How long rounds are asked for at the fast pace after a connection broke.
 constexpr milliseconds proofPatience{2000};
 // How long a rollback on behalf of a front that is gone may take before its
@@ -31,7 +30,8 @@
 bool UpstreamHome::needsConfirmation(const HomeRequest &pending, const BatchAnswer &answer) const
 {
     const StatementKind kind = pending.request.kind;
-    if (m_settings.faults.skipConfirmation || answer.state != 'I' || isRead(kind) || kind == StatementKind::Rollback) {
+    if (m_settings.faults.skipConfirmation || answer.leadProven || answer.state != 'I' || isRead(kind)
+        || kind == StatementKind::Rollback) {
         return false;
     }
     const auto transaction = m_transactions.find(pending.request.transaction);
@@ -42,12 +42,25 @@
     return !(readOnly && onReplica);
 }
 
-// A fenced upstream refuses a write with "read-only transaction". If that is all
-// it did, nothing ran, and the request may go to the new primary.
-bool UpstreamHome::isFencedRefusal(const HomeRequest &pending, const BatchAnswer &answer) const
+// What to tell the front when the upstream says that nothing ran. Only an idle
+// connection is as it was before; what fails inside a transaction is the
+// transaction's own matter, unless the upstream has lost the lead.
+std::optional<Error> UpstreamHome::refusalIn(const HomeRequest &pending, const BatchAnswer &answer) const
 {
-    return answer.sqlState == readOnlyState && answer.completedStatements == 0 && pending.request.transaction == 0
-        && answer.state == 'I' && !runsOnReplicas(pending.request);
+    if (!answer.refusal) {
+        return std::nullopt;
+    }
+    switch (*answer.refusal) {
+    case ErrorKind::Moved: {
+        const bool isNew = pending.request.transaction == 0 && answer.state == 'I' && !runsOnReplicas(pending.request);
+        const bool isLost = pending.request.transaction != 0 && m_settings.dialect->leaderProvesItself;
+        return isNew || isLost ? std::optional(homeerrors::fenced(m_upstream.name)) : std::nullopt;
+    }
+    case ErrorKind::NotFresh:
+        return homeerrors::notFresh(m_upstream.name, FreshnessReason::Floor);
+    default:
+        return homeerrors::upstreamBusy(m_upstream.name);
+    }
 }
 
 void UpstreamHome::onWholeAnswer(Ticket ticket, BatchAnswer answer)
@@ -56,16 +69,15 @@
     if (answer.status) {
         m_view.onStatus(*answer.status, pending.sentAt);
     }
-    if (isFencedRefusal(pending, answer)) {
+    if (const auto refused = refusalIn(pending, answer)) {
         settleConnection(ticket, answer.state);
-        const Error error = homeerrors::fenced(m_upstream.name);
-        m_ledger.notRun(pending.attempt, error, false, Clock::now());
-        if (m_hooks.hurry) {
+        m_ledger.notRun(pending.attempt, *refused, false, Clock::now());
+        if (refused->kind == ErrorKind::Moved && m_hooks.hurry) {
             m_hooks.hurry(Clock::now() + homeerrors::retrySoon);
         }
-        // Proven not to have run, so it may be sent to the new primary.
+        // Proven not to have run, so it may be sent elsewhere.
         pending.sent = false;
-        finish(ticket, error);
+        finish(ticket, *refused);
         return;
     }
     const bool confirms = needsConfirmation(pending, answer);
@@ -134,7 +146,7 @@
     if (id != 0) {
         HomeTransaction &transaction = m_transactions.at(id);
         transaction.ticket = 0;
-        transaction.idleDeadline = Clock::now() + m_settings.idleTransactionTimeout;
+        transaction.idleDeadline = Clock::now() + transactionIdleTimeout();
         pending.reply.transaction = state == 'I' ? 0 : id;
         if (state == 'I') {
             m_pool.put(connection);
@@ -159,7 +171,7 @@
     transaction.connection = std::exchange(pending.connection, nullptr);
     transaction.readOnly = pending.request.kind == StatementKind::BeginReadOnly;
     transaction.counted = std::exchange(pending.countsTransaction, false);
-    transaction.idleDeadline = Clock::now() + m_settings.idleTransactionTimeout;
+    transaction.idleDeadline = Clock::now() + transactionIdleTimeout();
     m_transactions.emplace(id, std::move(transaction));
     pending.reply.transaction = id;
 }
@@ -340,6 +352,11 @@
 
 // ---- Transactions
 
+milliseconds UpstreamHome::transactionIdleTimeout() const
+{
+    return m_configuration->transactionIdleTimeout.value_or(m_settings.idleTransactionTimeout);
+}
+
 void UpstreamHome::endTransaction(std::uint64_t id)
 {
     auto node = m_transactions.extract(id);
@@ -358,7 +375,7 @@
         return;
     }
     BatchOrder order;
-    pg::appendQuery(order.batch, "ROLLBACK");
+    order.batch = m_settings.dialect->rollback;
     order.deadline = Clock::now() + rollbackTimeout;
     ++m_rollbacks;
     connection->run(order, [weak = weak_from_this(), connection](const tl::expected<BatchAnswer, BatchFailure> &) {
--- a/src/runtime/upstreampool.cpp
+++ b/src/runtime/upstreampool.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-UpstreamPool::UpstreamPool(boost::asio::io_context &context, ConnectionSettings settings, const ConnectionBudgetOptions &budget,
-                           milliseconds openTimeout, Hooks hooks)
+UpstreamPool::UpstreamPool(boost::asio::io_context &context, UpstreamLinkFactory makeLink, ConnectionSettings settings,
+                           const ConnectionBudgetOptions &budget, milliseconds openTimeout, Hooks hooks)
     : m_context(context)
+    , m_makeLink(std::move(makeLink))
     , m_settings(std::move(settings))
     , m_openTimeout(openTimeout)
     , m_budget(budget)
@@ -105,7 +106,7 @@
 
 void UpstreamPool::openOne(TimePoint now)
 {
-    const Connection connection = UpstreamConnection::create(m_context, m_settings);
+    const Connection connection = m_makeLink(m_context, m_settings);
     m_opening.insert(connection);
     connection->open(now + m_openTimeout, [this, alive = std::weak_ptr<bool>(m_alive), connection](const auto &result) {
         if (!alive.expired()) {
--- a/src/runtime/upstreampool.h
+++ b/src/runtime/upstreampool.h
@@ -6,7 +6,7 @@
 #include "egrettide/core/connectionbudget.h"
 #include "egrettide/core/error.h"
 #include "egrettide/core/types.h"
-#include "runtime/upstreamconnection.h"
+#include "runtime/upstreamlink.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -23,7 +23,7 @@
 class UpstreamPool
 {
 public:
-    using Connection = std::shared_ptr<UpstreamConnection>;
+    using Connection = std::shared_ptr<UpstreamLink>;
 
     struct Hooks {
         // A spare connection has come up.
@@ -32,8 +32,8 @@
         std::function<void(const Error &)> openFailed;
     };
 
-    UpstreamPool(boost::asio::io_context &context, ConnectionSettings settings, const ConnectionBudgetOptions &budget,
-                 milliseconds openTimeout, Hooks hooks);
+    UpstreamPool(boost::asio::io_context &context, UpstreamLinkFactory makeLink, ConnectionSettings settings,
+                 const ConnectionBudgetOptions &budget, milliseconds openTimeout, Hooks hooks);
     ~UpstreamPool();
     UpstreamPool(const UpstreamPool &) = delete;
     UpstreamPool &operator=(const UpstreamPool &) = delete;
@@ -66,6 +66,7 @@
     void closeSurplus(TimePoint now);
 
     boost::asio::io_context &m_context;
+    const UpstreamLinkFactory m_makeLink;
     const ConnectionSettings m_settings;
     const milliseconds m_openTimeout;
     ConnectionBudget m_budget;
--- a/src/tools/egrettided.cpp
+++ b/src/tools/egrettided.cpp
@@ -1,5 +1,6 @@
 // egrettided: the daemon of one entry host.
 
+#include "platform/hostparts.h"
 #include "runtime/hostdaemon.h"
 #include "runtime/log.h"
 #include "runtime/settings.h"
@@ -64,7 +65,9 @@
     boost::asio::io_context signalContext(1);
     boost::asio::signal_set signals(signalContext, SIGTERM, SIGINT);
     std::signal(SIGPIPE, SIG_IGN);
-    egrettide::HostDaemon daemon(settings);
+    const bool onPlatform = settings.interface == "platform";
+    egrettide::HostDaemon daemon(settings,
+                                 onPlatform ? egrettide::platform::hostParts(settings) : egrettide::postgresParts(settings));
     const auto addresses = daemon.start();
     if (!addresses) {
         log::error("start_failed", {{"error", addresses.error().message}});
--- a/src/wire/hop_generated.h
+++ b/src/wire/hop_generated.h
@@ -24,6 +24,9 @@
 struct Prepared;
 struct PreparedBuilder;
 
+struct SessionValue;
+struct SessionValueBuilder;
+
 struct ExecuteRequest;
 struct ExecuteRequestBuilder;
 
@@ -508,6 +511,71 @@
       parse_message__);
 }
 
+struct SessionValue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SessionValueBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_VALUE = 6
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           verifier.EndTable();
+  }
+};
+
+struct SessionValueBuilder {
+  typedef SessionValue Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(SessionValue::VT_NAME, name);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(SessionValue::VT_VALUE, value);
+  }
+  explicit SessionValueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SessionValue> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SessionValue>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SessionValue> CreateSessionValue(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
+  SessionValueBuilder builder_(_fbb);
+  builder_.add_value(value);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<SessionValue> CreateSessionValueDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *value = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return egrettide::wire::CreateSessionValue(
+      _fbb,
+      name__,
+      value__);
+}
+
 struct ExecuteRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ExecuteRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -524,7 +592,10 @@
     VT_IDEMPOTENT = 24,
     VT_TRANSACTION = 26,
     VT_PREPARED = 28,
-    VT_BATCH = 30
+    VT_BATCH = 30,
+    VT_NEEDS_PRIMARY = 32,
+    VT_MAY_HOLD_SEVERAL = 34,
+    VT_SESSION_VALUES = 36
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -568,6 +639,15 @@
   const flatbuffers::Vector<uint8_t> *batch() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BATCH);
   }
+  bool needs_primary() const {
+    return GetField<uint8_t>(VT_NEEDS_PRIMARY, 0) != 0;
+  }
+  bool may_hold_several() const {
+    return GetField<uint8_t>(VT_MAY_HOLD_SEVERAL, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::SessionValue>> *session_values() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::SessionValue>> *>(VT_SESSION_VALUES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -591,6 +671,11 @@
            verifier.VerifyVectorOfTables(prepared()) &&
            VerifyOffset(verifier, VT_BATCH) &&
            verifier.VerifyVector(batch()) &&
+           VerifyField<uint8_t>(verifier, VT_NEEDS_PRIMARY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_MAY_HOLD_SEVERAL, 1) &&
+           VerifyOffset(verifier, VT_SESSION_VALUES) &&
+           verifier.VerifyVector(session_values()) &&
+           verifier.VerifyVectorOfTables(session_values()) &&
            verifier.EndTable();
   }
 };
@@ -641,6 +726,15 @@
   void add_batch(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> batch) {
     fbb_.AddOffset(ExecuteRequest::VT_BATCH, batch);
   }
+  void add_needs_primary(bool needs_primary) {
+    fbb_.AddElement<uint8_t>(ExecuteRequest::VT_NEEDS_PRIMARY, static_cast<uint8_t>(needs_primary), 0);
+  }
+  void add_may_hold_several(bool may_hold_several) {
+    fbb_.AddElement<uint8_t>(ExecuteRequest::VT_MAY_HOLD_SEVERAL, static_cast<uint8_t>(may_hold_several), 0);
+  }
+  void add_session_values(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::SessionValue>>> session_values) {
+    fbb_.AddOffset(ExecuteRequest::VT_SESSION_VALUES, session_values);
+  }
   explicit ExecuteRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -667,11 +761,15 @@
     bool idempotent = false,
     uint64_t transaction = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::Prepared>>> prepared = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> batch = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> batch = 0,
+    bool needs_primary = false,
+    bool may_hold_several = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::SessionValue>>> session_values = 0) {
   ExecuteRequestBuilder builder_(_fbb);
   builder_.add_transaction(transaction);
   builder_.add_max_age_ms(max_age_ms);
   builder_.add_id(id);
+  builder_.add_session_values(session_values);
   builder_.add_batch(batch);
   builder_.add_prepared(prepared);
   builder_.add_floor(floor);
@@ -680,6 +778,8 @@
   builder_.add_class_name(class_name);
   builder_.add_upstream(upstream);
   builder_.add_database(database);
+  builder_.add_may_hold_several(may_hold_several);
+  builder_.add_needs_primary(needs_primary);
   builder_.add_idempotent(idempotent);
   builder_.add_latest(latest);
   builder_.add_kind(kind);
@@ -701,13 +801,17 @@
     bool idempotent = false,
     uint64_t transaction = 0,
     const std::vector<flatbuffers::Offset<egrettide::wire::Prepared>> *prepared = nullptr,
-    const std::vector<uint8_t> *batch = nullptr) {
+    const std::vector<uint8_t> *batch = nullptr,
+    bool needs_primary = false,
+    bool may_hold_several = false,
+    const std::vector<flatbuffers::Offset<egrettide::wire::SessionValue>> *session_values = nullptr) {
   auto database__ = database ? _fbb.CreateString(database) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   auto class_name__ = class_name ? _fbb.CreateString(class_name) : 0;
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto prepared__ = prepared ? _fbb.CreateVector<flatbuffers::Offset<egrettide::wire::Prepared>>(*prepared) : 0;
   auto batch__ = batch ? _fbb.CreateVector<uint8_t>(*batch) : 0;
+  auto session_values__ = session_values ? _fbb.CreateVector<flatbuffers::Offset<egrettide::wire::SessionValue>>(*session_values) : 0;
   return egrettide::wire::CreateExecuteRequest(
       _fbb,
       id,
@@ -723,7 +827,10 @@
       idempotent,
       transaction,
       prepared__,
-      batch__);
+      batch__,
+      needs_primary,
+      may_hold_several,
+      session_values__);
 }
 
 struct ErrorInfo FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -111,7 +111,7 @@
     if (info == nullptr) {
         return true;
     }
-    if (info->kind() > static_cast<std::uint8_t>(ErrorKind::Internal)) {
+    if (info->kind() > static_cast<std::uint8_t>(ErrorKind::UnknownStatement)) {
         return false;
     }
     error = Error{static_cast<ErrorKind>(info->kind()), text(info->message()), milliseconds{info->retry_after_ms()}};
@@ -294,6 +294,12 @@
     const auto className = m_builder.CreateString(request.className);
     const auto tenant = m_builder.CreateString(request.tenant);
     const auto statements = m_builder.CreateVector(prepared);
+    std::vector<Offset<wire::SessionValue>> values;
+    for (const SessionValue &value : request.sessionValues) {
+        const auto name = m_builder.CreateString(value.name);
+        values.push_back(wire::CreateSessionValue(m_builder, name, m_builder.CreateString(value.value)));
+    }
+    const auto sessionValues = m_builder.CreateVector(values);
     const auto batch = packBytes(m_builder, request.batch);
     const wire::Mark floor = packMark(request.freshness.floor.value_or(LogMark{}));
 
@@ -316,6 +322,9 @@
     table.add_transaction(request.transaction);
     table.add_prepared(statements);
     table.add_batch(batch);
+    table.add_needs_primary(request.needsPrimary);
+    table.add_may_hold_several(request.mayHoldSeveral);
+    table.add_session_values(sessionValues);
     return body(wire::HopBody_ExecuteRequest, table.Finish());
 }
 
@@ -418,6 +427,13 @@
         }
     }
     request.batch = text(table.batch());
+    request.needsPrimary = table.needs_primary();
+    request.mayHoldSeveral = table.may_hold_several();
+    if (table.session_values() != nullptr) {
+        for (const wire::SessionValue *value : *table.session_values()) {
+            request.sessionValues.push_back(SessionValue{text(value->name()), text(value->value())});
+        }
+    }
     return ExecuteRequest{std::move(request)};
 }
 
--- a/tests/runtime/platformapply_test.cpp
+++ b/tests/runtime/platformapply_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "runtime/applyrunner.h"
+#include "runtime/storeclient.h"
 #include "testing/platform/platformstandin.h"
 
 #include <memory>
