--- a/src/runtime/groupcontrol.cpp
+++ b/src/runtime/groupcontrol.cpp
@@ -27,8 +27,8 @@
 class GroupControl::Channel : public std::enable_shared_from_this<Channel>
 {
 public:
-    Channel(asio::io_context &context, const ControlPort &port, ConnectionSettings settings)
-        : m_context(context), m_port(port), m_settings(std::move(settings)), m_openTimer(context)
+    Channel(asio::io_context &context, ControlPort port, ConnectionSettings settings)
+        : m_context(context), m_port(std::move(port)), m_settings(std::move(settings)), m_openTimer(context)
     {
     }
 
@@ -181,7 +181,8 @@
     }
 
     asio::io_context &m_context;
-    const ControlPort &m_port;
+    // Its own: a call under way may outlive the GroupControl.
+    const ControlPort m_port;
     const ConnectionSettings m_settings;
     std::shared_ptr<UpstreamLink> m_connection;
     // Not sent yet, oldest first.
--- a/src/runtime/upstreamlink.h
+++ b/src/runtime/upstreamlink.h
@@ -127,6 +127,7 @@
     // True when a batch may be run on it now.
     virtual bool usable() const = 0;
     virtual bool busy() const = 0;
+    // True until it is closed, while it is still being opened too.
     virtual bool isOpen() const = 0;
     // As BatchAnswer::state, after the last batch.
     virtual char transactionState() const = 0;
