Take changed settings over at SIGHUP

Change: the file is read and checked again; a bad one is refused, every fault logged, and the old stays in force. What can change while running does (log level, addresses of the store and of orders, readiness, stop times); the rest is named in the log as needing a restart.

--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -133,6 +133,7 @@
 
     tl::expected<HostAddresses, Error> start();
     void beginStop();
+    void reload(const Settings &next);
     void stopNow();
     void wait();
 
@@ -803,6 +804,33 @@
     });
 }
 
+// Changed settings.
+
+void HostDaemon::Impl::reload(const Settings &next)
+{
+    asio::post(m_control, [this, next] {
+        const SettingsDifference difference = differenceBetween(m_settings, next);
+        for (const std::string &name : difference.applied) {
+            log::info("setting_applied", {{"setting", name}});
+        }
+        for (const std::string &name : difference.needRestart) {
+            log::warning("setting_needs_restart", {{"setting", name}});
+        }
+        applyLive(m_settings, next);
+        log::setLevel(log::levelNamed(m_settings.logLevel));
+        // Their form has been checked with the file.
+        if (const auto store = parseEndpoint(m_settings.platformAddress)) {
+            m_store->moveTo(*store);
+        }
+        const auto orders = parseEndpoint(m_settings.ordersAddress);
+        if (orders && m_dialect->moveOrders) {
+            m_dialect->moveOrders(*orders);
+        }
+        log::info("settings_reloaded", {{"applied", static_cast<int>(difference.applied.size())},
+                                        {"need_restart", static_cast<int>(difference.needRestart.size())}});
+    });
+}
+
 // Stopping.
 
 void HostDaemon::Impl::beginStop()
@@ -918,6 +946,11 @@
     m_impl->beginStop();
 }
 
+void HostDaemon::reload(Settings settings)
+{
+    m_impl->reload(settings);
+}
+
 void HostDaemon::stopNow()
 {
     m_impl->stopNow();
--- a/src/runtime/hostdaemon.h
+++ b/src/runtime/hostdaemon.h
@@ -40,6 +40,10 @@
     // finish, tells the other hosts. Repeated calls change nothing.
     void beginStop();
 
+    // Takes over changed settings, from any thread; what needs a restart is logged and
+    // left as it is.
+    void reload(Settings settings);
+
     // Stops at once, from any thread: requests in progress are cut.
     void stopNow();
 
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/httpclient.cpp
@@ -72,7 +72,7 @@
     void shutDown();
 
     asio::io_context &context;
-    const asio::ip::tcp::endpoint server;
+    asio::ip::tcp::endpoint server;
     // Invariant: no call is outstanding on any of them.
     std::vector<ConnectionPtr> idle;
     // Invariant: each has a handler that has not run yet.
@@ -238,6 +238,15 @@
     m_state->start(call, deadline, std::move(handler));
 }
 
+void HttpClient::retarget(const asio::ip::tcp::endpoint &server)
+{
+    if (m_state->server == server) {
+        return;
+    }
+    m_state->server = server;
+    m_state->idle.clear();
+}
+
 std::size_t HttpClient::idleConnections() const
 {
     return m_state->idle.size();
--- a/src/runtime/httpclient.h
+++ b/src/runtime/httpclient.h
@@ -62,6 +62,9 @@
     // never sent twice.
     void call(const HttpCall &call, TimePoint deadline, HttpHandler handler);
 
+    // Calls from now on go to another server; those under way end where they are.
+    void retarget(const boost::asio::ip::tcp::endpoint &server);
+
     // The number of connections that wait for reuse.
     std::size_t idleConnections() const;
 
--- a/src/runtime/log.cpp
+++ b/src/runtime/log.cpp
@@ -90,6 +90,11 @@
     blog::core::get()->add_sink(boost::make_shared<TextSink>(backend));
 }
 
+void setLevel(Level level)
+{
+    threshold = level;
+}
+
 void event(Level level, std::string_view name, std::initializer_list<Field> fields)
 {
     if (level < threshold.load(std::memory_order_relaxed)) {
--- a/src/runtime/log.h
+++ b/src/runtime/log.h
@@ -57,6 +57,9 @@
 // To be called once, before other threads start.
 void open(std::string_view host, Level level);
 
+// Changes what is written, at any time and from any thread.
+void setLevel(Level level);
+
 // Writes one line. Thread-safe; may block on a slow standard output.
 void event(Level level, std::string_view name, std::initializer_list<Field> fields = {});
 
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -71,8 +71,52 @@
     return settings;
 }
 
+// Notes a field that differs.
+template <typename Value>
+void compare(std::vector<std::string> &names, std::string_view name, const Value &before, const Value &after)
+{
+    if (before != after) {
+        names.emplace_back(name);
+    }
+}
+
 } // namespace
 
+SettingsDifference differenceBetween(const Settings &running, const Settings &next)
+{
+    SettingsDifference difference;
+    compare(difference.applied, "logLevel", running.logLevel, next.logLevel);
+    compare(difference.applied, "platformAddress", running.platformAddress, next.platformAddress);
+    compare(difference.applied, "ordersAddress", running.ordersAddress, next.ordersAddress);
+    compare(difference.applied, "readyPath", running.readyPath, next.readyPath);
+    compare(difference.applied, "balancerNoticeMs", running.balancerNotice, next.balancerNotice);
+    compare(difference.applied, "stopBoundMs", running.stopBound, next.stopBound);
+    compare(difference.needRestart, "host", running.host, next.host);
+    compare(difference.needRestart, "zone", running.zone, next.zone);
+    compare(difference.needRestart, "interface", running.interface, next.interface);
+    compare(difference.needRestart, "callerAddress", running.callerAddress, next.callerAddress);
+    compare(difference.needRestart, "peerAddress", running.peerAddress, next.peerAddress);
+    compare(difference.needRestart, "operatorAddress", running.operatorAddress, next.operatorAddress);
+    compare(difference.needRestart, "readyAddress", running.readyAddress, next.readyAddress);
+    compare(difference.needRestart, "trafficThreads", running.trafficThreads, next.trafficThreads);
+    compare(difference.needRestart, "maxCallers", running.maxCallers, next.maxCallers);
+    compare(difference.needRestart, "idleProbeMs", running.idleProbe, next.idleProbe);
+    compare(difference.needRestart, "sessionKey", running.sessionKey, next.sessionKey);
+    compare(difference.needRestart, "upstreamUser", running.upstreamUser, next.upstreamUser);
+    compare(difference.needRestart, "routingPolicy", running.routingPolicy, next.routingPolicy);
+    return difference;
+}
+
+void applyLive(Settings &running, const Settings &next)
+{
+    running.logLevel = next.logLevel;
+    running.platformAddress = next.platformAddress;
+    running.ordersAddress = next.ordersAddress;
+    running.readyPath = next.readyPath;
+    running.balancerNotice = next.balancerNotice;
+    running.stopBound = next.stopBound;
+}
+
 tl::expected<Settings, std::vector<Error>> parseSettings(std::string_view text)
 {
     const auto document = nlohmann::json::parse(text, nullptr, false);
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -51,6 +51,19 @@
     std::string routingPolicy = "adaptive";
 };
 
+// What a changed settings file means for a host that runs. Names are those of the file.
+struct SettingsDifference {
+    // In force at once.
+    std::vector<std::string> applied;
+    // The listeners and the host's identity: in force after the next start.
+    std::vector<std::string> needRestart;
+};
+
+SettingsDifference differenceBetween(const Settings &running, const Settings &next);
+
+// Makes the host's settings those of `next`, but for what needs a restart.
+void applyLive(Settings &running, const Settings &next);
+
 // The JSON Schema that settings files are checked against; also shipped as
 // schema/settings.schema.json.
 std::string_view settingsSchema();
--- a/src/runtime/store.h
+++ b/src/runtime/store.h
@@ -7,6 +7,7 @@
 #include "egrettide/core/error.h"
 #include "egrettide/core/types.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 #include <tl/expected.hpp>
 
@@ -116,6 +117,9 @@
     virtual void registerHost(const ListedHost &self, TimePoint deadline, DoneHandler handler) = 0;
     virtual void removeHost(const std::string &name, TimePoint deadline, DoneHandler handler) = 0;
 
+    // Calls from now on go to another address.
+    virtual void moveTo(const boost::asio::ip::tcp::endpoint &address) = 0;
+
     virtual const StoreCallCounts &callCounts() const = 0;
 };
 
--- a/src/runtime/storeclient.cpp
+++ b/src/runtime/storeclient.cpp
@@ -212,6 +212,11 @@
     boost::asio::post(m_context, [handler = std::move(handler)] { handler({}); });
 }
 
+void StoreClient::moveTo(const boost::asio::ip::tcp::endpoint &address)
+{
+    m_http.retarget(address);
+}
+
 const StoreCallCounts &StoreClient::callCounts() const
 {
     return m_counts;
--- a/src/runtime/upstreamdialect.h
+++ b/src/runtime/upstreamdialect.h
@@ -6,6 +6,9 @@
 #include "runtime/groupcontrol.h"
 #include "runtime/upstreamlink.h"
 
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -14,6 +17,8 @@
 
 struct UpstreamDialect {
     ControlPort control;
+    // Orders to promote from now on go to another address; set where control.promote is.
+    std::function<void(const boost::asio::ip::tcp::endpoint &orders)> moveOrders;
     // A batch that rolls the open transaction back.
     std::string rollback;
     // True when an upstream checks a required mark against its own log and refuses
--- a/src/tools/egrettided.cpp
+++ b/src/tools/egrettided.cpp
@@ -13,7 +13,9 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace
 {
@@ -22,12 +24,12 @@
 constexpr int exitFailed = 1;
 constexpr int exitUsage = 2;
 
-tl::expected<egrettide::Settings, int> readSettings(const std::string &path)
+// The settings, or all faults of the file.
+tl::expected<egrettide::Settings, std::vector<std::string>> readSettings(const std::string &path)
 {
     std::ifstream file(path);
     if (!file) {
-        std::cerr << "egrettided: cannot read \"" << path << "\"; name a readable settings file\n";
-        return tl::unexpected(exitUsage);
+        return tl::unexpected(std::vector<std::string>{"cannot read \"" + path + "\"; name a readable settings file"});
     }
     std::ostringstream text;
     text << file.rdbuf();
@@ -35,10 +37,34 @@
     if (settings) {
         return std::move(*settings);
     }
+    std::vector<std::string> faults;
     for (const egrettide::Error &fault : settings.error()) {
-        std::cerr << "egrettided: " << path << ": " << fault.message << '\n';
+        faults.push_back(path + ": " + fault.message);
     }
-    return tl::unexpected(exitUsage);
+    return tl::unexpected(std::move(faults));
+}
+
+// A changed settings file is taken over as a whole; a bad one changes nothing.
+void reload(egrettide::HostDaemon &daemon, const std::string &path)
+{
+    auto settings = readSettings(path);
+    if (!settings) {
+        for (const std::string &fault : settings.error()) {
+            egrettide::log::error("settings_refused", {{"fault", fault}});
+        }
+        return;
+    }
+    daemon.reload(std::move(*settings));
+}
+
+void armReload(boost::asio::signal_set &signals, egrettide::HostDaemon &daemon, const std::string &path)
+{
+    signals.async_wait([&signals, &daemon, path](const boost::system::error_code &failure, int) {
+        if (!failure) {
+            reload(daemon, path);
+            armReload(signals, daemon, path);
+        }
+    });
 }
 
 // The first SIGTERM or SIGINT stops gracefully, the second at once.
@@ -57,13 +83,14 @@
     });
 }
 
-int run(const egrettide::Settings &settings)
+int run(const egrettide::Settings &settings, const std::string &path)
 {
     namespace log = egrettide::log;
     log::open(settings.host, log::levelNamed(settings.logLevel));
     // Signals are taken before other threads start, so that none is lost.
     boost::asio::io_context signalContext(1);
     boost::asio::signal_set signals(signalContext, SIGTERM, SIGINT);
+    boost::asio::signal_set reloads(signalContext, SIGHUP);
     std::signal(SIGPIPE, SIG_IGN);
     const bool onPlatform = settings.interface == "platform";
     egrettide::HostDaemon daemon(settings,
@@ -81,6 +108,7 @@
                {"operator_address", addresses->operators},
                {"version", EGRETTIDE_VERSION}});
     armSignals(signals, daemon, true);
+    armReload(reloads, daemon, path);
     std::thread signalThread([&signalContext] { signalContext.run(); });
     daemon.wait();
     signalContext.stop();
@@ -116,13 +144,17 @@
         std::cerr << "egrettided: no settings; name a file with --settings FILE\n";
         return exitUsage;
     }
-    const auto settings = readSettings(values["settings"].as<std::string>());
+    const std::string path = values["settings"].as<std::string>();
+    const auto settings = readSettings(path);
     if (!settings) {
-        return settings.error();
+        for (const std::string &fault : settings.error()) {
+            std::cerr << "egrettided: " << fault << '\n';
+        }
+        return exitUsage;
     }
     if (values.count("check") != 0) {
         std::cout << "settings are valid\n";
         return exitOk;
     }
-    return run(*settings);
+    return run(*settings, path);
 }
