Give a new home half of the connections at once; hold none before the others are known

Cause: a home that took over had a quarter of the data connections for 5 s, so one transaction at a time; after every restart of hosts the primaries' callers queued.

Change: halves for both states where upstreams drop what a lost home leaves behind (two homes at once fit); a host that starts holds nothing until its view is trusted, 1.5 s at most.

Connections are still refused in the seconds after all hosts start: open.

--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -47,6 +47,8 @@
 constexpr milliseconds movedRetry{100};
 // In large zones a host hears from a sample of its zone mates only.
 constexpr std::size_t confirmingHosts = 3;
+// A host that starts hears from the others within two heartbeats; twice that.
+constexpr milliseconds loneHostPatience{1500};
 // An order to promote is carried out some hundred milliseconds after it was taken, a
 // second at most; twice that is left before another attempt.
 constexpr milliseconds orderedPromotionTimeout{2500};
@@ -59,8 +61,8 @@
 ConnectionBudgetOptions lingeringBudget()
 {
     ConnectionBudgetOptions budget;
-    budget.settledShare = 0.75;
-    budget.takeoverShare = 0.25;
+    budget.settledShare = 0.5;
+    budget.takeoverShare = 0.5;
     budget.shedBound = upstreamLinger;
     budget.takeoverBound = upstreamLinger + budget.confirmationBound;
     return budget;
@@ -171,6 +173,8 @@
     void onConfiguration(const std::shared_ptr<const Configuration> &configuration);
     void onView(const std::shared_ptr<const MembershipView> &view);
     void rebuildRoutes();
+    bool knowsTheOthers(const MembershipView &view) const;
+    void armLoneStart();
     bool isWatcher() const;
     std::vector<std::string> otherHosts() const;
     std::vector<std::string> someHosts(std::size_t count);
@@ -224,6 +228,9 @@
     // Null without a listener of its own for readiness.
     std::unique_ptr<OperatorServer> m_ready;
     std::unique_ptr<asio::steady_timer> m_drainTimer;
+    std::unique_ptr<asio::steady_timer> m_loneTimer;
+    // From then on this host may hold connections although it has heard of nobody.
+    TimePoint m_holdsAloneFrom = TimePoint::max();
 
     // When each host was last heard from; control thread only.
     absl::flat_hash_map<std::string, TimePoint> m_heard;
@@ -258,6 +265,7 @@
         m_guards.push_back(asio::make_work_guard(*context));
     }
     m_drainTimer = std::make_unique<asio::steady_timer>(m_control);
+    m_loneTimer = std::make_unique<asio::steady_timer>(m_control);
 }
 
 tl::expected<void, Error> HostDaemon::Impl::makeStore()
@@ -463,6 +471,7 @@
     asio::post(m_control, [this] {
         m_membership->start();
         m_keeper->start();
+        armLoneStart();
     });
     m_threads.emplace_back([this] { m_control.run(); });
     m_threads.emplace_back([this] { m_link.run(); });
@@ -471,6 +480,18 @@
     }
 }
 
+// A host that nobody answers is alone, or cut off, and serves what it can.
+void HostDaemon::Impl::armLoneStart()
+{
+    m_holdsAloneFrom = Clock::now() + loneHostPatience;
+    m_loneTimer->expires_at(m_holdsAloneFrom);
+    m_loneTimer->async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            rebuildRoutes();
+        }
+    });
+}
+
 // Routing of requests.
 
 void HostDaemon::Impl::execute(StatementRequest request, ReplyHandler handler)
@@ -655,12 +676,21 @@
     next->placement = placementFor(next->configuration.get(), *next->view);
     std::atomic_store(&m_routes, std::shared_ptr<const Routes>(next));
     if (next->configuration) {
-        m_homes->update(next->configuration, [this, next](const DatabaseSpec &, const UpstreamSpec &upstream) {
-            return next->homeOf(upstream) == m_settings.host;
+        const bool mayHold = knowsTheOthers(*next->view);
+        m_homes->update(next->configuration, [this, next, mayHold](const DatabaseSpec &, const UpstreamSpec &upstream) {
+            return mayHold && next->homeOf(upstream) == m_settings.host;
         });
     }
 }
 
+// What goes wrong without it: a host that has just started has heard of nobody, takes
+// itself for the home of every upstream and opens connections to all of them. When
+// many start together, the upstreams refuse connections to all.
+bool HostDaemon::Impl::knowsTheOthers(const MembershipView &view) const
+{
+    return view.trusted || Clock::now() >= m_holdsAloneFrom;
+}
+
 bool HostDaemon::Impl::isWatcher() const
 {
     return routes()->placement->homeOf(watchKey, m_settings.zone) == m_settings.host;
