--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/hostdaemon.cpp
@@ -154,6 +154,8 @@
 
     // Routing of requests, from any thread.
     void execute(StatementRequest request, ReplyHandler handler);
+    std::optional<std::string> homeOfTransaction(std::uint64_t transaction);
+    ReplyHandler followingTransaction(const StatementRequest &request, const std::string &home, ReplyHandler handler);
     void executeAt(const std::string &home, const std::string &address, StatementRequest request, ReplyHandler handler);
     void cancel(std::uint64_t requestId);
 
@@ -196,6 +198,7 @@
     void drainHomes(TimePoint deadline);
     void departAndStop();
     void join();
+    void finishPosted();
 
     std::shared_ptr<const Routes> routes() const
     {
@@ -246,6 +249,9 @@
     // Requests of this host's callers that are at another host: id -> host.
     std::mutex m_remoteMutex;
     absl::flat_hash_map<std::uint64_t, std::string> m_remote;
+    // Open transactions of this host's callers: number -> host that holds them.
+    // Guarded by m_remoteMutex.
+    absl::flat_hash_map<std::uint64_t, std::string> m_transactionHomes;
 
     std::atomic<bool> m_leaving{false};
     std::mutex m_stopMutex;
@@ -497,16 +503,21 @@
 void HostDaemon::Impl::execute(StatementRequest request, ReplyHandler handler)
 {
     const auto now = routes();
-    const DatabaseSpec *database = now->configuration ? now->configuration->database(request.database) : nullptr;
-    const UpstreamSpec *upstream = database != nullptr ? database->upstream(request.upstream) : nullptr;
-    if (upstream == nullptr) {
-        handler(refusal(request.id,
+    auto home = homeOfTransaction(request.transaction);
+    if (!home) {
+        const DatabaseSpec *database = now->configuration ? now->configuration->database(request.database) : nullptr;
+        const UpstreamSpec *upstream = database != nullptr ? database->upstream(request.upstream) : nullptr;
+        if (upstream == nullptr) {
+            handler(
+                refusal(request.id,
                         Error{ErrorKind::Moved, "The upstream is not in the configuration in force; ask again.", movedRetry}));
-        return;
+            return;
+        }
+        home = now->homeOf(*upstream);
     }
-    const auto home = now->homeOf(*upstream);
     if (home == m_settings.host) {
-        m_homes->execute(std::move(request), std::string(localFrontKey), std::move(handler));
+        ReplyHandler following = followingTransaction(request, *home, std::move(handler));
+        m_homes->execute(std::move(request), std::string(localFrontKey), std::move(following));
         return;
     }
     const HostRecord *record = home ? now->view->host(*home) : nullptr;
@@ -514,7 +525,42 @@
         handler(refusal(request.id, Error{ErrorKind::Moved, "No live host is known for this upstream; ask again.", movedRetry}));
         return;
     }
-    executeAt(record->name, record->peerAddress, std::move(request), std::move(handler));
+    ReplyHandler following = followingTransaction(request, record->name, std::move(handler));
+    executeAt(record->name, record->peerAddress, std::move(request), std::move(following));
+}
+
+// What goes wrong without it: a host leaves, or another one joins, and the place of
+// home moves while a transaction is open. Its next statement goes to the new home,
+// which knows nothing of it, and the transaction is lost to a planned change. The old
+// home still holds its connection and finishes it.
+std::optional<std::string> HostDaemon::Impl::homeOfTransaction(std::uint64_t transaction)
+{
+    if (transaction == 0) {
+        return std::nullopt;
+    }
+    const std::lock_guard<std::mutex> lock(m_remoteMutex);
+    const auto found = m_transactionHomes.find(transaction);
+    return found == m_transactionHomes.end() ? std::nullopt : std::optional(found->second);
+}
+
+// Notes, with the reply, where a transaction has begun, or that it is over.
+ReplyHandler HostDaemon::Impl::followingTransaction(const StatementRequest &request, const std::string &home,
+                                                    ReplyHandler handler)
+{
+    if (request.transaction == 0 && request.kind != StatementKind::Begin && request.kind != StatementKind::BeginReadOnly
+        && !request.mayHoldSeveral) {
+        return handler;
+    }
+    return [this, asked = request.transaction, home, handler = std::move(handler)](StatementReply reply) {
+        if (asked != reply.transaction) {
+            const std::lock_guard<std::mutex> lock(m_remoteMutex);
+            m_transactionHomes.erase(asked);
+            if (reply.transaction != 0) {
+                m_transactionHomes[reply.transaction] = home;
+            }
+        }
+        handler(std::move(reply));
+    };
 }
 
 void HostDaemon::Impl::executeAt(const std::string &home, const std::string &address, StatementRequest request,
@@ -856,8 +902,9 @@
         if (orders && m_dialect->moveOrders) {
             m_dialect->moveOrders(*orders);
         }
-        log::info("settings_reloaded", {{"applied", static_cast<int>(difference.applied.size())},
-                                        {"need_restart", static_cast<int>(difference.needRestart.size())}});
+        log::info("settings_reloaded",
+                  {{"applied", static_cast<int>(difference.applied.size())},
+                   {"need_restart", static_cast<int>(difference.needRestart.size())}});
     });
 }
 
@@ -958,6 +1005,20 @@
         thread.join();
     }
     m_threads.clear();
+    finishPosted();
+}
+
+// What goes wrong without it: work that was posted to a context is destroyed with the
+// context. What it holds may be the last to hold a connection of another context that
+// is gone by then, and the process ends by a signal at its very end.
+void HostDaemon::Impl::finishPosted()
+{
+    for (const auto &context : m_traffic) {
+        context->restart();
+        context->poll();
+    }
+    m_control.restart();
+    m_control.poll();
 }
 
 HostDaemon::HostDaemon(Settings settings, HostParts parts) : m_impl(std::make_unique<Impl>(std::move(settings), std::move(parts)))
--- a/testing/platform/platformstandin.cpp
+++ b/testing/platform/platformstandin.cpp
@@ -3,6 +3,8 @@
 
 #include "testing/platform/platformstandin.h"
 
+#include "testing/platform/kindstore.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -49,6 +51,19 @@
     json body;
 };
 
+Outcome outcomeOf(KindAnswer reply)
+{
+    return {Outcome::Kind::Answer, static_cast<http::status>(reply.status), std::move(reply.body)};
+}
+
+// A watch on a kind that waits for a change.
+struct KindWatch {
+    std::string kind;
+    std::uint64_t since = 0;
+    std::function<void(Outcome)> finish;
+    std::unique_ptr<asio::steady_timer> timer;
+};
+
 // A watch that waits for its object to change.
 struct Watch {
     std::string key;
@@ -165,7 +180,16 @@
     int answersToLose = 0;
     int callsToFail = 0;
     bool downAfterNextChange = false;
-
+    int callsToRefuse = 0;
+    int changesToDelay = 0;
+    KindStore kinds;
+    std::vector<std::function<void()>> lateChanges;
+    std::function<bool(const PromotionOrder &)> promote;
+    std::vector<PromotionOrder> promotions;
+    // The highest fencing token seen for each service.
+    std::map<std::string, std::uint64_t> fences;
+
+    void wakeKindWatches();
     // Decides one call; Wait means that `finish` is run later.
     Outcome handle(const Request &request, const std::function<void(Outcome)> &finish);
     void setDown(bool isDown);
@@ -180,6 +204,11 @@
     Outcome handleFaults(const json &body);
     Outcome handleObject(const Request &request, const std::string &key, const Query &query,
                          const std::function<void(Outcome)> &finish);
+    Outcome handleKind(const Request &request, const std::string &path, const Query &query,
+                       const std::function<void(Outcome)> &finish);
+    Outcome handleKindWatch(const std::string &kind, const Query &query, const std::function<void(Outcome)> &finish);
+    Outcome changeKind(const std::function<KindAnswer()> &change);
+    Outcome handlePromotion(const Request &request);
     Outcome handleRead(const std::string &key);
     Outcome handleWatch(const std::string &key, std::uint64_t afterVersion, milliseconds wait,
                         const std::function<void(Outcome)> &finish);
@@ -199,6 +228,7 @@
     asio::io_context m_context;
     tcp::acceptor m_acceptor;
     std::map<std::uint64_t, Watch> m_watches;
+    std::map<std::uint64_t, KindWatch> m_kindWatches;
     std::uint64_t m_lastWatch = 0;
     // Those that are gone are removed as new ones come.
     std::vector<std::weak_ptr<Session>> m_sessions;
@@ -332,6 +362,13 @@
     if (auto refusal = fault()) {
         return *refusal;
     }
+    const std::string kindObjects = "/v1/objects/";
+    if (path.starts_with(kindObjects)) {
+        return handleKind(request, path.substr(kindObjects.size()), query, finish);
+    }
+    if (path == "/promote") {
+        return handlePromotion(request);
+    }
     const std::string objects = "/objects/";
     if (path.starts_with(objects)) {
         return handleObject(request, path.substr(objects.size()), query, finish);
@@ -385,11 +422,13 @@
 
 void PlatformStandIn::Server::count(http::verb verb, const std::string &path, const Query &query)
 {
-    if (path == "/hosts") {
+    if (path == "/promote") {
+        ++counts.promotions;
+    } else if (path == "/hosts") {
         ++counts.hostLists;
     } else if (path == "/list") {
         ++counts.lists;
-    } else if (verb == http::verb::put) {
+    } else if (verb == http::verb::put || verb == http::verb::post) {
         ++counts.writes;
     } else if (verb == http::verb::delete_) {
         ++counts.deletes;
@@ -405,6 +444,10 @@
     if (down) {
         return Outcome{Outcome::Kind::Close, {}, {}};
     }
+    if (callsToRefuse > 0) {
+        --callsToRefuse;
+        return answer(http::status::too_many_requests, {{"error", "fault: too many calls"}});
+    }
     if (callsToFail > 0) {
         --callsToFail;
         return answer(http::status::service_unavailable, {{"error", "fault: call refused"}});
@@ -433,6 +476,114 @@
     }
 }
 
+Outcome PlatformStandIn::Server::handleKind(const Request &request, const std::string &path, const Query &query,
+                                            const std::function<void(Outcome)> &finish)
+{
+    const std::size_t slash = path.find('/');
+    const std::string kind = path.substr(0, slash);
+    const std::string name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+    if (request.method() == http::verb::get) {
+        if (query.contains("watch")) {
+            return handleKindWatch(kind, query, finish);
+        }
+        const auto after = query.find("after");
+        return outcomeOf(name.empty() ? kinds.list(kind, after == query.end() ? std::string() : after->second)
+                                      : kinds.read(kind, name));
+    }
+    const json body = json::parse(request.body(), nullptr, false);
+    if (request.method() == http::verb::delete_) {
+        return changeKind([this, kind, name] { return kinds.remove(kind, name); });
+    }
+    if (!body.is_object()) {
+        return badRequest("the body is no object");
+    }
+    const bool creates = request.method() == http::verb::post;
+    return changeKind(
+        [this, kind, name, body, creates] { return creates ? kinds.create(kind, body) : kinds.replace(kind, name, body); });
+}
+
+Outcome PlatformStandIn::Server::handleKindWatch(const std::string &kind, const Query &query,
+                                                 const std::function<void(Outcome)> &finish)
+{
+    const std::uint64_t since = number(query, "watch").value_or(0);
+    if (auto known = kinds.changes(kind, since)) {
+        return outcomeOf(std::move(*known));
+    }
+    const std::uint64_t id = ++m_lastWatch;
+    auto timer = std::make_unique<asio::steady_timer>(m_context, milliseconds(number(query, "waitMs").value_or(0)));
+    timer->async_wait([this, id](const error_code &error) {
+        const auto watch = m_kindWatches.find(id);
+        if (error || watch == m_kindWatches.end()) {
+            return;
+        }
+        const auto done = std::move(watch->second.finish);
+        m_kindWatches.erase(watch);
+        done(outcomeOf(kinds.noChanges()));
+    });
+    m_kindWatches.emplace(id, KindWatch{kind, since, finish, std::move(timer)});
+    return {Outcome::Kind::Wait, {}, {}};
+}
+
+Outcome PlatformStandIn::Server::changeKind(const std::function<KindAnswer()> &change)
+{
+    if (changesToDelay > 0) {
+        --changesToDelay;
+        lateChanges.push_back([this, change] {
+            change();
+            wakeKindWatches();
+        });
+        return {Outcome::Kind::Close, {}, {}};
+    }
+    KindAnswer result = change();
+    wakeKindWatches();
+    if (answersToLose > 0) {
+        --answersToLose;
+        return {Outcome::Kind::Close, {}, {}};
+    }
+    return outcomeOf(std::move(result));
+}
+
+void PlatformStandIn::Server::wakeKindWatches()
+{
+    std::vector<std::pair<std::function<void(Outcome)>, Outcome>> due;
+    for (auto watch = m_kindWatches.begin(); watch != m_kindWatches.end();) {
+        if (auto known = kinds.changes(watch->second.kind, watch->second.since)) {
+            due.emplace_back(std::move(watch->second.finish), outcomeOf(std::move(*known)));
+            watch = m_kindWatches.erase(watch);
+        } else {
+            ++watch;
+        }
+    }
+    for (auto &[finish, outcome] : due) {
+        finish(outcome);
+    }
+}
+
+Outcome PlatformStandIn::Server::handlePromotion(const Request &request)
+{
+    const json body = json::parse(request.body(), nullptr, false);
+    const std::string token(request["Egrettide-Fencing-Token"]);
+    if (!body.is_object() || token.empty() || request["Egrettide-Holder"].empty()) {
+        return badRequest("an order to promote names service, id, holder and fencing token");
+    }
+    const PromotionOrder order{body.value("service", ""), body.value("id", ""), std::string(request["Egrettide-Holder"]),
+                               std::stoull(token)};
+    std::uint64_t &seen = fences[order.service];
+    if (order.fencingToken < seen) {
+        return answer(http::status::conflict, {{"error", "a higher fencing token has been seen"}});
+    }
+    seen = order.fencingToken;
+    promotions.push_back(order);
+    if (promote && !promote(order)) {
+        return answer(http::status::conflict, {{"error", "the upstream is not running"}});
+    }
+    if (answersToLose > 0) {
+        --answersToLose;
+        return {Outcome::Kind::Close, {}, {}};
+    }
+    return answer(http::status::ok, json::object());
+}
+
 Outcome PlatformStandIn::Server::handleRead(const std::string &key)
 {
     const auto object = store.read(key);
@@ -557,6 +708,9 @@
     if (!down) {
         return;
     }
+    for (auto &[id, watch] : std::exchange(m_kindWatches, {})) {
+        watch.finish({Outcome::Kind::Close, {}, {}});
+    }
     while (!m_watches.empty()) {
         finishWatch(m_watches.begin()->first, {Outcome::Kind::Close, {}, {}});
     }
@@ -634,6 +788,73 @@
     m_server->run([lag](Server &server) { server.hostList.setLag(lag); });
 }
 
+void PlatformStandIn::delayNextChanges(int count)
+{
+    m_server->run([count](Server &server) { server.changesToDelay = count; });
+}
+
+void PlatformStandIn::applyLate()
+{
+    m_server->run([](Server &server) {
+        for (const auto &change : std::exchange(server.lateChanges, {})) {
+            change();
+        }
+    });
+}
+
+void PlatformStandIn::refuseNextCalls(int count)
+{
+    m_server->run([count](Server &server) { server.callsToRefuse = count; });
+}
+
+void PlatformStandIn::forgetHistory()
+{
+    m_server->run([](Server &server) {
+        server.kinds.forgetHistory();
+        server.wakeKindWatches();
+    });
+}
+
+void PlatformStandIn::setPageSize(std::size_t objects)
+{
+    m_server->run([objects](Server &server) { server.kinds.pageSize = objects; });
+}
+
+void PlatformStandIn::onPromotion(std::function<bool(const PromotionOrder &)> hook)
+{
+    m_server->run([&hook](Server &server) { server.promote = std::move(hook); });
+}
+
+std::vector<PromotionOrder> PlatformStandIn::promotions() const
+{
+    return m_server->run([](Server &server) { return server.promotions; });
+}
+
+void PlatformStandIn::putObject(const std::string &kind, const std::string &name, json spec)
+{
+    m_server->run([&](Server &server) {
+        const json object{{"meta", {{"name", name}}}, {"spec", std::move(spec)}};
+        if (server.kinds.create(kind, object).status != static_cast<int>(http::status::ok)) {
+            server.kinds.replace(kind, name, object);
+        }
+        server.wakeKindWatches();
+    });
+}
+
+void PlatformStandIn::removeObject(const std::string &kind, const std::string &name)
+{
+    m_server->run([&](Server &server) {
+        server.kinds.remove(kind, name);
+        server.wakeKindWatches();
+    });
+}
+
+std::optional<json> PlatformStandIn::objectOfKind(const std::string &kind, const std::string &name) const
+{
+    const KindAnswer found = m_server->run([&](Server &server) { return server.kinds.read(kind, name); });
+    return found.status == static_cast<int>(http::status::ok) ? std::optional(found.body["spec"]) : std::nullopt;
+}
+
 CallCounts PlatformStandIn::calls() const
 {
     return m_server->run([](Server &server) { return server.counts; });
--- a/testing/platform/platformstandin.h
+++ b/testing/platform/platformstandin.h
@@ -9,6 +9,8 @@
 //   DELETE /objects/KEY[?ifVersion=N]          {"key","version":0}, 404 or 409
 //   GET    /list?prefix=P                      [{"key","version"}]
 //   GET    /hosts                              [{"name","zone","address","state"}]
+//   The users' platform: GET, POST, PUT and DELETE on /v1/objects/KIND[/NAME] with
+//   pages and watches, and POST /promote with a fencing token.
 //   PUT    /admin/hosts                        the same list; shows after the lag
 //   PUT    /admin/faults {"down","delayMs","loseNextAnswers","failNextCalls","hostListLagMs","downAfterNextChange"} GET
 //   /admin/calls                        calls received, by kind
@@ -21,6 +23,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,6 +40,15 @@
     std::uint64_t watches = 0;
     std::uint64_t lists = 0;
     std::uint64_t hostLists = 0;
+    std::uint64_t promotions = 0;
+};
+
+// One order to promote, as it came.
+struct PromotionOrder {
+    std::string service;
+    std::string id;
+    std::string holder;
+    std::uint64_t fencingToken = 0;
 };
 
 class PlatformStandIn
@@ -72,6 +84,24 @@
     // How long later host lists stay invisible.
     void setHostListLag(milliseconds lag);
 
+    // The next changes through /v1/objects are answered by nothing and take effect
+    // only when applyLate() is called, if their condition still holds.
+    void delayNextChanges(int count);
+    void applyLate();
+    // Calls beyond are answered 429.
+    void refuseNextCalls(int count);
+    // Watches from before are answered 410.
+    void forgetHistory();
+    void setPageSize(std::size_t objects);
+    // Carries promotions out; false stands for an upstream that is not running.
+    void onPromotion(std::function<bool(const PromotionOrder &)> hook);
+    // Orders that passed the check of their fence, in order.
+    std::vector<PromotionOrder> promotions() const;
+    // Creates or replaces an object of a kind, past all faults.
+    void putObject(const std::string &kind, const std::string &name, nlohmann::json spec);
+    void removeObject(const std::string &kind, const std::string &name);
+    std::optional<nlohmann::json> objectOfKind(const std::string &kind, const std::string &name) const;
+
     CallCounts calls() const;
     std::optional<StoredObject> object(const std::string &key) const;
     // Writes unconditionally, past all faults; returns the new version.
--- a/tests/core/failuredetector_test.cpp
+++ b/tests/core/failuredetector_test.cpp
@@ -90,3 +90,22 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(BusyAnswers)
+
+BOOST_AUTO_TEST_CASE(AreSignsOfLife)
+{
+    // Symptom: an overloaded primary is replaced although it works.
+    // Sequence: its slots are full, so it answers probes that it has no room for them.
+    // Cause: such answers were counted as refusals.
+    FailureDetector detector;
+    const TimePoint start{std::chrono::seconds(100)};
+    for (int i = 0; i < 50; ++i) {
+        const TimePoint now = start + milliseconds(100 * i);
+        detector.onSent(now);
+        detector.onFailure(ProbeFailure::Busy, now + milliseconds(1));
+        BOOST_TEST(!detector.suspects(now + milliseconds(2)));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/freshnessgate_test.cpp
+++ b/tests/core/freshnessgate_test.cpp
@@ -213,3 +213,69 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Upstreams that check a required mark against their own log.
+namespace
+{
+
+GateOptions checkedByUpstreams()
+{
+    GateOptions options;
+    options.upstreamChecksMarks = true;
+    return options;
+}
+
+std::optional<LogMark> requiredMark(const Freshness &freshness, const GroupSnapshot &snapshot, TimePoint now)
+{
+    const GateDecision decision = FreshnessGate(checkedByUpstreams()).decide(request(freshness), snapshot, "r", now);
+    const auto *serve = std::get_if<Serve>(&decision);
+    BOOST_TEST_REQUIRE((serve != nullptr), "the read was not served but answered " << text(decision));
+    return serve->requiredMark;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(MarksThatUpstreamsCheck)
+
+BOOST_AUTO_TEST_CASE(NameTheOldestProofThatIsYoungEnough)
+{
+    // Most replicas hold the older mark.
+    BOOST_TEST((requiredMark(withAge(100), group(), at(10)) == LogMark{2, 80}));
+    BOOST_TEST((requiredMark(withAge(30), group(), at(10)) == LogMark{2, 100}));
+}
+
+BOOST_AUTO_TEST_CASE(AreWaitedForWhileNoProofIsYoungEnough)
+{
+    // Symptom: a read shows a state older than its caller accepts.
+    // Sequence: no round has confirmed the primary for longer than the accepted age.
+    // Cause: the newest mark was required although it proves nothing about that age.
+    const GateDecision decision = FreshnessGate(checkedByUpstreams()).decide(request(withAge(5)), group(), "r", at(10));
+    BOOST_TEST(std::holds_alternative<WaitUntil>(decision), "the read was answered " << text(decision));
+}
+
+BOOST_AUTO_TEST_CASE(CoverTheSessionsFloorAndTheAge)
+{
+    Freshness both = withAge(100);
+    both.floor = LogMark{2, 95};
+    BOOST_TEST((requiredMark(both, group(), at(10)) == LogMark{2, 95}));
+    both.floor = LogMark{2, 20};
+    BOOST_TEST((requiredMark(both, group(), at(10)) == LogMark{2, 80}));
+}
+
+BOOST_AUTO_TEST_CASE(ReplaceAFloorThatAChangeOfPrimaryMayHaveGivenUp)
+{
+    // Symptom: every read of a session is refused after a change of primary.
+    // Sequence: the session wrote under term 1; the new primary lacks that entry.
+    // Cause: the floor was required although no log will ever hold it.
+    BOOST_TEST((requiredMark(withFloor({1, 500}), group(), at(10)) == LogMark{2, 100}));
+}
+
+BOOST_AUTO_TEST_CASE(OfLatestReadsAreProvenAfterTheirReceipt)
+{
+    const GateDecision before = FreshnessGate(checkedByUpstreams()).decide(request(latest(), at(0)), group(), "r", at(10));
+    BOOST_TEST(std::holds_alternative<WaitUntil>(before), "a proof of the same moment was taken for a later one");
+    const GateDecision after = FreshnessGate(checkedByUpstreams()).decide(request(latest(), at(-1)), group(), "r", at(10));
+    BOOST_TEST(std::holds_alternative<Serve>(after));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/groupmonitor_test.cpp
+++ b/tests/core/groupmonitor_test.cpp
@@ -356,3 +356,57 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Groups whose replaced primaries know that they are replaced.
+namespace
+{
+
+struct SelfProvingFixture {
+    GroupMonitor monitor{"bookings", {{"a", "zone-a", false}, {"b", "zone-b", false}, {"c", "zone-c", false}}, [] {
+                             GroupMonitorOptions options;
+                             options.leaderProvesItself = true;
+                             return options;
+                         }()};
+
+    TimePoint at(int milliseconds) const
+    {
+        return start + std::chrono::milliseconds(milliseconds);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PrimariesThatProveThemselves, SelfProvingFixture)
+
+BOOST_AUTO_TEST_CASE(NeedNoMajority)
+{
+    const RoundId round = monitor.beginRound(at(0)).id;
+    monitor.onStatus(round, primary("a", 1, 7), at(2));
+    BOOST_TEST(monitor.snapshot()->primaryConfirmed);
+    BOOST_TEST((monitor.newestWatermark()->mark == LogMark{1, 7}));
+}
+
+BOOST_AUTO_TEST_CASE(TakeTheMarksOfTheReplacedOneWithThem)
+{
+    // Symptom: after a change of primary every bounded read is refused for a while.
+    // Sequence: a watermark of the old primary names an entry that the new one lacks.
+    // Cause: watermarks were kept over the change.
+    monitor.onStatus(monitor.beginRound(at(0)).id, primary("a", 1, 500), at(2));
+    monitor.onStatus(monitor.beginRound(at(10)).id, primary("b", 2, 400), at(12));
+    BOOST_TEST(monitor.snapshot()->primary == "b");
+    for (const Watermark &watermark : monitor.snapshot()->watermarks) {
+        BOOST_TEST((watermark.mark <= LogMark{2, 400}), "a mark of the replaced primary is still required");
+    }
+    BOOST_TEST(monitor.snapshot()->watermarks.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StayInForceWhileReplicasAreHeldBack)
+{
+    const RoundId round = monitor.beginRound(at(0)).id;
+    monitor.onStatus(round, primary("a", 1, 7), at(2));
+    monitor.onStatus(round, status("b", 5, {1, 7}), at(2));
+    monitor.onStatus(round, status("c", 5, {1, 7}), at(2));
+    BOOST_TEST(monitor.snapshot()->primary == "a", "held replicas are no majority against a primary that leads");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/hopcodec_test.cpp
+++ b/tests/core/hopcodec_test.cpp
@@ -60,6 +60,11 @@
         request.prepared.push_back(PreparedStatement{arbitraryText(), arbitraryText()});
     }
     request.batch = arbitraryText();
+    request.needsPrimary = *rc::gen::arbitrary<bool>();
+    request.mayHoldSeveral = *rc::gen::arbitrary<bool>();
+    for (int i = *rc::gen::inRange(0, 4); i > 0; --i) {
+        request.sessionValues.push_back(SessionValue{arbitraryText(), arbitraryText()});
+    }
     return request;
 }
 
@@ -188,6 +193,9 @@
         RC_ASSERT(decoded.idempotent == request.idempotent);
         RC_ASSERT(decoded.transaction == request.transaction);
         RC_ASSERT(decoded.batch == request.batch);
+        RC_ASSERT(decoded.needsPrimary == request.needsPrimary);
+        RC_ASSERT(decoded.mayHoldSeveral == request.mayHoldSeveral);
+        RC_ASSERT(decoded.sessionValues == request.sessionValues);
         RC_ASSERT(decoded.prepared.size() == request.prepared.size());
         for (std::size_t i = 0; i < decoded.prepared.size(); ++i) {
             RC_ASSERT(decoded.prepared[i].name == request.prepared[i].name);
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -556,3 +556,110 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Promotions that a third party carries out under a fencing token.
+namespace
+{
+
+struct OrderedFixture : Fixture {
+    OrderedFixture()
+    {
+        PromoterOptions options;
+        options.promoteBy = PromoteBy::ThirdParty;
+        ordered = std::make_unique<Promoter>(
+            PromoterIdentity{"bookings", "b", "10.0.0.2/1"},
+            std::vector<MemberSpec>{{"a", "zone-a", false}, {"b", "zone-b", false}, {"c", "zone-c", false}}, 7, options);
+    }
+
+    AttemptId agreed(int milliseconds = 0)
+    {
+        const auto asked = only<AskOpinions>(ordered->onSuspicion(suspicion, 4, at(milliseconds)));
+        BOOST_REQUIRE_EQUAL(asked.size(), 1U);
+        ordered->onOpinion(asked[0].attempt, "c", true, at(milliseconds));
+        return asked[0].attempt;
+    }
+
+    // Runs it up to the order under a claim of that version.
+    std::vector<SendPromote> order(std::uint64_t version, int milliseconds = 0)
+    {
+        const AttemptId asked = agreed(milliseconds);
+        const auto claims = only<ClaimInStore>(ordered->onRecordRead(asked, VersionedRecord{version - 1, {}}, at(milliseconds)));
+        BOOST_REQUIRE_EQUAL(claims.size(), 1U);
+        ClaimAnswer claimed{ClaimResult::Claimed, VersionedRecord{version, claims[0].record}};
+        remember(ordered->onClaim(asked, claimed, at(milliseconds)));
+        ordered->onFence(attempt, granted("b", {4, 10}), at(milliseconds + 2));
+        ordered->onFence(attempt, granted("c", {4, 11}), at(milliseconds + 2));
+        return only<SendPromote>(ordered->onMemberFailed(attempt, "a", at(milliseconds + 3)));
+    }
+
+    std::unique_ptr<Promoter> ordered;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(OrdersToAThirdParty, OrderedFixture)
+
+BOOST_AUTO_TEST_CASE(CarryTheVersionOfTheClaim)
+{
+    const auto orders = order(41);
+    BOOST_REQUIRE_EQUAL(orders.size(), 1U);
+    BOOST_TEST(orders[0].upstream == "c");
+    BOOST_TEST(orders[0].fencingToken == 41U);
+}
+
+BOOST_AUTO_TEST_CASE(AreNotGivenWithoutAClaim)
+{
+    // Symptom: two holders promote under one fencing token.
+    // Sequence: the store does not answer; the promoter goes on as if the claim were
+    // a hint.
+    // Cause: without a claim there is no number that nobody else uses.
+    const AttemptId asked = agreed();
+    const auto ended = only<GiveUp>(ordered->onRecordRead(asked, std::nullopt, at(1)));
+    BOOST_REQUIRE_EQUAL(ended.size(), 1U);
+    BOOST_TEST((ended[0].reason == GiveUpReason::NoClaim));
+}
+
+BOOST_AUTO_TEST_CASE(AreGivenOnceForEachClaim)
+{
+    // Symptom: a promotion that was overtaken is carried out all the same.
+    // Sequence: an order is unanswered; it is sent again, or another candidate is
+    // ordered under the same token, and the first one is carried out last.
+    // Cause: an order without an answer was taken for one that was lost.
+    order(41);
+    for (int milliseconds = 10; milliseconds < 290; milliseconds += 20) {
+        BOOST_TEST(only<SendPromote>(ordered->onTimer(at(milliseconds))).empty(), "an order was sent twice");
+    }
+    const auto ended = ordered->onMemberFailed(attempt, "c", at(295));
+    BOOST_TEST(only<SendPromote>(ordered->onTimer(at(320))).empty());
+    BOOST_REQUIRE_EQUAL(only<GiveUp>(ended).size(), 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AreDoneWhenTheGroupShowsIt)
+{
+    const auto orders = order(41);
+    ControlAnswer taken;
+    taken.granted = true;
+    taken.status.upstream = "c";
+    BOOST_TEST(ordered->onPromote(attempt, taken, at(5)).empty(), "an order that was taken is not yet carried out");
+    GroupSnapshot snapshot;
+    snapshot.term = orders[0].term;
+    snapshot.primary = "c";
+    BOOST_TEST(only<Announce>(ordered->onGroup(snapshot, {}, at(200))).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LeaveNoMemberHeldBack)
+{
+    GroupSnapshot snapshot;
+    snapshot.term = 4;
+    snapshot.primary = "b";
+    MemberStatus held;
+    held.upstream = "c";
+    held.followingTerm = 4;
+    held.promisedTerm = 9;
+    ordered->onGroup(snapshot, {held}, at(0));
+    BOOST_TEST(only<SendFollow>(ordered->onTimer(at(100))).empty(), "a promotion may be under way; it needs time");
+    PromoterActions late = ordered->onGroup(snapshot, {held}, at(5000));
+    BOOST_TEST(only<SendFollow>(late).size() == 1U, "nobody lets a member go on that a dead promoter held back");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/router_test.cpp
+++ b/tests/core/router_test.cpp
@@ -354,3 +354,16 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ReadsThatNeedThePrimary)
+
+BOOST_FIXTURE_TEST_CASE(GoThereAndNowhereElse, Fixture)
+{
+    StatementRequest read = request(StatementKind::Read);
+    read.needsPrimary = true;
+    const Route first = choose(read);
+    BOOST_TEST(first.upstream == "a");
+    BOOST_TEST((first.reason == PrimaryReason::Latest));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/host_test.cpp
@@ -0,0 +1,364 @@
+// The whole path on the platform: callers in the line protocol, hosts, upstreams and
+// the store, as stand-ins.
+
+#define BOOST_TEST_MODULE PlatformHost
+#include <boost/test/unit_test.hpp>
+
+#include "tests/platform/platformsite.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace egrettide;
+using namespace egrettide::test;
+
+BOOST_AUTO_TEST_SUITE(Sessions)
+
+BOOST_AUTO_TEST_CASE(ReadWhatTheyWroteAlsoWhenReplicasLag)
+{
+    // Symptom: a parent books and sees no booking.
+    // Sequence: a write is acknowledged; the session's next read goes to a replica that
+    // has not received it yet.
+    // Cause: the read carried no mark of the session's own write.
+    standin::LineGroupOptions options;
+    options.lag = milliseconds(100);
+    PlatformSite site(2, options);
+    LineClient client(site.addresses[0]);
+    BOOST_TEST(client.start("log").state == 'I');
+    for (int i = 0; i < 20; ++i) {
+        const std::string value = "v" + std::to_string(i);
+        BOOST_TEST_REQUIRE(client.run("WRITE item " + value).succeeded());
+        const LineAnswer read = client.run("READ item");
+        BOOST_TEST(read.first() == "DATAROW " + value, "a session read '" << read.first() << "' after it wrote " << value);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(OfPrimaryRoutesSeeEveryAcknowledgedWrite)
+{
+    standin::LineGroupOptions options;
+    options.lag = milliseconds(100);
+    PlatformSite site(2, options);
+    LineClient writer(site.addresses[0]);
+    LineClient reader(site.addresses[1]);
+    writer.start("pay");
+    reader.start("pay");
+    for (int i = 0; i < 20; ++i) {
+        const std::string value = "v" + std::to_string(i);
+        BOOST_TEST_REQUIRE(writer.run("WRITE item " + value).succeeded());
+        BOOST_TEST(reader.run("READ item").first() == "DATAROW " + value);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(KeepTheirValuesAndPreparedStatementsOverSharedConnections)
+{
+    // Symptom: a statement runs with the settings of a stranger.
+    // Sequence: two sessions set different values under one name and prepare different
+    // statements under one name; both run over the same few connections.
+    // Cause: values and names belonged to the connection and not to the session.
+    PlatformSite site(2);
+    constexpr int callers = 4;
+    std::vector<std::unique_ptr<LineClient>> clients;
+    std::map<std::string, int> callerOf;
+    for (int i = 0; i < callers; ++i) {
+        clients.push_back(std::make_unique<LineClient>(site.addresses[static_cast<std::size_t>(i) % 2]));
+        clients.back()->start("log");
+        const std::string own = std::to_string(i);
+        BOOST_TEST(clients.back()->run("SET tz zone" + own).succeeded());
+        BOOST_TEST(clients.back()->run("PREPARE s1 READ shape" + own).succeeded());
+    }
+    for (int round = 0; round < 10; ++round) {
+        for (int i = 0; i < callers; ++i) {
+            LineClient &client = *clients[static_cast<std::size_t>(i)];
+            BOOST_TEST(client.run("EXECUTE s1 item").succeeded());
+            callerOf[client.lastId] = i;
+            BOOST_TEST(client.run("WRITE item" + std::to_string(i) + " x").succeeded());
+            callerOf[client.lastId] = i;
+        }
+    }
+    for (const standin::RanStatement &statement : site.group.ran()) {
+        const auto caller = callerOf.find(statement.id);
+        if (caller == callerOf.end()) {
+            continue;
+        }
+        const std::string own = std::to_string(caller->second);
+        const std::map<std::string, std::string> expected{{"tz", "zone" + own}};
+        BOOST_TEST((statement.values == expected), "statement " << statement.text << " ran with another session's values");
+        if (!statement.shape.empty()) {
+            BOOST_TEST(statement.shape == "READ shape" + own);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ToUnknownDatabasesAreTold)
+{
+    PlatformSite site;
+    LineClient client(site.addresses[0]);
+    const LineAnswer answer = client.start("nobody");
+    BOOST_TEST(answer.failedWith("NODB"), "an unknown database was answered '" << answer.first() << "'");
+    BOOST_TEST(answer.broken);
+}
+
+BOOST_AUTO_TEST_CASE(EndWithTheirRoute)
+{
+    PlatformSite site;
+    site.configure(2, {"extra"});
+    BOOST_TEST(eventually([&] {
+        LineClient probe(site.addresses[0]);
+        return probe.start("extra").state == 'I';
+    }));
+    LineClient client(site.addresses[0]);
+    client.start("extra");
+    BOOST_TEST(client.run("READ item").succeeded());
+    site.configure(3);
+    BOOST_TEST(eventually([&] { return client.run("READ item").failedWith("NODB"); }),
+               "a session went on under a route that the operators removed");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(BadInput)
+
+BOOST_AUTO_TEST_CASE(IsAnsweredAndDisturbsNobodyElse)
+{
+    PlatformSite site;
+    LineClient good(site.addresses[0]);
+    good.start("log");
+    LineClient bad(site.addresses[0]);
+    bad.start("log");
+    BOOST_TEST(bad.run("DROP everything").failedWith("MALFORMED"));
+    BOOST_TEST(bad.run("COMMIT").failedWith("MALFORMED"), "a COMMIT outside a transaction was taken");
+    BOOST_TEST(bad.run("EXECUTE none item").failedWith("NOSTMT"));
+    BOOST_TEST(bad.run("READ item").succeeded(), "a session ended over a statement that was only malformed");
+    BOOST_TEST(bad.exchange("HELLO").failedWith("MALFORMED"));
+    LineClient startless(site.addresses[0]);
+    BOOST_TEST(startless.run("READ item").failedWith("MALFORMED"));
+    BOOST_TEST(good.run("READ item").succeeded());
+}
+
+BOOST_AUTO_TEST_CASE(OverTheBoundEndsItsOwnSession)
+{
+    PlatformSite site;
+    LineClient good(site.addresses[0]);
+    good.start("log");
+    LineClient bad(site.addresses[0]);
+    bad.start("log");
+    const LineAnswer answer = bad.run("WRITE item " + std::string(std::size_t{1200} * 1024, 'x'));
+    BOOST_TEST((answer.failedWith("MALFORMED") || answer.broken));
+    BOOST_TEST(good.run("READ item").succeeded());
+}
+
+BOOST_AUTO_TEST_CASE(InAFailedTransactionIsRefusedUntilItsEnd)
+{
+    PlatformSite site;
+    LineClient client(site.addresses[0]);
+    client.start("log");
+    BOOST_TEST(client.run("BEGIN").state == 'T');
+    BOOST_TEST(client.run("NONSENSE").state == 'E');
+    BOOST_TEST(client.run("READ item").failedWith("MALFORMED"));
+    BOOST_TEST(client.run("SET a b").failedWith("MALFORMED"));
+    BOOST_TEST(client.run("ROLLBACK").state == 'I');
+    BOOST_TEST(client.run("READ item").succeeded());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Transactions)
+
+BOOST_AUTO_TEST_CASE(StayOnOneConnectionAndAreNotMixed)
+{
+    PlatformSite site(2);
+    std::vector<std::thread> threads;
+    std::vector<std::vector<std::string>> ids(4);
+    for (std::size_t i = 0; i < ids.size(); ++i) {
+        threads.emplace_back([&, i] {
+            LineClient client(site.addresses[i % 2]);
+            client.start("pay");
+            for (int round = 0; round < 5; ++round) {
+                client.run("BEGIN");
+                for (const char *text : {"READ a", "WRITE a x", "READ b", "COMMIT"}) {
+                    client.run(text);
+                    ids[i].push_back(client.lastId);
+                }
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    const auto ran = site.group.ran();
+    for (const auto &caller : ids) {
+        for (std::size_t at = 0; at < caller.size(); at += 4) {
+            std::vector<std::uint64_t> connections;
+            for (const standin::RanStatement &statement : ran) {
+                if (std::find(caller.begin() + static_cast<long>(at), caller.begin() + static_cast<long>(at) + 4, statement.id)
+                    != caller.begin() + static_cast<long>(at) + 4) {
+                    connections.push_back(statement.connection);
+                }
+            }
+            BOOST_TEST(connections.size() == 4U, "a transaction ran " << connections.size() << " of its 4 statements");
+            BOOST_TEST((std::adjacent_find(connections.begin(), connections.end(), std::not_equal_to<>()) == connections.end()),
+                       "a transaction used two connections");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(WhoseCallerLeavesAreRolledBack)
+{
+    PlatformSite site;
+    LineClient client(site.addresses[0]);
+    client.start("log");
+    client.run("BEGIN");
+    BOOST_TEST(client.run("WRITE left x").succeeded());
+    client.close();
+    LineClient other(site.addresses[0]);
+    other.start("pay");
+    BOOST_TEST(other.run("WRITE after x").succeeded());
+    BOOST_TEST(other.run("READ left").first() == "DATAROW -", "a write of a caller that left was committed");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(LostAnswers)
+
+BOOST_AUTO_TEST_CASE(OfWritesAreUnknownAndRunOnce)
+{
+    // Symptom: a family is charged twice.
+    // Sequence: the upstream runs a write and its answer is lost; somebody sends the
+    // write again, or tells the caller that it has not run.
+    // Cause: a lost answer was taken for a refusal.
+    PlatformSite site;
+    LineClient client(site.addresses[0]);
+    client.start("pay");
+    site.group.loseNextAnswers("m1", 1);
+    const LineAnswer answer = client.run("WRITE charge 1");
+    BOOST_TEST(answer.failedWith("UNKNOWN"), "a lost answer was told as '" << answer.first() << "'");
+    BOOST_TEST(site.timesRan(client.lastId) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(OfReadsAreReplacedByAnotherUpstreams)
+{
+    PlatformSite site;
+    LineClient client(site.addresses[0]);
+    client.start("browse");
+    for (const char *member : {"m2", "m3"}) {
+        site.group.loseNextAnswers(member, 1);
+    }
+    BOOST_TEST(client.run("READ item").succeeded());
+}
+
+BOOST_AUTO_TEST_CASE(OfRefusalsAreNoneAndTrue)
+{
+    PlatformSite site;
+    LineClient client(site.addresses[0]);
+    client.start("pay");
+    site.group.refuseNext("m1", 1);
+    const LineAnswer answer = client.run("WRITE full 1");
+    BOOST_TEST((answer.succeeded() || answer.failedWith("BUSY")));
+    BOOST_TEST(site.timesRan(client.lastId) == (answer.succeeded() ? 1 : 0));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Promotions)
+
+BOOST_AUTO_TEST_CASE(FollowTheLossOfAPrimaryUnderOneRisingToken)
+{
+    PlatformSite site(2);
+    site.group.setDark("m1", true);
+    LineClient client(site.addresses[0]);
+    client.start("pay");
+    BOOST_TEST(eventually([&] { return client.run("WRITE after 1").succeeded(); }),
+               "no write was served after the primary was lost");
+    BOOST_TEST(site.group.primary() != "m1");
+    const auto orders = site.platform.promotions();
+    BOOST_TEST_REQUIRE(!orders.empty());
+    for (std::size_t i = 0; i < orders.size(); ++i) {
+        BOOST_TEST(orders[i].fencingToken > 0U, "an order went out without a claim");
+        BOOST_TEST((i == 0 || orders[i].fencingToken > orders[i - 1].fencingToken || orders[i].holder == orders[i - 1].holder),
+                   "two holders used one fencing token");
+    }
+    BOOST_TEST(eventually([&] { return !site.group.isPaused("m2") && !site.group.isPaused("m3"); }),
+               "a replica stayed paused after the promotion");
+}
+
+BOOST_AUTO_TEST_CASE(NeverHappenWithoutAClaim)
+{
+    // Symptom: two hosts promote under one token, or under none.
+    // Sequence: the store is away; the primary is lost; a host goes on without a claim.
+    // Cause: the claim was taken for a hint.
+    PlatformSite site;
+    site.platform.setDown(true);
+    site.group.setDark("m1", true);
+    LineClient client(site.addresses[0]);
+    client.start("pay");
+    BOOST_TEST(!client.run("WRITE during 1").succeeded());
+    BOOST_TEST(site.platform.promotions().empty());
+    site.platform.setDown(false);
+    BOOST_TEST(eventually([&] { return client.run("WRITE after 1").succeeded(); }));
+}
+
+BOOST_AUTO_TEST_CASE(LeaveNoReplicaPaused)
+{
+    // Symptom: a replica never receives anything again, and nobody reports it.
+    // Sequence: a promoter pauses it and dies before it orders anything else.
+    // Cause: only the promoter that paused it would have resumed it.
+    PlatformSite site;
+    site.group.pause("m2", 5);
+    BOOST_TEST(eventually([&] { return !site.group.isPaused("m2"); }),
+               "nobody resumed a replica that a dead promoter had paused");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Hosts)
+
+BOOST_AUTO_TEST_CASE(ThatStopFinishOpenTransactions)
+{
+    PlatformSite site(2);
+    LineClient busy(site.addresses[0]);
+    busy.start("pay");
+    busy.run("BEGIN");
+    LineClient idle(site.addresses[0]);
+    idle.start("pay");
+    site.daemons[0]->beginStop();
+    BOOST_TEST(idle.receive().broken, "an idle session of a leaving host was kept");
+    BOOST_TEST(busy.run("WRITE last 1").succeeded());
+    BOOST_TEST(busy.run("COMMIT").succeeded(), "a stop cut a transaction that was in progress");
+    site.daemons[0]->wait();
+    LineClient other(site.addresses[1]);
+    other.start("pay");
+    BOOST_TEST(eventually([&] { return other.run("READ last").first() == "DATAROW 1"; }));
+}
+
+BOOST_AUTO_TEST_CASE(ServeWithoutTheStore)
+{
+    PlatformSite site;
+    site.platform.setDown(true);
+    LineClient client(site.addresses[0]);
+    client.start("pay");
+    BOOST_TEST(client.run("WRITE without 1").succeeded());
+    BOOST_TEST(client.run("READ without").succeeded());
+}
+
+BOOST_AUTO_TEST_CASE(NeverExceedTheUpstreamsConnections)
+{
+    PlatformSite site(3);
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < 60; ++i) {
+        callers.emplace_back([&site, i] {
+            LineClient client(site.addresses[i % 3]);
+            client.start("pay");
+            client.run("BEGIN");
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    BOOST_TEST(site.group.refusedConnections("m1") == 0, "the primary refused connections above its limit");
+    BOOST_TEST(site.group.mostConnections("m1") <= 33);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/objectstore_test.cpp
@@ -0,0 +1,192 @@
+// The platform's store through its HTTP calls: what each answer, and each lost one,
+// says about an object.
+
+#define BOOST_TEST_MODULE PlatformObjectStore
+#include <boost/test/unit_test.hpp>
+
+#include "platform/objectstore.h"
+#include "testing/platform/platformstandin.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <optional>
+
+using namespace egrettide;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace
+{
+
+// Generous: it only decides how long a broken test takes to fail.
+constexpr auto callBound = 20s;
+
+class Fixture
+{
+public:
+    using Answer = tl::expected<VersionedObject, StoreError>;
+
+    template <typename Result, typename Start> Result await(Start start)
+    {
+        std::optional<Result> result;
+        start([&result](Result answer) { result = std::move(answer); });
+        const TimePoint bound = Clock::now() + 2 * callBound;
+        while (!result && Clock::now() < bound) {
+            m_context.restart();
+            m_context.run_for(5ms);
+        }
+        BOOST_TEST_REQUIRE(result.has_value(), "a call to the store was never answered");
+        return *result;
+    }
+
+    Answer read(const std::string &key)
+    {
+        return await<Answer>([&](auto done) { store.read(key, Clock::now() + callBound, done); });
+    }
+
+    Answer write(const std::string &key, const json &value, std::optional<std::uint64_t> expected)
+    {
+        return await<Answer>([&](auto done) { store.write(key, value, expected, Clock::now() + callBound, done); });
+    }
+
+    using Page = tl::expected<CollectionPage, CollectionFailure>;
+    using Changes = tl::expected<CollectionChanges, CollectionFailure>;
+
+    Page list(const std::string &kind)
+    {
+        return await<Page>([&](auto done) { store.collection(kind).list(Clock::now() + callBound, done); });
+    }
+
+    Changes changes(const std::string &kind, std::uint64_t since, std::chrono::milliseconds bound = callBound)
+    {
+        return await<Changes>([&](auto done) { store.collection(kind).changes(since, Clock::now() + bound, done); });
+    }
+
+    standin::PlatformStandIn platform;
+
+private:
+    boost::asio::io_context m_context{1};
+
+public:
+    platform::ObjectStore store{m_context, platform.endpoint()};
+};
+
+StoreFailure failureOf(const Fixture::Answer &answer)
+{
+    BOOST_TEST_REQUIRE(!answer.has_value(), "the call succeeded; it had to fail");
+    return answer.error().failure;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Objects, Fixture)
+
+BOOST_AUTO_TEST_CASE(AreCreatedOnceAndReplacedAtTheirVersionOnly)
+{
+    const auto created = write("egrettide/groups/a", {{"term", 1}}, 0);
+    BOOST_TEST_REQUIRE(created.has_value());
+    BOOST_TEST((failureOf(write("egrettide/groups/a", {{"term", 2}}, 0)) == StoreFailure::Conflict));
+    const auto replaced = write("egrettide/groups/a", {{"term", 2}}, created->version);
+    BOOST_TEST_REQUIRE(replaced.has_value());
+    BOOST_TEST(replaced->version > created->version, "versions serve as fencing tokens and have to rise");
+    BOOST_TEST((failureOf(write("egrettide/groups/a", {{"term", 3}}, created->version)) == StoreFailure::Conflict));
+    BOOST_TEST(read("egrettide/groups/a")->value == json({{"term", 2}}));
+}
+
+BOOST_AUTO_TEST_CASE(ThatAreMissingAreToldApartFromAnOutage)
+{
+    BOOST_TEST((failureOf(read("egrettide/groups/none")) == StoreFailure::NotFound));
+    platform.setDown(true);
+    BOOST_TEST((failureOf(read("egrettide/groups/none")) == StoreFailure::Unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(RefusedWith503Or429HaveNotChanged)
+{
+    platform.failNextCalls(1);
+    BOOST_TEST((failureOf(write("egrettide/groups/a", 1, 0)) == StoreFailure::Unavailable));
+    platform.refuseNextCalls(1);
+    BOOST_TEST((failureOf(write("egrettide/groups/a", 1, 0)) == StoreFailure::Unavailable));
+    BOOST_TEST((failureOf(read("egrettide/groups/a")) == StoreFailure::NotFound));
+}
+
+BOOST_AUTO_TEST_CASE(WhoseAnswerIsLostMayHaveChanged)
+{
+    // Symptom: two hosts hold the same claim.
+    // Sequence: a claim is written and its answer lost; its writer takes it for
+    // refused; it is applied all the same, at once or seconds later.
+    // Cause: a lost answer was read as a refusal.
+    platform.loseNextAnswers(1);
+    BOOST_TEST((failureOf(write("egrettide/groups/a", 1, 0)) == StoreFailure::OutcomeUnknown));
+    BOOST_TEST(read("egrettide/groups/a").has_value());
+    platform.delayNextChanges(1);
+    BOOST_TEST((failureOf(write("egrettide/groups/b", 1, 0)) == StoreFailure::OutcomeUnknown));
+    BOOST_TEST((failureOf(read("egrettide/groups/b")) == StoreFailure::NotFound));
+    platform.applyLate();
+    BOOST_TEST(read("egrettide/groups/b").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(OfHostsAreListedAsTheyRegistered)
+{
+    using Done = tl::expected<void, StoreError>;
+    const auto registered = [this](const std::string &address) {
+        return await<Done>([&](auto done) { store.registerHost({"h1", "a", address, false}, Clock::now() + callBound, done); });
+    };
+    BOOST_TEST(registered("10.0.0.1:7440").has_value());
+    BOOST_TEST(registered("10.0.0.2:7440").has_value(), "a host that comes back at another address was not taken");
+    const auto hosts =
+        await<tl::expected<std::vector<ListedHost>, StoreError>>([&](auto done) { store.hosts(Clock::now() + callBound, done); });
+    BOOST_TEST_REQUIRE((hosts.has_value() && hosts->size() == 1U));
+    BOOST_TEST(hosts->front().address == "10.0.0.2:7440");
+    BOOST_TEST(hosts->front().zone == "a");
+    BOOST_TEST(await<Done>([&](auto done) { store.removeHost("h1", Clock::now() + callBound, done); }).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Collections, Fixture)
+
+BOOST_AUTO_TEST_CASE(AreListedOverAllPages)
+{
+    platform.setPageSize(2);
+    for (const char *name : {"a", "b", "c", "d", "e"}) {
+        platform.putObject("servers", name, {{"zone", name}});
+    }
+    const auto page = list("servers");
+    BOOST_TEST_REQUIRE(page.has_value());
+    BOOST_TEST(page->objects.size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(TellChangesAndRemovalsInOrder)
+{
+    platform.putObject("servers", "a", 1);
+    const auto page = list("servers");
+    BOOST_TEST_REQUIRE(page.has_value());
+    platform.putObject("servers", "b", 2);
+    platform.removeObject("servers", "a");
+    const auto seen = changes("servers", page->revision);
+    BOOST_TEST_REQUIRE((seen.has_value() && seen->changes.size() == 2U));
+    BOOST_TEST(seen->changes[0].object.name == "b");
+    BOOST_TEST(seen->changes[1].object.name == "a");
+    BOOST_TEST(seen->changes[1].removed);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutChangesEndQuietly)
+{
+    const auto seen = changes("servers", list("servers")->revision, 600ms);
+    BOOST_TEST_REQUIRE(seen.has_value(), "the end of a quiet wait was taken for an outage");
+    BOOST_TEST(seen->changes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(WhoseHistoryIsGoneHaveToBeListedAnew)
+{
+    platform.putObject("servers", "a", 1);
+    const std::uint64_t before = list("servers")->revision;
+    platform.putObject("servers", "b", 1);
+    platform.forgetHistory();
+    const auto seen = changes("servers", before);
+    BOOST_TEST_REQUIRE(!seen.has_value());
+    BOOST_TEST((seen.error() == CollectionFailure::HistoryGone));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/platformsite.h
@@ -0,0 +1,127 @@
+// A small deployment on the platform's stand-ins: one database service, three routes
+// and some hosts, all in one process.
+
+#pragma once
+
+#include "platform/hostparts.h"
+#include "runtime/hostdaemon.h"
+#include "testing/platform/linegroup.h"
+#include "testing/platform/platformstandin.h"
+#include "tests/platform/lineclient.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace egrettide::test
+{
+
+// Generous: it only decides how long a broken test takes to fail.
+constexpr std::chrono::seconds siteBound{60};
+
+inline bool eventually(const std::function<bool()> &condition)
+{
+    const TimePoint bound = Clock::now() + siteBound;
+    while (!condition()) {
+        if (Clock::now() > bound) {
+            return false;
+        }
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return true;
+}
+
+class PlatformSite
+{
+public:
+    explicit PlatformSite(int hosts = 1, standin::LineGroupOptions options = {}) : group(std::move(options))
+    {
+        platform.onPromotion([this](const standin::PromotionOrder &order) { return group.promote(order.id); });
+        for (const char *member : {"m1", "m2", "m3"}) {
+            platform.putObject("servers", member, group.registration(member));
+        }
+        configure(1);
+        for (int i = 0; i < hosts; ++i) {
+            startHost("h" + std::to_string(i + 1), std::string(1, static_cast<char>('a' + i)));
+        }
+        for (const std::string &address : addresses) {
+            BOOST_TEST_REQUIRE(eventually([&] { return serves(address); }), "the host at " << address << " never served");
+        }
+    }
+
+    ~PlatformSite()
+    {
+        // Before what they talk to.
+        daemons.clear();
+    }
+
+    void configure(int version, const std::vector<std::string> &extraRoutes = {})
+    {
+        nlohmann::json routes = {route("pay", "primary"), route("browse", "bounded_staleness"), route("log", "read_your_writes")};
+        for (const std::string &name : extraRoutes) {
+            routes.push_back(route(name, "read_your_writes"));
+        }
+        platform.putObject("config", "main",
+                           {{"version", version},
+                            {"routes", routes},
+                            {"services", {{{"name", "service"}, {"maxConnections", 33}, {"syncReplicas", 0}}}},
+                            {"limits", {{"txIdleMs", 30000}}}});
+    }
+
+    void startHost(const std::string &name, const std::string &zone)
+    {
+        Settings settings;
+        settings.host = name;
+        settings.zone = zone;
+        settings.interface = "platform";
+        settings.callerAddress = "127.0.0.1:0";
+        settings.peerAddress = "127.0.0.1:0";
+        settings.operatorAddress = "127.0.0.1:0";
+        settings.platformAddress = platform.address();
+        settings.ordersAddress = platform.address();
+        settings.sessionKey = "a key for tests only";
+        settings.trafficThreads = 1;
+        settings.stopBound = milliseconds(10000);
+        auto daemon = std::make_unique<HostDaemon>(settings, platform::hostParts(settings));
+        const auto started = daemon->start();
+        BOOST_TEST_REQUIRE(started.has_value(), "a host did not start");
+        addresses.push_back(started->caller);
+        daemons.push_back(std::move(daemon));
+    }
+
+    // True once reads and writes of every route reach an upstream.
+    static bool serves(const std::string &address)
+    {
+        LineClient client(address);
+        if (client.start("pay").state != 'I' || !client.run("WRITE warmup x").succeeded()) {
+            return false;
+        }
+        LineClient reader(address);
+        return reader.start("browse").state == 'I' && reader.run("READ warmup").succeeded();
+    }
+
+    static nlohmann::json route(const std::string &host, const std::string &type)
+    {
+        return {{"name", "r-" + host}, {"host", host},         {"type", type},          {"timeoutMs", 5000},
+                {"priority", 1},       {"service", "service"}, {"maxStalenessMs", 1500}};
+    }
+
+    // How often a statement of that id ran.
+    long timesRan(const std::string &id) const
+    {
+        const auto ran = group.ran();
+        return std::ranges::count(ran, id, &standin::RanStatement::id);
+    }
+
+    standin::LineGroup group;
+    standin::PlatformStandIn platform;
+    std::vector<std::string> addresses;
+    std::vector<std::unique_ptr<HostDaemon>> daemons;
+};
+
+} // namespace egrettide::test
--- a/tests/process/deployment_test.py
+++ b/tests/process/deployment_test.py
@@ -145,6 +145,25 @@
         result = self.check(load)
         self.assertEqual(result["writes_not_done"], 0, f"a planned change fails no write, but: {result['refusals']}")
 
+    def test_AChangedSettingsFileIsTakenOverAndABadOneRefused(self):
+        # Symptom: a host ends when its settings file changes, or runs on with half of a bad one.
+        # Sequence: the file is changed and SIGHUP sent; then it is damaged and SIGHUP sent.
+        # Cause: nobody took the signal, or what was read was not checked as a whole.
+        host = next(iter(self.site.hosts.values()))
+        path = os.path.join(self.site.folder, host.process.name + ".json")
+        with open(path) as file:
+            settings = json.load(file)
+        with open(path, "w") as file:
+            json.dump({**settings, "logLevel": "debug"}, file)
+        host.process.signal(signal.SIGHUP)
+        lab.wait_for("settings reloaded", lambda: host.process.find(host.process.out_path, r'"event":"settings_reloaded","applied":1'))
+        with open(path, "w") as file:
+            json.dump({**settings, "logLevel": "loud", "trafficThreads": 0}, file)
+        host.process.signal(signal.SIGHUP)
+        for fault in ("logLevel", "trafficThreads"):
+            lab.wait_for(f"{fault} refused", lambda: host.process.find(host.process.out_path, f'"settings_refused".*{fault}'))
+        self.assertTrue(host.ready(), "a host that refused a bad file no longer serves")
+
     def test_StatusSeesEachAcceptedFileOnEveryHost(self):
         # Symptom: status says that hosts differ, long after the file is in force on all.
         # Sequence: one file is applied, hosts settle, another one is applied.
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -89,3 +89,37 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ChangedSettings)
+
+BOOST_AUTO_TEST_CASE(AreToldApartByWhetherTheyNeedARestart)
+{
+    const Settings running = parseSettings(validSettings().dump()).value();
+    Settings next = running;
+    next.logLevel = "debug";
+    next.platformAddress = "127.0.0.1:7001";
+    next.callerAddress = "127.0.0.1:6439";
+    const SettingsDifference difference = differenceBetween(running, next);
+    BOOST_TEST(difference.applied == (std::vector<std::string>{"logLevel", "platformAddress"}), boost::test_tools::per_element());
+    BOOST_TEST(difference.needRestart == std::vector<std::string>{"callerAddress"}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(ThatNeedARestartLeaveTheRunningOnesAlone)
+{
+    Settings running = parseSettings(validSettings().dump()).value();
+    Settings next = running;
+    next.stopBound = milliseconds(1234);
+    next.callerAddress = "127.0.0.1:6439";
+    applyLive(running, next);
+    BOOST_TEST(running.stopBound.count() == 1234);
+    BOOST_TEST(running.callerAddress == "127.0.0.1:6432");
+}
+
+BOOST_AUTO_TEST_CASE(ThatAreTheSameChangeNothing)
+{
+    const Settings running = parseSettings(validSettings().dump()).value();
+    BOOST_TEST(differenceBetween(running, running).applied.empty());
+    BOOST_TEST(differenceBetween(running, running).needRestart.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
