--- a/scripts/lab.py
+++ b/scripts/lab.py
@@ -174,8 +174,8 @@
         self.processes[name] = Process(self, name, arguments)
         return self.processes[name]
 
-    def start_platform(self):
-        self.platform = self.run("platform", [self.program("platform"), "--listen", "127.0.0.1:0"]).listening()
+    def start_platform(self, *options):
+        self.platform = self.run("platform", [self.program("platform"), "--listen", "127.0.0.1:0", *options]).listening()
 
     def start_upstream(self, name, zone, slots, connections, extra):
         arguments = [self.program("upstream"), "--listen", "127.0.0.1:0", "--name", name, "--zone", zone,
--- a/src/core/configurationcheck.cpp
+++ b/src/core/configuration/configurationcheck.cpp
@@ -1,8 +1,8 @@
 // Finds the contradictions between the entries of a file.
 
-#include "core/configurationcheck.h"
+#include "core/configuration/configurationcheck.h"
 
-#include "core/schemacheck.h"
+#include "core/configuration/schemacheck.h"
 #include "egrettide/core/configurationfile.h"
 
 #include <arpa/inet.h>
--- a/src/core/configurationfile.cpp
+++ b/src/core/configuration/configurationfile.cpp
@@ -2,8 +2,8 @@
 
 #include "egrettide/core/configurationfile.h"
 
-#include "core/configurationcheck.h"
-#include "core/schemacheck.h"
+#include "core/configuration/configurationcheck.h"
+#include "core/configuration/schemacheck.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/core/schemacheck.cpp
+++ b/src/core/configuration/schemacheck.cpp
@@ -1,6 +1,6 @@
 // JSON Schema validation by valijson.
 
-#include "core/schemacheck.h"
+#include "core/configuration/schemacheck.h"
 
 #include <nlohmann/json.hpp>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
--- a/src/core/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -1,6 +1,6 @@
 // Events of this host, what follows the size of the fleet, and the view.
 
-#include "core/membershipstate.h"
+#include "core/fleet/membershipstate.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/core/membershipnews.cpp
+++ b/src/core/fleet/membershipnews.cpp
@@ -1,6 +1,6 @@
 // Messages: what rides on them, whose word counts, and how views are reconciled.
 
-#include "core/membershipstate.h"
+#include "core/fleet/membershipstate.h"
 
 #include <algorithm>
 #include <set>
--- a/src/core/membershipprobing.cpp
+++ b/src/core/fleet/membershipprobing.cpp
@@ -1,6 +1,6 @@
 // Time: whom to ping when, what silence means, and pauses of this process.
 
-#include "core/membershipstate.h"
+#include "core/fleet/membershipstate.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/core/membershipstate.h
+++ b/src/core/fleet/membershipstate.h
@@ -5,7 +5,7 @@
 
 #include "egrettide/core/membership.h"
 
-#include "core/membertable.h"
+#include "core/fleet/membertable.h"
 
 #include <limits>
 #include <map>
--- a/src/core/membertable.cpp
+++ b/src/core/fleet/membertable.cpp
@@ -1,6 +1,6 @@
 // Precedence of records, rumors and digests.
 
-#include "core/membertable.h"
+#include "core/fleet/membertable.h"
 
 #include <xxhash.h>
 
--- a/src/core/builtinfunctions.cpp
+++ b/src/core/sessions/builtinfunctions.cpp
@@ -1,7 +1,7 @@
 // Lists of PostgreSQL's own functions. A function that is missing from the first
 // list costs a replica read; one that is wrong in it could write on a replica.
 
-#include "core/builtinfunctions.h"
+#include "core/sessions/builtinfunctions.h"
 
 #include <absl/container/flat_hash_set.h>
 
--- a/src/core/classifier.cpp
+++ b/src/core/sessions/classifier.cpp
@@ -3,9 +3,9 @@
 
 #include "egrettide/core/classifier.h"
 
-#include "core/builtinfunctions.h"
-#include "core/parsetree.h"
-#include "core/statementfinding.h"
+#include "core/sessions/builtinfunctions.h"
+#include "core/sessions/parsetree.h"
+#include "core/sessions/statementfinding.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
--- a/src/core/parsetree.cpp
+++ b/src/core/sessions/parsetree.cpp
@@ -1,6 +1,6 @@
 // Access to libpg_query's JSON.
 
-#include "core/parsetree.h"
+#include "core/sessions/parsetree.h"
 
 namespace egrettide::parsetree
 {
--- a/src/core/statementfinding.cpp
+++ b/src/core/sessions/statementfinding.cpp
@@ -1,9 +1,9 @@
 // One finder for each kind of statement, and the facts that any tree may hold:
 // calls, writes, temporary objects.
 
-#include "core/statementfinding.h"
+#include "core/sessions/statementfinding.h"
 
-#include "core/builtinfunctions.h"
+#include "core/sessions/builtinfunctions.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
--- a/src/core/statementfinding.h
+++ b/src/core/sessions/statementfinding.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include "core/parsetree.h"
+#include "core/sessions/parsetree.h"
 
 #include "egrettide/core/classifier.h"
 
--- a/src/core/classqueue.cpp
+++ b/src/core/slots/classqueue.cpp
@@ -1,6 +1,6 @@
 // Reservation accounting and overload detection of one class.
 
-#include "core/classqueue.h"
+#include "core/slots/classqueue.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/classqueue.h
+++ b/src/core/slots/classqueue.h
@@ -3,8 +3,8 @@
 
 #pragma once
 
-#include "core/slotmeters.h"
-#include "core/ticketlane.h"
+#include "core/slots/slotmeters.h"
+#include "core/slots/ticketlane.h"
 
 #include "egrettide/core/slotscheduler.h"
 
--- a/src/core/concurrencylimit.cpp
+++ b/src/core/slots/concurrencylimit.cpp
@@ -1,6 +1,6 @@
 // The two ways of learning a limit.
 
-#include "core/concurrencylimit.h"
+#include "core/slots/concurrencylimit.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/slotscheduler.cpp
+++ b/src/core/slots/slotscheduler.cpp
@@ -3,9 +3,9 @@
 
 #include "egrettide/core/slotscheduler.h"
 
-#include "core/classqueue.h"
-#include "core/slotmeters.h"
-#include "core/slotstate.h"
+#include "core/slots/classqueue.h"
+#include "core/slots/slotmeters.h"
+#include "core/slots/slotstate.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/core/slotstate.cpp
+++ b/src/core/slots/slotstate.cpp
@@ -1,7 +1,7 @@
 // Bookkeeping of waiting tickets, and the prediction of waits on which immediate
 // refusals rest.
 
-#include "core/slotstate.h"
+#include "core/slots/slotstate.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/slotstate.h
+++ b/src/core/slots/slotstate.h
@@ -3,9 +3,9 @@
 
 #pragma once
 
-#include "core/classqueue.h"
-#include "core/concurrencylimit.h"
-#include "core/slotmeters.h"
+#include "core/slots/classqueue.h"
+#include "core/slots/concurrencylimit.h"
+#include "core/slots/slotmeters.h"
 
 #include "egrettide/core/slotscheduler.h"
 
--- a/src/core/ticketlane.cpp
+++ b/src/core/slots/ticketlane.cpp
@@ -1,6 +1,6 @@
 // Ordered storage of waiting tickets.
 
-#include "core/ticketlane.h"
+#include "core/slots/ticketlane.h"
 
 #include <limits>
 #include <tuple>
--- a/src/runtime/callerconnection.cpp
+++ b/src/runtime/callers/callerconnection.cpp
@@ -1,8 +1,8 @@
 // One caller's connection.
 
-#include "runtime/callerconnection.h"
+#include "runtime/callers/callerconnection.h"
 
-#include "runtime/socketoptions.h"
+#include "runtime/host/socketoptions.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
--- a/src/runtime/callerconnection.h
+++ b/src/runtime/callers/callerconnection.h
@@ -3,9 +3,9 @@
 
 #pragma once
 
-#include "runtime/callerlink.h"
-#include "runtime/callersession.h"
-#include "runtime/trafficshard.h"
+#include "runtime/callers/callerlink.h"
+#include "runtime/callers/trafficshard.h"
+#include "runtime/sessions/callersession.h"
 #include "wire/batchassembler.h"
 
 #include <boost/asio/ip/tcp.hpp>
--- a/src/runtime/cancelregistry.cpp
+++ b/src/runtime/callers/cancelregistry.cpp
@@ -1,6 +1,6 @@
 // Remembers which connection a cancel request means.
 
-#include "runtime/cancelregistry.h"
+#include "runtime/callers/cancelregistry.h"
 
 #include <utility>
 
--- a/src/runtime/front.cpp
+++ b/src/runtime/callers/front.cpp
@@ -1,9 +1,9 @@
 // Accepts callers and spreads them over the traffic threads.
 
-#include "runtime/front.h"
+#include "runtime/callers/front.h"
 
-#include "runtime/callerlink.h"
-#include "runtime/trafficshard.h"
+#include "runtime/callers/callerlink.h"
+#include "runtime/callers/trafficshard.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <boost/asio/dispatch.hpp>
--- a/src/runtime/front.h
+++ b/src/runtime/callers/front.h
@@ -8,7 +8,7 @@
 #include "egrettide/core/error.h"
 #include "egrettide/core/request.h"
 #include "egrettide/core/types.h"
-#include "runtime/upstreamdialect.h"
+#include "runtime/upstreams/upstreamdialect.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/src/runtime/requestrunner.cpp
+++ b/src/runtime/callers/requestrunner.cpp
@@ -1,6 +1,6 @@
 // Takes one request of a caller to its one answer.
 
-#include "runtime/requestrunner.h"
+#include "runtime/callers/requestrunner.h"
 
 #include <boost/asio/dispatch.hpp>
 
--- a/src/runtime/requestrunner.h
+++ b/src/runtime/callers/requestrunner.h
@@ -6,7 +6,7 @@
 
 #include "egrettide/core/request.h"
 #include "egrettide/core/router.h"
-#include "runtime/trafficshard.h"
+#include "runtime/callers/trafficshard.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/src/runtime/trafficshard.h
+++ b/src/runtime/callers/trafficshard.h
@@ -7,8 +7,8 @@
 #include "egrettide/core/classifier.h"
 #include "egrettide/core/router.h"
 #include "egrettide/core/sessiontoken.h"
-#include "runtime/cancelregistry.h"
-#include "runtime/front.h"
+#include "runtime/callers/cancelregistry.h"
+#include "runtime/callers/front.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/src/runtime/applyrunner.cpp
+++ b/src/runtime/configuration/applyrunner.cpp
@@ -1,6 +1,6 @@
 // Between ConfigurationApply's actions and the store client.
 
-#include "runtime/applyrunner.h"
+#include "runtime/configuration/applyrunner.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/runtime/applyrunner.h
+++ b/src/runtime/configuration/applyrunner.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "egrettide/core/configurationapply.h"
-#include "runtime/store.h"
+#include "runtime/store/store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/runtime/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -1,6 +1,6 @@
 // Follows a collection of objects in a store.
 
-#include "runtime/collection.h"
+#include "runtime/configuration/collection.h"
 
 #include <algorithm>
 
--- a/src/runtime/configurationkeeper.cpp
+++ b/src/runtime/configuration/configurationkeeper.cpp
@@ -1,9 +1,9 @@
 // Keeps this host's configuration current.
 
-#include "runtime/configurationkeeper.h"
+#include "runtime/configuration/configurationkeeper.h"
 
 #include "egrettide/core/configurationapply.h"
-#include "runtime/log.h"
+#include "runtime/host/log.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/runtime/configurationkeeper.h
+++ b/src/runtime/configuration/configurationkeeper.h
@@ -6,8 +6,8 @@
 
 #include "egrettide/core/configuration.h"
 #include "egrettide/core/configurationstate.h"
-#include "runtime/configurationsource.h"
-#include "runtime/store.h"
+#include "runtime/configuration/configurationsource.h"
+#include "runtime/store/store.h"
 #include "wire/hopcodec.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/runtime/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -1,8 +1,8 @@
 // Puts a configuration together from what lies in a store.
 
-#include "runtime/discoveredconfiguration.h"
+#include "runtime/configuration/discoveredconfiguration.h"
 
-#include "runtime/log.h"
+#include "runtime/host/log.h"
 
 #include <algorithm>
 
--- a/src/runtime/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -4,8 +4,8 @@
 
 #pragma once
 
-#include "runtime/collection.h"
-#include "runtime/configurationsource.h"
+#include "runtime/configuration/collection.h"
+#include "runtime/configuration/configurationsource.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/runtime/membershipdriver.cpp
+++ b/src/runtime/fleet/membershipdriver.cpp
@@ -1,8 +1,8 @@
 // Gives Membership its time and its messages.
 
-#include "runtime/membershipdriver.h"
+#include "runtime/fleet/membershipdriver.h"
 
-#include "runtime/log.h"
+#include "runtime/host/log.h"
 
 namespace egrettide
 {
--- a/src/runtime/membershipdriver.h
+++ b/src/runtime/fleet/membershipdriver.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "egrettide/core/membership.h"
-#include "runtime/store.h"
+#include "runtime/store/store.h"
 #include "wire/hopcodec.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/runtime/peerinbound.cpp
+++ b/src/runtime/fleet/peerinbound.cpp
@@ -1,6 +1,6 @@
 // Links that peers dialled, and their requests to this host as home.
 
-#include "runtime/peernetworkstate.h"
+#include "runtime/fleet/peernetworkstate.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/runtime/peerlink.cpp
+++ b/src/runtime/fleet/peerlink.cpp
@@ -1,8 +1,8 @@
 // Reading, batching and closing of one link.
 
-#include "runtime/peerlink.h"
+#include "runtime/fleet/peerlink.h"
 
-#include "runtime/socketoptions.h"
+#include "runtime/host/socketoptions.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
--- a/src/runtime/peernetwork.cpp
+++ b/src/runtime/fleet/peernetwork.cpp
@@ -1,8 +1,8 @@
 // Both directions of the links between hosts: messages, counters and timers.
 
-#include "runtime/peernetworkstate.h"
+#include "runtime/fleet/peernetworkstate.h"
 
-#include "runtime/address.h"
+#include "runtime/host/address.h"
 
 #include <absl/container/flat_hash_set.h>
 
--- a/src/runtime/peernetworkstate.h
+++ b/src/runtime/fleet/peernetworkstate.h
@@ -4,9 +4,9 @@
 
 #pragma once
 
-#include "runtime/peerlink.h"
-#include "runtime/peernetwork.h"
-#include "runtime/peerrequest.h"
+#include "runtime/fleet/peerlink.h"
+#include "runtime/fleet/peernetwork.h"
+#include "runtime/fleet/peerrequest.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <boost/asio/ip/tcp.hpp>
--- a/src/runtime/peeroutbound.cpp
+++ b/src/runtime/fleet/peeroutbound.cpp
@@ -1,8 +1,8 @@
 // Hosts that we dial, and requests of this host to homes there.
 
-#include "runtime/peernetworkstate.h"
+#include "runtime/fleet/peernetworkstate.h"
 
-#include "runtime/address.h"
+#include "runtime/host/address.h"
 #include "wire/pgwire.h"
 
 #include <boost/asio/post.hpp>
--- a/src/runtime/peerrequest.cpp
+++ b/src/runtime/fleet/peerrequest.cpp
@@ -1,8 +1,8 @@
 // The rules of outcome.
 
-#include "runtime/peerrequest.h"
+#include "runtime/fleet/peerrequest.h"
 
-#include "runtime/peernetwork.h"
+#include "runtime/fleet/peernetwork.h"
 
 #include <algorithm>
 
--- a/src/runtime/groupcontrol.cpp
+++ b/src/runtime/group/groupcontrol.cpp
@@ -1,6 +1,6 @@
 // Control calls over one lasting connection for each upstream.
 
-#include "runtime/groupcontrol.h"
+#include "runtime/group/groupcontrol.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/runtime/groupcontrol.h
+++ b/src/runtime/group/groupcontrol.h
@@ -10,7 +10,7 @@
 #include "egrettide/core/failuredetector.h"
 #include "egrettide/core/promoter.h"
 #include "egrettide/core/types.h"
-#include "runtime/upstreamlink.h"
+#include "runtime/upstreams/upstreamlink.h"
 
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
--- a/src/runtime/groupcoordination.cpp
+++ b/src/runtime/group/groupcoordination.cpp
@@ -1,8 +1,8 @@
 // Opinions, claims, records and announcements around a promotion.
 
-#include "runtime/groupcoordination.h"
+#include "runtime/group/groupcoordination.h"
 
-#include "runtime/log.h"
+#include "runtime/host/log.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/runtime/groupcoordination.h
+++ b/src/runtime/group/groupcoordination.h
@@ -5,8 +5,8 @@
 
 #pragma once
 
-#include "runtime/groupobserver.h"
-#include "runtime/store.h"
+#include "runtime/group/groupobserver.h"
+#include "runtime/store/store.h"
 #include "wire/hopcodec.h"
 
 #include <functional>
--- a/src/runtime/grouphint.cpp
+++ b/src/runtime/group/grouphint.cpp
@@ -1,6 +1,6 @@
 // Hints about a group.
 
-#include "runtime/grouphint.h"
+#include "runtime/group/grouphint.h"
 
 namespace egrettide
 {
--- a/src/runtime/groupobserver.cpp
+++ b/src/runtime/group/groupobserver.cpp
@@ -1,6 +1,6 @@
 // Drives the decisions about one group with time, probes and control calls.
 
-#include "runtime/groupobserver.h"
+#include "runtime/group/groupobserver.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/runtime/groupobserver.h
+++ b/src/runtime/group/groupobserver.h
@@ -13,8 +13,8 @@
 #include "egrettide/core/promoter.h"
 #include "egrettide/core/switchover.h"
 #include "egrettide/core/types.h"
-#include "runtime/groupcontrol.h"
-#include "runtime/upstreamdialect.h"
+#include "runtime/group/groupcontrol.h"
+#include "runtime/upstreams/upstreamdialect.h"
 
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
--- a/src/runtime/sqlcontrol.cpp
+++ b/src/runtime/group/sqlcontrol.cpp
@@ -1,6 +1,6 @@
 // Control functions of upstreams over SQL.
 
-#include "runtime/sqlcontrol.h"
+#include "runtime/group/sqlcontrol.h"
 
 #include "wire/pgwire.h"
 
--- a/src/runtime/sqlcontrol.h
+++ b/src/runtime/group/sqlcontrol.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "egrettide/core/types.h"
-#include "runtime/groupcontrol.h"
+#include "runtime/group/groupcontrol.h"
 
 #include <optional>
 #include <string>
--- a/src/runtime/switchoverdesk.cpp
+++ b/src/runtime/group/switchoverdesk.cpp
@@ -1,6 +1,6 @@
 // Brings planned changes of primary to the right home.
 
-#include "runtime/switchoverdesk.h"
+#include "runtime/group/switchoverdesk.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/runtime/switchoverdesk.h
+++ b/src/runtime/group/switchoverdesk.h
@@ -4,8 +4,8 @@
 
 #pragma once
 
-#include "runtime/homeservice.h"
-#include "runtime/operatorserver.h"
+#include "runtime/operators/operatorserver.h"
+#include "runtime/upstreams/homeservice.h"
 #include "wire/hopcodec.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/runtime/address.cpp
+++ b/src/runtime/host/address.cpp
@@ -1,6 +1,6 @@
 // Reads "IP:port" texts.
 
-#include "runtime/address.h"
+#include "runtime/host/address.h"
 
 #include <absl/strings/numbers.h>
 
--- a/src/runtime/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -1,21 +1,21 @@
 // Connects the parts of one entry host.
 
-#include "runtime/hostdaemon.h"
+#include "runtime/host/hostdaemon.h"
 
 #include "egrettide/core/membership.h"
 #include "egrettide/core/placement.h"
 #include "egrettide/core/retrybudget.h"
-#include "runtime/address.h"
-#include "runtime/front.h"
-#include "runtime/groupcoordination.h"
-#include "runtime/homeservice.h"
-#include "runtime/hostmetrics.h"
-#include "runtime/hoststatus.h"
-#include "runtime/log.h"
-#include "runtime/membershipdriver.h"
-#include "runtime/operatorserver.h"
-#include "runtime/peernetwork.h"
-#include "runtime/switchoverdesk.h"
+#include "runtime/callers/front.h"
+#include "runtime/fleet/membershipdriver.h"
+#include "runtime/fleet/peernetwork.h"
+#include "runtime/group/groupcoordination.h"
+#include "runtime/group/switchoverdesk.h"
+#include "runtime/host/address.h"
+#include "runtime/host/log.h"
+#include "runtime/operators/hostmetrics.h"
+#include "runtime/operators/hoststatus.h"
+#include "runtime/operators/operatorserver.h"
+#include "runtime/upstreams/homeservice.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
--- a/src/runtime/hostdaemon.h
+++ b/src/runtime/host/hostdaemon.h
@@ -5,8 +5,8 @@
 #pragma once
 
 #include "egrettide/core/error.h"
-#include "runtime/hostparts.h"
-#include "runtime/settings.h"
+#include "runtime/host/hostparts.h"
+#include "runtime/host/settings.h"
 
 #include <tl/expected.hpp>
 
--- a/src/runtime/hostparts.cpp
+++ b/src/runtime/host/hostparts.cpp
@@ -1,10 +1,10 @@
 // The parts of a host in front of PostgreSQL.
 
-#include "runtime/hostparts.h"
+#include "runtime/host/hostparts.h"
 
-#include "runtime/address.h"
-#include "runtime/configurationkeeper.h"
-#include "runtime/storeclient.h"
+#include "runtime/configuration/configurationkeeper.h"
+#include "runtime/host/address.h"
+#include "runtime/store/storeclient.h"
 
 namespace egrettide
 {
--- a/src/runtime/hostparts.h
+++ b/src/runtime/host/hostparts.h
@@ -4,11 +4,11 @@
 #pragma once
 
 #include "egrettide/core/error.h"
-#include "runtime/configurationsource.h"
-#include "runtime/front.h"
-#include "runtime/settings.h"
-#include "runtime/store.h"
-#include "runtime/upstreamdialect.h"
+#include "runtime/callers/front.h"
+#include "runtime/configuration/configurationsource.h"
+#include "runtime/host/settings.h"
+#include "runtime/store/store.h"
+#include "runtime/upstreams/upstreamdialect.h"
 
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
--- a/src/runtime/log.cpp
+++ b/src/runtime/host/log.cpp
@@ -1,6 +1,6 @@
 // Structured logs by Boost.Log: a text sink whose messages are JSON objects.
 
-#include "runtime/log.h"
+#include "runtime/host/log.h"
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
--- a/src/runtime/settings.cpp
+++ b/src/runtime/host/settings.cpp
@@ -1,8 +1,8 @@
 // Checks and reads a host's settings file.
 
-#include "runtime/settings.h"
+#include "runtime/host/settings.h"
 
-#include "core/schemacheck.h"
+#include "core/configuration/schemacheck.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/runtime/socketoptions.cpp
+++ b/src/runtime/host/socketoptions.cpp
@@ -1,6 +1,6 @@
 // Options of sockets that stay open for long.
 
-#include "runtime/socketoptions.h"
+#include "runtime/host/socketoptions.h"
 
 #include <boost/asio/detail/socket_option.hpp>
 
--- a/src/runtime/hostmetrics.cpp
+++ b/src/runtime/operators/hostmetrics.cpp
@@ -1,6 +1,6 @@
 // The metrics of one host.
 
-#include "runtime/hostmetrics.h"
+#include "runtime/operators/hostmetrics.h"
 
 #include <atomic>
 
--- a/src/runtime/hostmetrics.h
+++ b/src/runtime/operators/hostmetrics.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "egrettide/core/metrics.h"
-#include "runtime/front.h"
+#include "runtime/callers/front.h"
 
 #include <memory>
 #include <mutex>
--- a/src/runtime/hoststatus.cpp
+++ b/src/runtime/operators/hoststatus.cpp
@@ -1,6 +1,6 @@
 // What operators see of one host.
 
-#include "runtime/hoststatus.h"
+#include "runtime/operators/hoststatus.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/runtime/hoststatus.h
+++ b/src/runtime/operators/hoststatus.h
@@ -5,9 +5,9 @@
 #include "egrettide/core/configuration.h"
 #include "egrettide/core/membership.h"
 #include "egrettide/core/metrics.h"
-#include "runtime/homeservice.h"
-#include "runtime/peernetwork.h"
-#include "runtime/storeclient.h"
+#include "runtime/fleet/peernetwork.h"
+#include "runtime/store/storeclient.h"
+#include "runtime/upstreams/homeservice.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/src/runtime/operatorcommands.cpp
+++ b/src/runtime/operators/operatorcommands.cpp
@@ -1,13 +1,13 @@
 // The operators' commands over the store client and the hosts' operators' endpoint.
 
-#include "runtime/operatorcommands.h"
+#include "runtime/operators/operatorcommands.h"
 
 #include "egrettide/core/configurationfile.h"
-#include "runtime/address.h"
-#include "runtime/applyrunner.h"
-#include "runtime/httpclient.h"
-#include "runtime/operatorstatus.h"
-#include "runtime/storeclient.h"
+#include "runtime/configuration/applyrunner.h"
+#include "runtime/host/address.h"
+#include "runtime/operators/operatorstatus.h"
+#include "runtime/store/httpclient.h"
+#include "runtime/store/storeclient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
--- a/src/runtime/operatorserver.cpp
+++ b/src/runtime/operators/operatorserver.cpp
@@ -1,8 +1,8 @@
 // The operators' HTTP endpoint, by Boost.Beast.
 
-#include "runtime/operatorserver.h"
+#include "runtime/operators/operatorserver.h"
 
-#include "runtime/address.h"
+#include "runtime/host/address.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
--- a/src/runtime/operatorstatus.cpp
+++ b/src/runtime/operators/operatorstatus.cpp
@@ -1,6 +1,6 @@
 // Compares hosts with the last accepted file.
 
-#include "runtime/operatorstatus.h"
+#include "runtime/operators/operatorstatus.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/runtime/operatorstatus.h
+++ b/src/runtime/operators/operatorstatus.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include "runtime/storeclient.h"
+#include "runtime/store/storeclient.h"
 
 #include <nlohmann/json_fwd.hpp>
 #include <tl/expected.hpp>
--- a/src/runtime/callersession.cpp
+++ b/src/runtime/sessions/callersession.cpp
@@ -1,6 +1,6 @@
 // One caller's session behind its connection.
 
-#include "runtime/callersession.h"
+#include "runtime/sessions/callersession.h"
 
 #include "egrettide/core/transactionfailure.h"
 
--- a/src/runtime/callersession.h
+++ b/src/runtime/sessions/callersession.h
@@ -5,9 +5,9 @@
 #pragma once
 
 #include "egrettide/core/sessionstate.h"
-#include "runtime/callersettings.h"
-#include "runtime/requestrunner.h"
-#include "runtime/trafficshard.h"
+#include "runtime/callers/requestrunner.h"
+#include "runtime/callers/trafficshard.h"
+#include "runtime/sessions/callersettings.h"
 #include "wire/batchassembler.h"
 
 #include <functional>
--- a/src/runtime/callersettings.cpp
+++ b/src/runtime/sessions/callersettings.cpp
@@ -1,6 +1,6 @@
 // Answers SET, SHOW, RESET, DISCARD and DEALLOCATE for one caller.
 
-#include "runtime/callersettings.h"
+#include "runtime/sessions/callersettings.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
--- a/src/runtime/statementsession.cpp
+++ b/src/runtime/sessions/statementsession.cpp
@@ -1,6 +1,6 @@
 // One caller's session of single statements.
 
-#include "runtime/statementsession.h"
+#include "runtime/sessions/statementsession.h"
 
 #include "egrettide/core/transactionfailure.h"
 
--- a/src/runtime/statementsession.h
+++ b/src/runtime/sessions/statementsession.h
@@ -7,8 +7,8 @@
 
 #include "egrettide/core/configuration.h"
 #include "egrettide/core/sessionstate.h"
-#include "runtime/requestrunner.h"
-#include "runtime/trafficshard.h"
+#include "runtime/callers/requestrunner.h"
+#include "runtime/callers/trafficshard.h"
 
 #include <functional>
 #include <map>
--- a/src/runtime/httpclient.cpp
+++ b/src/runtime/store/httpclient.cpp
@@ -1,8 +1,8 @@
 // One Connection per outstanding call, reused through a list of idle ones.
 
-#include "runtime/httpclient.h"
+#include "runtime/store/httpclient.h"
 
-#include "runtime/socketoptions.h"
+#include "runtime/host/socketoptions.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/src/runtime/storeclient.cpp
+++ b/src/runtime/store/storeclient.cpp
@@ -1,6 +1,6 @@
 // Maps store calls to HTTP and answers back to typed results.
 
-#include "runtime/storeclient.h"
+#include "runtime/store/storeclient.h"
 
 #include <boost/asio/post.hpp>
 
--- a/src/runtime/storeclient.h
+++ b/src/runtime/store/storeclient.h
@@ -2,8 +2,8 @@
 
 #pragma once
 
-#include "runtime/httpclient.h"
-#include "runtime/store.h"
+#include "runtime/store/httpclient.h"
+#include "runtime/store/store.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/src/runtime/homeerrors.cpp
+++ b/src/runtime/upstreams/homeerrors.cpp
@@ -1,6 +1,6 @@
 // Errors of homes.
 
-#include "runtime/homeerrors.h"
+#include "runtime/upstreams/homeerrors.h"
 
 namespace egrettide::homeerrors
 {
--- a/src/runtime/homerequest.cpp
+++ b/src/runtime/upstreams/homerequest.cpp
@@ -1,6 +1,6 @@
 // Requests and transactions of a home.
 
-#include "runtime/homerequest.h"
+#include "runtime/upstreams/homerequest.h"
 
 namespace egrettide
 {
--- a/src/runtime/homerequest.h
+++ b/src/runtime/upstreams/homerequest.h
@@ -7,7 +7,7 @@
 #include "egrettide/core/request.h"
 #include "egrettide/core/requestledger.h"
 #include "egrettide/core/types.h"
-#include "runtime/upstreampool.h"
+#include "runtime/upstreams/upstreampool.h"
 
 #include <cstdint>
 #include <string>
--- a/src/runtime/homeservice.cpp
+++ b/src/runtime/upstreams/homeservice.cpp
@@ -1,6 +1,6 @@
 // Homes and observers of this host.
 
-#include "runtime/homeservice.h"
+#include "runtime/upstreams/homeservice.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
--- a/src/runtime/homeservice.h
+++ b/src/runtime/upstreams/homeservice.h
@@ -7,8 +7,8 @@
 #include "egrettide/core/configuration.h"
 #include "egrettide/core/request.h"
 #include "egrettide/core/types.h"
-#include "runtime/groupobserver.h"
-#include "runtime/upstreamhome.h"
+#include "runtime/group/groupobserver.h"
+#include "runtime/upstreams/upstreamhome.h"
 
 #include <boost/asio/io_context.hpp>
 #include <tl/expected.hpp>
--- a/src/runtime/upstreamconnection.cpp
+++ b/src/runtime/upstreams/upstreamconnection.cpp
@@ -1,9 +1,9 @@
 // One connection to an upstream.
 
-#include "runtime/upstreamconnection.h"
+#include "runtime/upstreams/upstreamconnection.h"
 
-#include "runtime/socketoptions.h"
-#include "runtime/sqlcontrol.h"
+#include "runtime/group/sqlcontrol.h"
+#include "runtime/host/socketoptions.h"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
--- a/src/runtime/upstreamconnection.h
+++ b/src/runtime/upstreams/upstreamconnection.h
@@ -6,7 +6,7 @@
 #include "egrettide/core/failuredetector.h"
 #include "egrettide/core/request.h"
 #include "egrettide/core/types.h"
-#include "runtime/upstreamlink.h"
+#include "runtime/upstreams/upstreamlink.h"
 #include "wire/pgwire.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/runtime/upstreamdialect.cpp
+++ b/src/runtime/upstreams/upstreamdialect.cpp
@@ -1,9 +1,9 @@
 // The PostgreSQL kind of upstreams.
 
-#include "runtime/upstreamdialect.h"
+#include "runtime/upstreams/upstreamdialect.h"
 
-#include "runtime/sqlcontrol.h"
-#include "runtime/upstreamconnection.h"
+#include "runtime/group/sqlcontrol.h"
+#include "runtime/upstreams/upstreamconnection.h"
 #include "wire/pgwire.h"
 
 namespace egrettide
--- a/src/runtime/upstreamdialect.h
+++ b/src/runtime/upstreams/upstreamdialect.h
@@ -3,8 +3,8 @@
 
 #pragma once
 
-#include "runtime/groupcontrol.h"
-#include "runtime/upstreamlink.h"
+#include "runtime/group/groupcontrol.h"
+#include "runtime/upstreams/upstreamlink.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
--- a/src/runtime/upstreamhome.cpp
+++ b/src/runtime/upstreams/upstreamhome.cpp
@@ -1,9 +1,9 @@
 // The home of one upstream: admission, freshness and sending. Answers are taken
 // in upstreamhomeanswers.cpp, time and operations in upstreamhomeupkeep.cpp.
 
-#include "runtime/upstreamhome.h"
+#include "runtime/upstreams/upstreamhome.h"
 
-#include "runtime/homeerrors.h"
+#include "runtime/upstreams/homeerrors.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/runtime/upstreamhome.h
+++ b/src/runtime/upstreams/upstreamhome.h
@@ -13,10 +13,10 @@
 #include "egrettide/core/requestledger.h"
 #include "egrettide/core/slotscheduler.h"
 #include "egrettide/core/types.h"
-#include "runtime/homerequest.h"
-#include "runtime/upstreamdialect.h"
-#include "runtime/upstreampool.h"
-#include "runtime/upstreamview.h"
+#include "runtime/upstreams/homerequest.h"
+#include "runtime/upstreams/upstreamdialect.h"
+#include "runtime/upstreams/upstreampool.h"
+#include "runtime/upstreams/upstreamview.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/runtime/upstreamhomeanswers.cpp
+++ b/src/runtime/upstreams/upstreamhomeanswers.cpp
@@ -1,8 +1,8 @@
 // The home of one upstream: answers, held commits, ends of requests, transactions.
 
-#include "runtime/upstreamhome.h"
+#include "runtime/upstreams/upstreamhome.h"
 
-#include "runtime/homeerrors.h"
+#include "runtime/upstreams/homeerrors.h"
 
 #include <boost/asio/post.hpp>
 
--- a/src/runtime/upstreamhomeupkeep.cpp
+++ b/src/runtime/upstreams/upstreamhomeupkeep.cpp
@@ -1,8 +1,8 @@
 // The home of one upstream: what time brings, and what operators ask for.
 
-#include "runtime/upstreamhome.h"
+#include "runtime/upstreams/upstreamhome.h"
 
-#include "runtime/homeerrors.h"
+#include "runtime/upstreams/homeerrors.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/runtime/upstreampool.cpp
+++ b/src/runtime/upstreams/upstreampool.cpp
@@ -1,6 +1,6 @@
 // Data connections of one upstream.
 
-#include "runtime/upstreampool.h"
+#include "runtime/upstreams/upstreampool.h"
 
 #include <algorithm>
 
--- a/src/runtime/upstreampool.h
+++ b/src/runtime/upstreams/upstreampool.h
@@ -6,7 +6,7 @@
 #include "egrettide/core/connectionbudget.h"
 #include "egrettide/core/error.h"
 #include "egrettide/core/types.h"
-#include "runtime/upstreamlink.h"
+#include "runtime/upstreams/upstreamlink.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/src/runtime/upstreamview.cpp
+++ b/src/runtime/upstreams/upstreamview.cpp
@@ -1,8 +1,8 @@
 // A home's view of its upstream's group.
 
-#include "runtime/upstreamview.h"
+#include "runtime/upstreams/upstreamview.h"
 
-#include "runtime/grouphint.h"
+#include "runtime/group/grouphint.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/tools/egrettidectl.cpp
+++ b/src/tools/egrettidectl.cpp
@@ -1,7 +1,7 @@
 // The operators' tool: reads its command line, runs one command, prints.
 
-#include "runtime/address.h"
-#include "runtime/operatorcommands.h"
+#include "runtime/host/address.h"
+#include "runtime/operators/operatorcommands.h"
 
 #include <boost/program_options.hpp>
 
--- a/src/tools/egrettided.cpp
+++ b/src/tools/egrettided.cpp
@@ -1,9 +1,9 @@
 // egrettided: the daemon of one entry host.
 
 #include "platform/hostparts.h"
-#include "runtime/hostdaemon.h"
-#include "runtime/log.h"
-#include "runtime/settings.h"
+#include "runtime/host/hostdaemon.h"
+#include "runtime/host/log.h"
+#include "runtime/host/settings.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
--- a/testing/platform/platformstandin.cpp
+++ b/testing/platform/platformstandin.cpp
@@ -185,6 +185,7 @@
     KindStore kinds;
     std::vector<std::function<void()>> lateChanges;
     std::function<bool(const PromotionOrder &)> promote;
+    std::function<void(const json &)> members;
     std::vector<PromotionOrder> promotions;
     // The highest fencing token seen for each service.
     std::map<std::string, std::uint64_t> fences;
@@ -398,6 +399,10 @@
     if (path == "/admin/faults" && body.is_object()) {
         return handleFaults(body);
     }
+    if (path == "/admin/members" && body.is_object() && members) {
+        members(body);
+        return answer(http::status::ok, json::object());
+    }
     if (path == "/admin/hosts" && body.is_array()) {
         std::vector<PlatformHost> hosts;
         std::transform(body.begin(), body.end(), std::back_inserter(hosts), hostOf);
@@ -825,6 +830,11 @@
     m_server->run([&hook](Server &server) { server.promote = std::move(hook); });
 }
 
+void PlatformStandIn::onMembers(std::function<void(const json &)> hook)
+{
+    m_server->run([&hook](Server &server) { server.members = std::move(hook); });
+}
+
 std::vector<PromotionOrder> PlatformStandIn::promotions() const
 {
     return m_server->run([](Server &server) { return server.promotions; });
--- a/testing/platform/platformstandin.h
+++ b/testing/platform/platformstandin.h
@@ -11,6 +11,7 @@
 //   GET    /hosts                              [{"name","zone","address","state"}]
 //   The users' platform: GET, POST, PUT and DELETE on /v1/objects/KIND[/NAME] with
 //   pages and watches, and POST /promote with a fencing token.
+//   PUT    /admin/members {"dark": NAME} or {"bright": NAME}, where a service runs here
 //   PUT    /admin/hosts                        the same list; shows after the lag
 //   PUT    /admin/faults {"down","delayMs","loseNextAnswers","failNextCalls","hostListLagMs","downAfterNextChange"} GET
 //   /admin/calls                        calls received, by kind
@@ -95,6 +96,8 @@
     void setPageSize(std::size_t objects);
     // Carries promotions out; false stands for an upstream that is not running.
     void onPromotion(std::function<bool(const PromotionOrder &)> hook);
+    // Called with the body of a PUT on /admin/members.
+    void onMembers(std::function<void(const nlohmann::json &)> hook);
     // Orders that passed the check of their fence, in order.
     std::vector<PromotionOrder> promotions() const;
     // Creates or replaces an object of a kind, past all faults.
--- a/tests/platform/platformsite.h
+++ b/tests/platform/platformsite.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "platform/hostparts.h"
-#include "runtime/hostdaemon.h"
+#include "runtime/host/hostdaemon.h"
 #include "testing/platform/linegroup.h"
 #include "testing/platform/platformstandin.h"
 #include "tests/platform/lineclient.h"
--- a/tests/process/egrettidectl_test.cpp
+++ b/tests/process/egrettidectl_test.cpp
@@ -6,8 +6,8 @@
 
 #include "egrettide/core/configurationapply.h"
 #include "egrettide/core/configurationfile.h"
-#include "runtime/httpclient.h"
-#include "runtime/operatorserver.h"
+#include "runtime/operators/operatorserver.h"
+#include "runtime/store/httpclient.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
--- a/tests/runtime/configurationkeeper_test.cpp
+++ b/tests/runtime/configurationkeeper_test.cpp
@@ -5,7 +5,7 @@
 
 #include "egrettide/core/configurationapply.h"
 #include "egrettide/core/configurationfile.h"
-#include "runtime/configurationkeeper.h"
+#include "runtime/configuration/configurationkeeper.h"
 #include "tests/runtime/controlplane.h"
 
 #include <nlohmann/json.hpp>
--- a/tests/runtime/controlplane.h
+++ b/tests/runtime/controlplane.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include "runtime/storeclient.h"
+#include "runtime/store/storeclient.h"
 #include "testing/platform/platformstandin.h"
 
 #include <boost/asio/io_context.hpp>
--- a/tests/runtime/front_test.cpp
+++ b/tests/runtime/front_test.cpp
@@ -3,7 +3,7 @@
 #define BOOST_TEST_MODULE Front
 #include <boost/test/unit_test.hpp>
 
-#include "runtime/front.h"
+#include "runtime/callers/front.h"
 #include "tests/runtime/fakehome.h"
 #include "wire/pgwire.h"
 
--- a/tests/runtime/frontandhomes_test.cpp
+++ b/tests/runtime/frontandhomes_test.cpp
@@ -4,7 +4,7 @@
 #define BOOST_TEST_MODULE FrontAndHomes
 #include <boost/test/unit_test.hpp>
 
-#include "runtime/front.h"
+#include "runtime/callers/front.h"
 #include "tests/runtime/homecluster.h"
 
 #include <libpq-fe.h>
--- a/tests/runtime/groupcoordination_test.cpp
+++ b/tests/runtime/groupcoordination_test.cpp
@@ -3,7 +3,7 @@
 #define BOOST_TEST_MODULE GroupCoordination
 #include <boost/test/unit_test.hpp>
 
-#include "runtime/groupcoordination.h"
+#include "runtime/group/groupcoordination.h"
 #include "tests/runtime/controlplane.h"
 
 #include <nlohmann/json.hpp>
--- a/tests/runtime/homecluster.h
+++ b/tests/runtime/homecluster.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "egrettide/core/configuration.h"
-#include "runtime/homeservice.h"
+#include "runtime/upstreams/homeservice.h"
 #include "testing/upstream/upstreamstandin.h"
 #include "wire/pgwire.h"
 
--- a/tests/runtime/peernetwork_test.cpp
+++ b/tests/runtime/peernetwork_test.cpp
@@ -4,7 +4,7 @@
 #define BOOST_TEST_MODULE PeerNetwork
 #include <boost/test/unit_test.hpp>
 
-#include "runtime/peernetwork.h"
+#include "runtime/fleet/peernetwork.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
--- a/tests/runtime/platformapply_test.cpp
+++ b/tests/runtime/platformapply_test.cpp
@@ -5,8 +5,8 @@
 #define BOOST_TEST_MODULE PlatformApply
 #include <boost/test/unit_test.hpp>
 
-#include "runtime/applyrunner.h"
-#include "runtime/storeclient.h"
+#include "runtime/configuration/applyrunner.h"
+#include "runtime/store/storeclient.h"
 #include "testing/platform/platformstandin.h"
 
 #include <memory>
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -3,7 +3,7 @@
 #define BOOST_TEST_MODULE Settings
 #include <boost/test/unit_test.hpp>
 
-#include "runtime/settings.h"
+#include "runtime/host/settings.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/runtime/storeclient_test.cpp
+++ b/tests/runtime/storeclient_test.cpp
@@ -4,7 +4,7 @@
 #define BOOST_TEST_MODULE StoreClient
 #include <boost/test/unit_test.hpp>
 
-#include "runtime/storeclient.h"
+#include "runtime/store/storeclient.h"
 #include "testing/platform/platformstandin.h"
 
 #include <optional>
--- a/tests/runtime/upstreamconnection_test.cpp
+++ b/tests/runtime/upstreamconnection_test.cpp
@@ -4,7 +4,7 @@
 #define BOOST_TEST_MODULE UpstreamConnection
 #include <boost/test/unit_test.hpp>
 
-#include "runtime/upstreamconnection.h"
+#include "runtime/upstreams/upstreamconnection.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/tests/runtime/upstreamview_test.cpp
+++ b/tests/runtime/upstreamview_test.cpp
@@ -3,7 +3,7 @@
 #define BOOST_TEST_MODULE UpstreamView
 #include <boost/test/unit_test.hpp>
 
-#include "runtime/upstreamview.h"
+#include "runtime/upstreams/upstreamview.h"
 
 using namespace egrettide;
 using namespace std::chrono_literals;
