Take the upstream's own slots as the limit where they are exact; take homes once the view has settled

Its learnt limit had fallen to one: it had seen quick statements first, took usual ones for slow, and with a queue standing before it never rose. Found from the new lines request_failed ('more arrives than the upstream can answer ... 30000 ms' at half load); ruled out by primary_seen and home_taken: wrong beliefs about the primary, upstreams without a home.

Cause 2: a host that starts saw two others, then all; it took homes by each view and left them again, so upstreams were shared by more than two homes for a second.

Change: UpstreamDialect::slotsAreExact fixes the limit; a host holds nothing until its view has stood still for 0.3 s, 1.5 s after its start at the latest. Lines for failed requests (by id, 50 a second at most), beliefs about primaries, homes taken and left.

--- a/src/runtime/group/groupobserver.cpp
+++ b/src/runtime/group/groupobserver.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/group/groupobserver.h"
 
+#include "runtime/host/log.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -276,6 +278,7 @@
     {
         const auto view = m_monitor.snapshot();
         if (view != m_seen) {
+            logBelief(*view);
             m_seen = view;
             publish();
             perform(m_promoter->onGroup(*view, m_monitor.statuses(), now));
@@ -288,6 +291,20 @@
         }
     }
 
+    // One line for each change of what this host believes about the group's primary.
+    void logBelief(const GroupSnapshot &view) const
+    {
+        const bool same = m_seen && m_seen->primary == view.primary && m_seen->term == view.term
+            && m_seen->primaryConfirmed == view.primaryConfirmed;
+        if (!same) {
+            log::info("primary_seen",
+                      {{"database", view.database},
+                       {"primary", view.primary},
+                       {"term", view.term},
+                       {"confirmed", view.primaryConfirmed}});
+        }
+    }
+
     // Publishes the monitor's view. While an announced term has not been seen by a
     // round, the announced primary stands in, unconfirmed: writes find it at once,
     // and if it is none it refuses them.
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -48,7 +48,10 @@
 // In large zones a host hears from a sample of its zone mates only.
 constexpr std::size_t confirmingHosts = 3;
 // A host that starts hears from the others within two heartbeats; twice that.
-constexpr milliseconds loneHostPatience{1500};
+constexpr milliseconds joinBound{1500};
+// Of seven hosts that started within 0.2 s, each saw the last of the others at most
+// 0.25 s after the one before.
+constexpr milliseconds viewSettleTime{300};
 // An order to promote is carried out some hundred milliseconds after it was taken, a
 // second at most; twice that is left before another attempt.
 constexpr milliseconds orderedPromotionTimeout{2500};
@@ -175,8 +178,7 @@
     void onConfiguration(const std::shared_ptr<const Configuration> &configuration);
     void onView(const std::shared_ptr<const MembershipView> &view);
     void rebuildRoutes();
-    bool knowsTheOthers(const MembershipView &view) const;
-    void armLoneStart();
+    void joinOnceSettled(bool trusted);
     bool isWatcher() const;
     std::vector<std::string> otherHosts() const;
     std::vector<std::string> someHosts(std::size_t count);
@@ -231,9 +233,10 @@
     // Null without a listener of its own for readiness.
     std::unique_ptr<OperatorServer> m_ready;
     std::unique_ptr<asio::steady_timer> m_drainTimer;
-    std::unique_ptr<asio::steady_timer> m_loneTimer;
-    // From then on this host may hold connections although it has heard of nobody.
-    TimePoint m_holdsAloneFrom = TimePoint::max();
+    std::unique_ptr<asio::steady_timer> m_joinTimer;
+    // Control thread only. False until this host may be home of upstreams.
+    bool m_joined = false;
+    TimePoint m_joinsBy = TimePoint::max();
 
     // When each host was last heard from; control thread only.
     absl::flat_hash_map<std::string, TimePoint> m_heard;
@@ -271,7 +274,7 @@
         m_guards.push_back(asio::make_work_guard(*context));
     }
     m_drainTimer = std::make_unique<asio::steady_timer>(m_control);
-    m_loneTimer = std::make_unique<asio::steady_timer>(m_control);
+    m_joinTimer = std::make_unique<asio::steady_timer>(m_control);
 }
 
 tl::expected<void, Error> HostDaemon::Impl::makeStore()
@@ -345,6 +348,9 @@
     if (m_dialect->leaderProvesItself) {
         settings.home.budget = lingeringBudget();
     }
+    if (m_dialect->slotsAreExact) {
+        settings.home.scheduler.limitPolicy = LimitPolicy::Fixed;
+    }
     settings.home.upstreamUser = m_settings.upstreamUser;
     settings.home.firstTransaction = (m_random() >> 2U) | 1U;
     m_homes = std::make_unique<HomeService>(m_control, trafficContexts(), settings, std::move(hooks));
@@ -477,7 +483,8 @@
     asio::post(m_control, [this] {
         m_membership->start();
         m_keeper->start();
-        armLoneStart();
+        m_joinsBy = Clock::now() + joinBound;
+        joinOnceSettled(false);
     });
     m_threads.emplace_back([this] { m_control.run(); });
     m_threads.emplace_back([this] { m_link.run(); });
@@ -486,13 +493,22 @@
     }
 }
 
-// A host that nobody answers is alone, or cut off, and serves what it can.
-void HostDaemon::Impl::armLoneStart()
+// What goes wrong without it: a host that has just started knows nobody, then two
+// others, then all of them. It would take itself for the home of every upstream, then of
+// many, open connections and close them again; when many start together, upstreams
+// refuse connections to all, and callers wait for seconds. So it holds nothing until
+// its view has stood still; a host that nobody answers is alone, or cut off, and
+// serves what it can.
+void HostDaemon::Impl::joinOnceSettled(bool trusted)
 {
-    m_holdsAloneFrom = Clock::now() + loneHostPatience;
-    m_loneTimer->expires_at(m_holdsAloneFrom);
-    m_loneTimer->async_wait([this](const boost::system::error_code &cancelled) {
+    if (m_joined) {
+        return;
+    }
+    const TimePoint settled = Clock::now() + viewSettleTime;
+    m_joinTimer->expires_at(trusted ? std::min(settled, m_joinsBy) : m_joinsBy);
+    m_joinTimer->async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled) {
+            m_joined = true;
             rebuildRoutes();
         }
     });
@@ -707,6 +723,7 @@
             asio::post(m_link, [this, name = host.name] { m_network->drop(name); });
         }
     }
+    joinOnceSettled(view->trusted);
     // After a pause the view may be long out of date: what it said before stays in
     // force until a peer has answered, and homes that moved meanwhile answer Moved.
     if (view->trusted || !routes()->configuration) {
@@ -722,21 +739,12 @@
     next->placement = placementFor(next->configuration.get(), *next->view);
     std::atomic_store(&m_routes, std::shared_ptr<const Routes>(next));
     if (next->configuration) {
-        const bool mayHold = knowsTheOthers(*next->view);
-        m_homes->update(next->configuration, [this, next, mayHold](const DatabaseSpec &, const UpstreamSpec &upstream) {
-            return mayHold && next->homeOf(upstream) == m_settings.host;
+        m_homes->update(next->configuration, [this, next](const DatabaseSpec &, const UpstreamSpec &upstream) {
+            return m_joined && next->homeOf(upstream) == m_settings.host;
         });
     }
 }
 
-// What goes wrong without it: a host that has just started has heard of nobody, takes
-// itself for the home of every upstream and opens connections to all of them. When
-// many start together, the upstreams refuse connections to all.
-bool HostDaemon::Impl::knowsTheOthers(const MembershipView &view) const
-{
-    return view.trusted || Clock::now() >= m_holdsAloneFrom;
-}
-
 bool HostDaemon::Impl::isWatcher() const
 {
     return routes()->placement->homeOf(watchKey, m_settings.zone) == m_settings.host;
@@ -1037,7 +1045,7 @@
     m_impl->beginStop();
 }
 
-void HostDaemon::reload(Settings settings)
+void HostDaemon::reload(const Settings &settings)
 {
     m_impl->reload(settings);
 }
--- a/src/runtime/host/hostdaemon.h
+++ b/src/runtime/host/hostdaemon.h
@@ -42,7 +42,7 @@
 
     // Takes over changed settings, from any thread; what needs a restart is logged and
     // left as it is.
-    void reload(Settings settings);
+    void reload(const Settings &settings);
 
     // Stops at once, from any thread: requests in progress are cut.
     void stopNow();
--- a/src/runtime/host/log.cpp
+++ b/src/runtime/host/log.cpp
@@ -16,6 +16,9 @@
 #include <atomic>
 #include <chrono>
 #include <iostream>
+#include <mutex>
+#include <optional>
+#include <utility>
 
 namespace egrettide::log
 {
@@ -104,4 +107,55 @@
     BOOST_LOG_SEV(logger, level) << lineFor(level, name, fields);
 }
 
+namespace
+{
+
+// Counts the lines of the running second.
+class LineBudget
+{
+public:
+    // The number of lines dropped before this one; nothing when it is dropped too.
+    std::optional<std::uint64_t> take()
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= m_renewedAt + std::chrono::seconds(1)) {
+            m_renewedAt = now;
+            m_left = failureLines;
+        }
+        if (m_left == 0) {
+            ++m_dropped;
+            return std::nullopt;
+        }
+        --m_left;
+        return std::exchange(m_dropped, 0);
+    }
+
+private:
+    std::mutex m_mutex;
+    std::chrono::steady_clock::time_point m_renewedAt;
+    int m_left = 0;
+    std::uint64_t m_dropped = 0;
+};
+
+LineBudget &failureBudget()
+{
+    static LineBudget budget;
+    return budget;
+}
+
+} // namespace
+
+void failure(std::string_view name, std::initializer_list<Field> fields)
+{
+    const auto dropped = failureBudget().take();
+    if (!dropped) {
+        return;
+    }
+    if (*dropped > 0) {
+        warning("failures_not_logged", {{"lines", *dropped}});
+    }
+    warning(name, fields);
+}
+
 } // namespace egrettide::log
--- a/src/runtime/host/log.h
+++ b/src/runtime/host/log.h
@@ -63,6 +63,12 @@
 // Writes one line. Thread-safe; may block on a slow standard output.
 void event(Level level, std::string_view name, std::initializer_list<Field> fields = {});
 
+// One line for a request that failed. At most `failureLines` a second are written, so
+// that an overload is not made worse by its own report; the next line after a pause
+// says how many were dropped.
+constexpr int failureLines = 50;
+void failure(std::string_view name, std::initializer_list<Field> fields);
+
 inline void debug(std::string_view name, std::initializer_list<Field> fields = {})
 {
     event(Level::Debug, name, fields);
--- a/src/runtime/sessions/statementsession.cpp
+++ b/src/runtime/sessions/statementsession.cpp
@@ -3,6 +3,7 @@
 #include "runtime/sessions/statementsession.h"
 
 #include "egrettide/core/transactionfailure.h"
+#include "runtime/host/log.h"
 
 #include <xxhash.h>
 
@@ -110,12 +111,14 @@
     if (answerHere(statement, handler)) {
         return;
     }
+    std::string id = statement.id;
     auto request = requestFor(std::move(statement), receivedAt);
     if (!request) {
         reject(std::move(request.error()), handler);
         return;
     }
-    auto pending = std::make_shared<Pending>(Pending{request->kind, request->freshness, std::move(handler)});
+    auto pending =
+        std::make_shared<Pending>(Pending{std::move(id), request->kind, request->freshness, receivedAt, std::move(handler)});
     auto done = [self = shared_from_this(), pending](StatementReply reply, const std::string &upstream) {
         self->onReply(*pending, std::move(reply), upstream);
     };
@@ -269,7 +272,7 @@
 {
     m_isRunning = false;
     if (reply.error) {
-        onFailure(pending, reply);
+        onFailure(pending, reply, upstream);
     } else {
         onAnswer(pending, std::move(reply), upstream);
     }
@@ -289,9 +292,10 @@
     pending.answer(StatementAnswer{std::nullopt, local ? std::string() : std::move(reply.bytes), state()});
 }
 
-void StatementSession::onFailure(const Pending &pending, const StatementReply &reply)
+void StatementSession::onFailure(const Pending &pending, const StatementReply &reply, const std::string &upstream)
 {
     Error error = *reply.error;
+    logFailure(pending, reply, error, upstream);
     if (m_state.inTransaction()) {
         const FailedStatement failed{pending.kind, false, reply.sent};
         rollBack();
@@ -303,6 +307,26 @@
     pending.answer(StatementAnswer{std::move(error), {}, state()});
 }
 
+// What decided the failure, by the id under which the caller will ask about it.
+void StatementSession::logFailure(const Pending &pending, const StatementReply &reply, const Error &error,
+                                  const std::string &upstream) const
+{
+    const auto waited = std::chrono::duration_cast<milliseconds>(m_shard->now() - pending.receivedAt);
+    log::failure("request_failed",
+                 {{"id", pending.id},
+                  {"route", m_routeName},
+                  {"database", m_state.database()},
+                  {"kind", static_cast<int>(pending.kind)},
+                  {"upstream", upstream},
+                  {"term", reply.hint.term},
+                  {"primary", reply.hint.primary},
+                  {"in_transaction", m_state.inTransaction()},
+                  {"sent", reply.sent},
+                  {"waited_ms", waited.count()},
+                  {"error", nameOf(error.kind)},
+                  {"reason", error.message}});
+}
+
 // Refuses a statement that never left. An open transaction is rolled back: its
 // caller could otherwise commit the rest without the refused part.
 void StatementSession::reject(Error error, const AnswerHandler &handler)
--- a/src/runtime/sessions/statementsession.h
+++ b/src/runtime/sessions/statementsession.h
@@ -80,8 +80,10 @@
 
 private:
     struct Pending {
+        std::string id;
         StatementKind kind = StatementKind::Read;
         Freshness freshness;
+        TimePoint receivedAt;
         AnswerHandler answer;
     };
 
@@ -94,7 +96,8 @@
     tl::expected<void, Error> writeBatch(CallerStatement &statement, StatementRequest &request) const;
     void onReply(const Pending &pending, StatementReply reply, const std::string &upstream);
     void onAnswer(const Pending &pending, StatementReply reply, const std::string &upstream);
-    void onFailure(const Pending &pending, const StatementReply &reply);
+    void onFailure(const Pending &pending, const StatementReply &reply, const std::string &upstream);
+    void logFailure(const Pending &pending, const StatementReply &reply, const Error &error, const std::string &upstream) const;
     void rollBack();
     char state() const;
 
--- a/src/runtime/upstreams/homeservice.cpp
+++ b/src/runtime/upstreams/homeservice.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/upstreams/homeservice.h"
 
+#include "runtime/host/log.h"
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
@@ -224,6 +226,9 @@
     if (found != m_homes.end() && found->second.address == address) {
         HomeEntry &entry = found->second;
         const bool returns = std::exchange(entry.draining, false);
+        if (returns) {
+            log::info("home_taken_back", {{"database", key.database}, {"upstream", key.upstream}});
+        }
         onHome(entry, [configuration, returns](UpstreamHome &home) {
             if (returns) {
                 home.takeBack();
@@ -239,6 +244,7 @@
     }
     asio::io_context &context = *m_traffic[m_nextTraffic++ % m_traffic.size()];
     const ObserverPointer observer = m_observers.at(key.database);
+    log::info("home_taken", {{"database", key.database}, {"upstream", key.upstream}});
     HomeEntry entry{makeHome(key, context, configuration, observer), &context, address, false};
     onHome(entry, [view = observer->snapshot()](UpstreamHome &home) { home.onSnapshot(view); });
     m_homes.emplace(key, std::move(entry));
@@ -281,6 +287,7 @@
         }
         found->second.draining = true;
     }
+    log::info("home_left", {{"database", key.database}, {"upstream", key.upstream}});
     onHome(entry, [weak = weak_from_this(), key, home = entry.home, drained = std::move(drained)](UpstreamHome &draining) {
         draining.drain([weak, key, home, drained] {
             if (const auto self = weak.lock()) {
--- a/src/runtime/upstreams/upstreamdialect.h
+++ b/src/runtime/upstreams/upstreamdialect.h
@@ -27,6 +27,14 @@
     // True when a primary that has been replaced knows it: its own word then proves
     // that it leads, and no majority is asked.
     bool leaderProvesItself = false;
+    // True when an upstream refuses what exceeds its slots and queue, and its slots are
+    // exactly as many as it says.
+    //
+    // What goes wrong with a limit that follows the observed latency there: a home that
+    // is new learns from a few quick statements, takes every usual one for slow, and
+    // lowers its limit to one; with a queue standing before it, it never rises again.
+    // One notices refusals for good at a fraction of the load, on one home of three.
+    bool slotsAreExact = false;
 };
 
 // Upstreams that speak PostgreSQL and answer the control functions as SQL.
--- a/src/tools/egrettided.cpp
+++ b/src/tools/egrettided.cpp
@@ -47,14 +47,14 @@
 // A changed settings file is taken over as a whole; a bad one changes nothing.
 void reload(egrettide::HostDaemon &daemon, const std::string &path)
 {
-    auto settings = readSettings(path);
+    const auto settings = readSettings(path);
     if (!settings) {
         for (const std::string &fault : settings.error()) {
             egrettide::log::error("settings_refused", {{"fault", fault}});
         }
         return;
     }
-    daemon.reload(std::move(*settings));
+    daemon.reload(*settings);
 }
 
 void armReload(boost::asio::signal_set &signals, egrettide::HostDaemon &daemon, const std::string &path)
