--- /dev/null
+++ b/src/runtime/host/hostdaemonimpl.h
@@ -0,0 +1,210 @@
+// The inside of a HostDaemon, shared by the files that divide its work: construction
+// (hostdaemon.cpp), requests and messages (hostrouting.cpp), what it knows of others and
+// of the configuration (hostview.cpp), operators and changed settings
+// (hostoperations.cpp), stopping (hoststop.cpp).
+
+#pragma once
+
+#include "runtime/host/hostdaemon.h"
+
+#include "egrettide/core/membership.h"
+#include "egrettide/core/placement.h"
+#include "egrettide/core/retrybudget.h"
+#include "runtime/callers/front.h"
+#include "runtime/fleet/membershipdriver.h"
+#include "runtime/fleet/peernetwork.h"
+#include "runtime/group/groupcoordination.h"
+#include "runtime/group/switchoverdesk.h"
+#include "runtime/host/address.h"
+#include "runtime/host/log.h"
+#include "runtime/operators/hostmetrics.h"
+#include "runtime/operators/hoststatus.h"
+#include "runtime/operators/operatorserver.h"
+#include "runtime/upstreams/homeservice.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace egrettide
+{
+
+namespace detail
+{
+
+using WorkGuard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+// The front key of this host's own callers.
+constexpr std::string_view localFrontKey = "local";
+
+// Where every upstream's home is, under one view and one configuration. Threads
+// that route read it without a lock.
+struct Routes {
+    std::shared_ptr<const Configuration> configuration;
+    std::shared_ptr<const MembershipView> view;
+    std::unique_ptr<const Placement> placement;
+
+    std::optional<std::string> homeOf(const UpstreamSpec &upstream) const
+    {
+        return placement->homeOf(upstream.name, upstream.zone);
+    }
+};
+
+// Names a link as a front, for the homes of this host.
+std::string frontKeyOf(const PeerRef &peer);
+
+std::unique_ptr<const Placement> placementFor(const Configuration *configuration, const MembershipView &view);
+
+} // namespace detail
+
+class HostDaemon::Impl
+{
+public:
+    Impl(Settings settings, HostParts parts);
+    ~Impl();
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+
+    tl::expected<HostAddresses, Error> start();
+    void beginStop();
+    void reload(const Settings &next);
+    void stopNow();
+    void wait();
+
+private:
+    // Construction, in the order in which parts depend on each other.
+    void makeContexts();
+    tl::expected<void, Error> makeStore();
+    void makeNetwork();
+    void makeHomes();
+    void makeFront();
+    void makeOperators();
+    std::vector<boost::asio::io_context *> trafficContexts() const;
+    tl::expected<HostAddresses, Error> listen();
+    void startThreads();
+    void startControl();
+
+    // Routing of requests, from any thread.
+    void execute(StatementRequest request, ReplyHandler handler);
+    std::optional<std::string> homeOfTransaction(std::uint64_t transaction);
+    ReplyHandler followingTransaction(const StatementRequest &request, const std::string &home, ReplyHandler handler);
+    void executeAt(const std::string &home, const std::string &address, StatementRequest request, ReplyHandler handler);
+    void cancel(std::uint64_t requestId);
+
+    // Messages of other hosts; on the link thread.
+    void onPeerRequest(const PeerRef &from, StatementRequest request, ReplyHandler reply);
+    void onPeerMessage(const PeerRef &from, hop::HopMessage message);
+    // On the control thread.
+    void onControlMessage(const PeerRef &from, const hop::HopMessage &message);
+    void answerOpinion(const PeerRef &from, const hop::Opinion &question);
+    void learnPrimary(const std::string &database, Term term, const std::string &primary);
+
+    void send(const std::string &host, hop::HopMessage message);
+    void sendTo(const std::string &host, const std::string &address, hop::HopMessage message);
+    void sendOn(const PeerRef &peer, hop::HopMessage message);
+
+    // On the control thread.
+    void onConfiguration(const std::shared_ptr<const Configuration> &configuration);
+    void onView(const std::shared_ptr<const MembershipView> &view);
+    void rebuildRoutes();
+    void joinOnceSettled(bool trusted);
+    bool isWatcher() const;
+    std::vector<std::string> otherHosts() const;
+    std::vector<std::string> someHosts(std::size_t count);
+    std::vector<std::string> otherHomes(const std::string &database) const;
+    // The host that is home of the upstream; empty when there is none.
+    std::string homeOf(const std::string &database, const std::string &upstream) const;
+    // A host whose zone mates go on talking to it has not been replaced as home:
+    // whoever took over would have had to hold it for dead.
+    void confirmOwnHomes(const std::string &heardFrom);
+    // Since when enough zone mates have been heard; nothing while they have not.
+    std::optional<TimePoint> confirmationTime(const MembershipView &view, TimePoint now) const;
+
+    // Operators' requests; on the control thread.
+    void handleOperator(const OperatorRequest &request, const OperatorResponder &respond);
+    void respondMetrics(const OperatorResponder &respond);
+
+    // The steps of a graceful stop; on the control thread.
+    void drainCallers(TimePoint deadline);
+    void drainHomes(TimePoint deadline);
+    void departAndStop();
+    void join();
+    void finishPosted();
+
+    std::shared_ptr<const detail::Routes> routes() const
+    {
+        return std::atomic_load(&m_routes);
+    }
+
+    Settings m_settings;
+    const HostParts m_parts;
+    const std::uint64_t m_incarnation;
+    std::mt19937_64 m_random;
+
+    // Before the contexts below: an accept that is pending on the link context
+    // holds a socket of a traffic context.
+    std::vector<std::unique_ptr<boost::asio::io_context>> m_traffic;
+    boost::asio::io_context m_control{1};
+    boost::asio::io_context m_link{1};
+    std::vector<detail::WorkGuard> m_guards;
+    std::vector<std::thread> m_threads;
+
+    std::unique_ptr<Store> m_store;
+    std::shared_ptr<const UpstreamDialect> m_dialect;
+    std::unique_ptr<PeerNetwork> m_network;
+    std::unique_ptr<MembershipDriver> m_membership;
+    std::unique_ptr<ConfigurationSource> m_keeper;
+    std::unique_ptr<GroupCoordination> m_coordination;
+    std::unique_ptr<HomeService> m_homes;
+    std::unique_ptr<SwitchoverDesk> m_switchovers;
+    std::unique_ptr<Front> m_front;
+    std::unique_ptr<OperatorServer> m_operators;
+    // Null without a listener of its own for readiness.
+    std::unique_ptr<OperatorServer> m_ready;
+    std::unique_ptr<boost::asio::steady_timer> m_drainTimer;
+    std::unique_ptr<boost::asio::steady_timer> m_joinTimer;
+    // Control thread only. False until this host may be home of upstreams.
+    bool m_joined = false;
+    TimePoint m_joinsBy = TimePoint::max();
+
+    // When each host was last heard from; control thread only.
+    absl::flat_hash_map<std::string, TimePoint> m_heard;
+
+    HostMetrics m_metrics;
+    std::mutex m_retryMutex;
+    // Guarded by m_retryMutex.
+    RetryBudget m_retries;
+
+    // Written on the control thread, read everywhere; never null after start().
+    std::shared_ptr<const detail::Routes> m_routes;
+
+    // Requests of this host's callers that are at another host: id -> host.
+    std::mutex m_remoteMutex;
+    absl::flat_hash_map<std::uint64_t, std::string> m_remote;
+    // Open transactions of this host's callers: number -> host that holds them.
+    // Guarded by m_remoteMutex.
+    absl::flat_hash_map<std::uint64_t, std::string> m_transactionHomes;
+
+    std::atomic<bool> m_leaving{false};
+    std::mutex m_stopMutex;
+    std::condition_variable m_stopChanged;
+    // Guarded by m_stopMutex.
+    bool m_stopped = false;
+};
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/host/hoststop.cpp
@@ -0,0 +1,132 @@
+// The steps of a graceful stop, and the end.
+
+#include "runtime/host/hostdaemonimpl.h"
+
+namespace egrettide
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds drainPoll{20};
+// The news of a departure gets this long to leave the sockets.
+constexpr milliseconds farewell{100};
+
+} // namespace
+
+// Stopping.
+
+void HostDaemon::Impl::beginStop()
+{
+    if (m_leaving.exchange(true)) {
+        return;
+    }
+    asio::post(m_control, [this] {
+        log::info("stop_begun", {{"callers", m_front->openConnections()}});
+        m_membership->leave();
+        const TimePoint begun = Clock::now();
+        m_drainTimer->expires_at(begun + m_settings.balancerNotice);
+        m_drainTimer->async_wait([this, begun](const boost::system::error_code &failure) {
+            if (!failure) {
+                m_front->beginDrain();
+                drainCallers(begun + m_settings.stopBound);
+            }
+        });
+    });
+}
+
+void HostDaemon::Impl::drainCallers(TimePoint deadline)
+{
+    if (m_front->openConnections() == 0 || Clock::now() >= deadline) {
+        drainHomes(deadline);
+        return;
+    }
+    m_drainTimer->expires_after(drainPoll);
+    m_drainTimer->async_wait([this, deadline](const boost::system::error_code &failure) {
+        if (!failure) {
+            drainCallers(deadline);
+        }
+    });
+}
+
+void HostDaemon::Impl::drainHomes(TimePoint deadline)
+{
+    auto done = std::make_shared<bool>(false);
+    const auto once = [this, done] {
+        if (!std::exchange(*done, true)) {
+            m_drainTimer->cancel();
+            departAndStop();
+        }
+    };
+    m_drainTimer->expires_at(deadline);
+    m_drainTimer->async_wait([once](const boost::system::error_code &failure) {
+        if (!failure) {
+            log::warning("drain_cut_short", {});
+            once();
+        }
+    });
+    m_homes->drain(once);
+}
+
+void HostDaemon::Impl::departAndStop()
+{
+    m_membership->depart();
+    auto timer = std::make_shared<asio::steady_timer>(m_control, farewell);
+    timer->async_wait([this, timer](const boost::system::error_code &) {
+        log::info("stop_complete", {});
+        stopNow();
+    });
+}
+
+void HostDaemon::Impl::stopNow()
+{
+    const std::lock_guard<std::mutex> lock(m_stopMutex);
+    m_stopped = true;
+    m_stopChanged.notify_all();
+}
+
+void HostDaemon::Impl::wait()
+{
+    {
+        std::unique_lock<std::mutex> lock(m_stopMutex);
+        m_stopChanged.wait(lock, [this] { return m_stopped; });
+    }
+    join();
+}
+
+void HostDaemon::Impl::join()
+{
+    if (m_threads.empty()) {
+        return;
+    }
+    m_front->stop();
+    m_homes->stop();
+    m_guards.clear();
+    m_control.stop();
+    m_link.stop();
+    for (const auto &context : m_traffic) {
+        context->stop();
+    }
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+    finishPosted();
+}
+
+// What goes wrong without it: work that was posted to a context is destroyed with the
+// context. What it holds may be the last to hold a connection of another context that
+// is gone by then, and the process ends by a signal at its very end.
+void HostDaemon::Impl::finishPosted()
+{
+    for (const auto &context : m_traffic) {
+        context->restart();
+        context->poll();
+    }
+    m_control.restart();
+    m_control.poll();
+}
+
+} // namespace egrettide
--- /dev/null
+++ b/src/runtime/host/hostview.cpp
@@ -0,0 +1,166 @@
+// What a host makes of the configuration and of its view of the others.
+
+#include "runtime/host/hostdaemonimpl.h"
+
+namespace egrettide
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::string_view watchKey = "egrettide/watch";
+// In large zones a host hears from a sample of its zone mates only.
+constexpr std::size_t confirmingHosts = 3;
+
+} // namespace
+
+namespace detail
+{
+
+std::unique_ptr<const Placement> placementFor(const Configuration *configuration, const MembershipView &view)
+{
+    std::vector<PlacementUpstream> upstreams;
+    if (configuration != nullptr) {
+        for (const DatabaseSpec &database : configuration->databases) {
+            for (const UpstreamSpec &upstream : database.upstreams) {
+                upstreams.push_back(PlacementUpstream{upstream.name, upstream.zone});
+            }
+        }
+    }
+    return std::make_unique<const Placement>(view.placementHosts(), std::move(upstreams));
+}
+
+} // namespace detail
+
+// Configuration and membership.
+
+void HostDaemon::Impl::onConfiguration(const std::shared_ptr<const Configuration> &configuration)
+{
+    m_membership->setConfigurationVersion(configuration->version);
+    rebuildRoutes();
+}
+
+void HostDaemon::Impl::onView(const std::shared_ptr<const MembershipView> &view)
+{
+    for (const HostRecord &host : view->hosts) {
+        if (host.health == HostHealth::Dead && host.name != m_settings.host) {
+            asio::post(m_link, [this, name = host.name] { m_network->drop(name); });
+        }
+    }
+    joinOnceSettled(view->trusted);
+    // After a pause the view may be long out of date: what it said before stays in
+    // force until a peer has answered, and homes that moved meanwhile answer Moved.
+    if (view->trusted || !routes()->configuration) {
+        rebuildRoutes();
+    }
+}
+
+void HostDaemon::Impl::rebuildRoutes()
+{
+    auto next = std::make_shared<detail::Routes>();
+    next->configuration = m_keeper ? m_keeper->current() : nullptr;
+    next->view = m_membership->view();
+    next->placement = detail::placementFor(next->configuration.get(), *next->view);
+    std::atomic_store(&m_routes, std::shared_ptr<const detail::Routes>(next));
+    if (next->configuration) {
+        m_homes->update(next->configuration, [this, next](const DatabaseSpec &, const UpstreamSpec &upstream) {
+            return m_joined && next->homeOf(upstream) == m_settings.host;
+        });
+    }
+}
+
+bool HostDaemon::Impl::isWatcher() const
+{
+    return routes()->placement->homeOf(watchKey, m_settings.zone) == m_settings.host;
+}
+
+std::vector<std::string> HostDaemon::Impl::otherHosts() const
+{
+    std::vector<std::string> names;
+    for (const PlacementHost &host : routes()->view->placementHosts()) {
+        if (host.name != m_settings.host) {
+            names.push_back(host.name);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> HostDaemon::Impl::someHosts(std::size_t count)
+{
+    std::vector<std::string> names = otherHosts();
+    std::shuffle(names.begin(), names.end(), m_random);
+    names.resize(std::min(names.size(), count));
+    return names;
+}
+
+std::vector<std::string> HostDaemon::Impl::otherHomes(const std::string &database) const
+{
+    const auto now = routes();
+    const DatabaseSpec *spec = now->configuration ? now->configuration->database(database) : nullptr;
+    std::vector<std::string> homes;
+    if (spec == nullptr) {
+        return homes;
+    }
+    for (const UpstreamSpec &upstream : spec->upstreams) {
+        const auto home = now->homeOf(upstream);
+        if (home && *home != m_settings.host) {
+            homes.push_back(*home);
+        }
+    }
+    return homes;
+}
+
+std::string HostDaemon::Impl::homeOf(const std::string &database, const std::string &upstream) const
+{
+    const auto now = routes();
+    const DatabaseSpec *spec = now->configuration ? now->configuration->database(database) : nullptr;
+    const UpstreamSpec *member = spec != nullptr ? spec->upstream(upstream) : nullptr;
+    return member != nullptr ? now->homeOf(*member).value_or(std::string()) : std::string();
+}
+
+void HostDaemon::Impl::confirmOwnHomes(const std::string &heardFrom)
+{
+    const auto now = routes();
+    const TimePoint heardAt = Clock::now();
+    m_heard[heardFrom] = heardAt;
+    const auto askedAt = confirmationTime(*now->view, heardAt);
+    if (!askedAt || !now->configuration) {
+        return;
+    }
+    for (const DatabaseSpec &database : now->configuration->databases) {
+        for (const UpstreamSpec &upstream : database.upstreams) {
+            if (now->homeOf(upstream) == m_settings.host) {
+                m_homes->confirmedHome(database.name, upstream.name, *askedAt);
+            }
+        }
+    }
+}
+
+std::optional<TimePoint> HostDaemon::Impl::confirmationTime(const MembershipView &view, TimePoint now) const
+{
+    if (!view.trusted) {
+        return std::nullopt;
+    }
+    std::vector<TimePoint> heard{now};
+    std::size_t zoneHosts = 0;
+    for (const PlacementHost &host : view.placementHosts()) {
+        if (host.zone != m_settings.zone) {
+            continue;
+        }
+        ++zoneHosts;
+        const auto found = m_heard.find(host.name);
+        if (found != m_heard.end()) {
+            heard.push_back(found->second);
+        }
+    }
+    const std::size_t needed = std::min(zoneHosts / 2 + 1, confirmingHosts);
+    if (heard.size() < needed) {
+        return std::nullopt;
+    }
+    std::sort(heard.begin(), heard.end(), std::greater<>());
+    return heard[needed - 1];
+}
+
+} // namespace egrettide
