--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -27,8 +27,8 @@
 
 // Shares of connections where upstreams themselves drop what a lost home leaves behind.
 // Halves for both states: two homes at once fit, so a new one need not wait. With a
-// quarter for the first 5 s, one transaction at a time ran after a restart (worth of such
-// a day 0.769, with halves 0.843).
+// quarter for the first 5 s, one transaction at a time ran after a restart: of the requests
+// of a day with restarts 0.884 were served in time, with halves 0.937 (one run each).
 ConnectionBudgetOptions lingeringBudget()
 {
     ConnectionBudgetOptions budget;
