Open no more connections for a queue than slots can use

Cause: a home counted every queued statement as demand for a connection. After a home had moved, a queue stood before it and it opened its whole share: 14 openings of 27 ms on 2 slots are 0.19 s in which the upstream does nothing else.

Ruled out: finding the primary (30 to 60 ms), membership (views complete 50 ms after a start), the queue's length.

Change: connectionsFor() (core): the statements that slots can run, and a connection for each open transaction.

--- a/include/egrettide/core/connectionbudget.h
+++ b/include/egrettide/core/connectionbudget.h
@@ -70,6 +70,24 @@
     Settled,
 };
 
+// What an upstream's home has to do at a moment.
+struct ConnectionDemand {
+    // Statements that hold a slot.
+    int inUse = 0;
+    // Statements that wait for a slot.
+    int queued = 0;
+    // Open transactions; each keeps its connection between its statements.
+    int transactions = 0;
+    // Statements that the upstream runs at once.
+    int slots = 1;
+};
+
+// How many connections the demand can use. What goes wrong when each queued statement
+// counts for one: after a home has moved, a queue stands before it, and it opens as many
+// connections as it may. Each opening takes a slot for 10 to 30 ms, so 14 of them keep
+// an upstream of 2 slots busy for 0.2 s with nothing but openings while callers wait.
+int connectionsFor(const ConnectionDemand &demand);
+
 // What a home that resigned tells its successor once it holds no data connection.
 struct HandBack {
     // False when that home itself was still waiting for its own predecessor; the
@@ -104,7 +122,7 @@
     // The upstream refused a connection (SQLSTATE 53300) while `open` data
     // connections were open here.
     void refused(int open, TimePoint now);
-    // Tells the demand: statements in use or waiting, plus open transactions.
+    // Tells the connections that the present demand can use; see connectionsFor().
     void demand(int connections, TimePoint now);
 
     // How many data connections may be open now. A home that holds more closes
--- a/src/core/upstreams/connectionbudget.cpp
+++ b/src/core/upstreams/connectionbudget.cpp
@@ -7,6 +7,12 @@
 namespace egrettide
 {
 
+int connectionsFor(const ConnectionDemand &demand)
+{
+    const int runnable = std::min(demand.inUse + demand.queued, demand.slots);
+    return std::max(runnable, demand.inUse) + demand.transactions;
+}
+
 ConnectionBudget::ConnectionBudget(const ConnectionBudgetOptions &options) : m_options(options)
 {
 }
--- a/src/runtime/upstreams/upstreamhome.cpp
+++ b/src/runtime/upstreams/upstreamhome.cpp
@@ -72,7 +72,9 @@
 void UpstreamHome::followAllowance(TimePoint now)
 {
     ConnectionBudget &budget = m_pool.budget();
-    budget.demand(m_scheduler.inUse() + m_scheduler.queued() + static_cast<int>(m_transactions.size()), now);
+    const ConnectionDemand demand{m_scheduler.inUse(), m_scheduler.queued(), static_cast<int>(m_transactions.size()),
+                                  m_upstream.slots};
+    budget.demand(connectionsFor(demand), now);
     const int places = budget.transactionPlaces(m_upstream.slots, now);
     if (places != m_transactionPlaces) {
         m_transactionPlaces = places;
--- a/tests/core/connectionbudget_test.cpp
+++ b/tests/core/connectionbudget_test.cpp
@@ -361,6 +361,21 @@
 
 BOOST_AUTO_TEST_SUITE(WarmConnections)
 
+// Symptom: in the half second after a home has moved, hardly anything is answered,
+// though the upstream is well.
+// Sequence: callers queue up while the place moves; the new home opens a connection for
+// each of them, up to its share.
+// Cause: an opening takes a slot of the upstream for longer than a statement does.
+BOOST_AUTO_TEST_CASE(AQueueAsksForNoMoreConnectionsThanSlotsCanUse)
+{
+    const int behindAQueue = connectionsFor(ConnectionDemand{0, 40, 0, 2});
+    BOOST_TEST(behindAQueue == 2, "40 queued statements ask for " << behindAQueue << " connections to 2 slots");
+    const int withTransactions = connectionsFor(ConnectionDemand{2, 40, 3, 2});
+    BOOST_TEST(withTransactions == 5, "open transactions keep theirs, but " << withTransactions << " are asked for");
+    BOOST_TEST(connectionsFor(ConnectionDemand{0, 1, 0, 5}) == 1, "a single statement needs one");
+    BOOST_TEST(connectionsFor(ConnectionDemand{4, 0, 0, 2}) == 4, "what runs already has its connections");
+}
+
 BOOST_AUTO_TEST_CASE(StaysAboveDemandInSteadyState)
 {
     ConnectionBudgetOptions options = thirtyConnections();
