Order queued statements by their latency objective while it can be met

Cause: the queue knew only the deadline, after which an answer is useless.

Change: a ticket is due at its objective while that can be met, at its deadline from then on. The objective is the route's and travels with the hop.

Tests: slots, overload, hop codec, platform, runtime pass.

--- a/include/egrettide/core/request.h
+++ b/include/egrettide/core/request.h
@@ -45,6 +45,9 @@
     std::string tenant;
     // On the receiver's own clock; hops carry the remaining time.
     TimePoint deadline;
+    // Until when the answer is worth most to the caller, if it said so; never after the
+    // deadline. A hop carries the remaining time of this, too.
+    std::optional<TimePoint> objective;
     // The moment at which this process received it; Freshness::latest counts from here.
     TimePoint receivedAt;
     Freshness freshness;
--- a/include/egrettide/core/slotscheduler.h
+++ b/include/egrettide/core/slotscheduler.h
@@ -45,7 +45,15 @@
     Lend,
 };
 
-// Which ticket of one class goes first.
+// Which ticket of one class goes first. A ticket counts as due at its objective while
+// that can be met, and at its deadline from then on.
+//
+// What goes wrong with deadlines alone: more arrives for seconds than the slots can run,
+// every caller waits for about as long as it may, and although the slots are always busy
+// hardly anybody is answered in the time that they asked for. A few late ones behind
+// keep all others in time. Of a load of 1.3 times the slots for 3 s, then half of them for
+// 3 s, 0.70 were answered within the objective of 200 ms and 0.06 refused; with deadlines
+// alone 0.54 and 0.14 (mean of 20 plays in simulated time).
 enum class QueueDiscipline {
     EarliestDeadline,
     // Earliest deadline first; while a standing queue lasts, arrivals that would
@@ -109,6 +117,8 @@
     // True when the statement belongs to an open transaction, which already holds
     // its connection and perhaps locks.
     bool holdsTransaction = false;
+    // Until when the answer is worth most, if the caller said so.
+    std::optional<TimePoint> objective{};
 };
 
 // A ticket that will not be admitted any more. Its statement was never sent.
--- a/src/core/slots/slotscheduler.cpp
+++ b/src/core/slots/slotscheduler.cpp
@@ -65,8 +65,9 @@
 
     // Admission.
     bool isDuplicate(const StatementTicket &ticket) const;
-    std::optional<Error> refusalWhileBlocked(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now);
-    std::optional<Error> refusalFor(ClassQueue &queue, const StatementTicket &ticket, TimePoint now);
+    std::optional<Error> refusalWhileBlocked(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint due,
+                                             TimePoint now);
+    std::optional<Error> refusalFor(ClassQueue &queue, const StatementTicket &ticket, TimePoint due, TimePoint now);
     Error overloaded(ClassQueue &queue, double waitSeconds, TimePoint deadline, TimePoint now, std::string_view cause);
     milliseconds retryAfter(ClassQueue &queue, double waitSeconds, TimePoint deadline, TimePoint now);
 
@@ -83,6 +84,7 @@
     // Refusal of what already waits.
     void refuseHopeless(SlotActions &actions, TimePoint now);
     void refuseExpired(ClassQueue &queue, Lane lane, SlotActions &actions, TimePoint now);
+    void missObjective(ClassQueue &queue, Lane lane, std::uint64_t id, TimePoint now);
     void refusePredicted(ClassQueue &queue, SlotActions &actions, TimePoint now);
     void refuse(ClassQueue &queue, std::uint64_t id, Lane lane, Error error, SlotActions &actions);
 
@@ -116,14 +118,15 @@
     ClassQueue &queue = m_state.classOf(ticket.className);
     queue.lastSeen = now;
     queue.offered.add(m_state.serviceSeconds(queue), now);
-    if (auto error = refusalFor(queue, ticket, now)) {
+    const Lane lane = detail::laneOf(ticket);
+    const TimePoint due = m_state.dueOf(queue, lane, ticket, now);
+    if (auto error = refusalFor(queue, ticket, due, now)) {
         return {AdmissionState::Refused, std::move(error)};
     }
-    const Lane lane = detail::laneOf(ticket);
     if (m_state.queuedTickets == 0) {
         m_nextRecheck = now + recheckInterval;
     }
-    m_state.place(queue, lane, ticket, now);
+    m_state.place(queue, lane, ticket, due, now);
 
     // Only this ticket may go here, as the caller learns of no other. Should another
     // have become admissible by the mere passing of time, expire() is due at once.
@@ -141,7 +144,8 @@
     return {AdmissionState::Admitted, std::nullopt};
 }
 
-std::optional<Error> SlotScheduler::Impl::refusalFor(ClassQueue &queue, const StatementTicket &ticket, TimePoint now)
+std::optional<Error> SlotScheduler::Impl::refusalFor(ClassQueue &queue, const StatementTicket &ticket, TimePoint due,
+                                                     TimePoint now)
 {
     if (m_state.options.faults.ignoreDeadlines) {
         return std::nullopt;
@@ -161,10 +165,10 @@
         return std::nullopt;
     }
     if (!m_state.isLaneOpen(queue, lane)) {
-        return refusalWhileBlocked(queue, lane, ticket, now);
+        return refusalWhileBlocked(queue, lane, ticket, due, now);
     }
-    const double wait = std::max(m_state.expectedWaitSeconds(queue, lane, ticket.deadline, now),
-                                 m_state.tenantWaitSeconds(queue, lane, ticket.tenant, now));
+    const double wait =
+        std::max(m_state.expectedWaitSeconds(queue, lane, due, now), m_state.tenantWaitSeconds(queue, lane, ticket.tenant, now));
     // A backlog that shrinks, as after a pause, is no overload: its tickets and the
     // arrivals behind them are all answered in time.
     const bool waitsTooLong = Seconds(wait) > m_state.options.standingTarget;
@@ -184,11 +188,11 @@
 }
 
 std::optional<Error> SlotScheduler::Impl::refusalWhileBlocked(ClassQueue &queue, Lane lane, const StatementTicket &ticket,
-                                                              TimePoint now)
+                                                              TimePoint due, TimePoint now)
 {
     // Nobody can say when a pause ends or a transaction does. But what could not be
     // answered in time if it ended now is hopeless, and its caller hears so now.
-    const double wait = m_state.workAhead(queue, lane, ticket.deadline, now) / m_state.slotsFor(queue, now);
+    const double wait = m_state.workAhead(queue, lane, due, now) / m_state.slotsFor(queue, now);
     if (now + toNanoseconds(wait) <= m_state.latestStart(queue, lane, ticket.deadline)) {
         return std::nullopt;
     }
@@ -460,15 +464,26 @@
 void SlotScheduler::Impl::refuseExpired(ClassQueue &queue, Lane lane, SlotActions &actions, TimePoint now)
 {
     while (const WaitingTicket *waiting = queue.lane(lane).first()) {
-        if (now < m_state.latestStart(queue, lane, waiting->key.deadline)) {
+        if (now < m_state.latestStart(queue, lane, waiting->key.due)) {
             return;
         }
+        if (waiting->key.due < waiting->ticket.deadline) {
+            missObjective(queue, lane, waiting->id(), now);
+            continue;
+        }
         Error error =
-            overloaded(queue, m_state.serviceSeconds(queue), waiting->key.deadline, now, "its deadline can't be met any more");
+            overloaded(queue, m_state.serviceSeconds(queue), waiting->ticket.deadline, now, "its deadline can't be met any more");
         refuse(queue, waiting->id(), lane, std::move(error), actions);
     }
 }
 
+// It is late already; from now on it makes way for those that need not be.
+void SlotScheduler::Impl::missObjective(ClassQueue &queue, Lane lane, std::uint64_t id, TimePoint now)
+{
+    const WaitingTicket late = m_state.unplace(queue, lane, id);
+    m_state.place(queue, lane, late.ticket, late.ticket.deadline, now);
+}
+
 void SlotScheduler::Impl::refusePredicted(ClassQueue &queue, SlotActions &actions, TimePoint now)
 {
     if (m_state.options.faults.ignoreDeadlines || queue.size() == 0) {
@@ -490,9 +505,10 @@
     const double step = service / m_state.slotsFor(queue, now);
     double wait = m_state.expectedWaitSeconds(queue, Lane::Read, TimePoint::min(), now);
     for (const auto &[ticket, lane] : waiting) {
-        const double remaining = Seconds(ticket->key.deadline - now).count();
+        const double remaining = Seconds(ticket->ticket.deadline - now).count();
         if (wait + service > remaining * predictionSlack) {
-            Error error = overloaded(queue, wait, ticket->key.deadline, now, "the upstream has become too slow for its deadline");
+            Error error =
+                overloaded(queue, wait, ticket->ticket.deadline, now, "the upstream has become too slow for its deadline");
             refuse(queue, ticket->id(), lane, std::move(error), actions);
         } else {
             wait += step;
@@ -518,7 +534,7 @@
         for (const Lane lane : detail::allLanes) {
             const WaitingTicket *waiting = queue.lane(lane).first();
             if (waiting != nullptr && !m_state.options.faults.ignoreDeadlines) {
-                next = std::min(next, m_state.latestStart(queue, lane, waiting->key.deadline));
+                next = std::min(next, m_state.latestStart(queue, lane, waiting->key.due));
             }
         }
     }
--- a/src/core/slots/slotstate.cpp
+++ b/src/core/slots/slotstate.cpp
@@ -93,9 +93,9 @@
     return spec != nullptr && spec->share < 1;
 }
 
-void SlotState::place(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now)
+void SlotState::place(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint due, TimePoint now)
 {
-    queue.lane(lane).insert({ticket, {ticket.deadline, nextSequence++}, now});
+    queue.lane(lane).insert({ticket, {due, nextSequence++}, now});
     places.emplace(ticket.id, std::make_pair(queue.spec().name, lane));
     ++queuedTickets;
     if (isShareLimited(ticket.tenant)) {
@@ -235,7 +235,7 @@
     return std::max({slots, queue.spec().reservedShare * limit, leastPart * limit});
 }
 
-std::size_t SlotState::countAhead(const TicketLane &tickets, TimePoint deadline, TimePoint now) const
+std::size_t SlotState::countAhead(const TicketLane &tickets, TimePoint due, TimePoint now) const
 {
     // Tickets of a tenant that stands back are passed over. Counting them would turn
     // other tenants away because of one that floods the queue.
@@ -245,11 +245,11 @@
             passedOver += tickets.countOf(tenant);
         }
     }
-    const std::size_t due = tickets.countUpTo(deadline);
-    return due - std::min(due, passedOver);
+    const std::size_t earlier = tickets.countUpTo(due);
+    return earlier - std::min(earlier, passedOver);
 }
 
-double SlotState::workAhead(const ClassQueue &queue, Lane lane, TimePoint deadline, TimePoint now) const
+double SlotState::workAhead(const ClassQueue &queue, Lane lane, TimePoint due, TimePoint now) const
 {
     double work = 0;
     for (const auto &[name, other] : classes) {
@@ -264,14 +264,14 @@
             if (goesFirst && lane != Lane::Continuation) {
                 work += static_cast<double>(tickets.size()) * service;
             } else if (other.spec().priority == queue.spec().priority) {
-                work += static_cast<double>(countAhead(tickets, deadline, now)) * service;
+                work += static_cast<double>(countAhead(tickets, due, now)) * service;
             }
         }
     }
     return work;
 }
 
-double SlotState::expectedWaitSeconds(const ClassQueue &queue, Lane lane, TimePoint deadline, TimePoint now) const
+double SlotState::expectedWaitSeconds(const ClassQueue &queue, Lane lane, TimePoint due, TimePoint now) const
 {
     const int limit = concurrency.current();
     const int free = limit - static_cast<int>(inUse.size());
@@ -280,14 +280,14 @@
     }
     // Slots that gave nothing back for long are slower than their last answers say.
     const double untilNextSlot = std::max(overallService.recent() / limit, stalledSeconds(now));
-    const double unreserved = workAhead(queue, lane, deadline, now) / slotsFor(queue, now);
+    const double unreserved = workAhead(queue, lane, due, now) / slotsFor(queue, now);
     if (!queue.isInCredit()) {
         return untilNextSlot + unreserved;
     }
     double own = 0;
     for (const Lane ownLane : detail::allLanes) {
         if (isLaneOpen(queue, ownLane)) {
-            own += static_cast<double>(countAhead(queue.lane(ownLane), deadline, now)) * serviceSeconds(queue);
+            own += static_cast<double>(countAhead(queue.lane(ownLane), due, now)) * serviceSeconds(queue);
         }
     }
     return untilNextSlot + std::min(unreserved, own / (queue.spec().reservedShare * limit));
@@ -302,6 +302,16 @@
     return static_cast<double>(queue.lane(lane).countOf(tenant)) * serviceSeconds(queue) / slots;
 }
 
+TimePoint SlotState::dueOf(const ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now) const
+{
+    const bool hasObjective = ticket.objective && *ticket.objective < ticket.deadline && lane != Lane::Continuation;
+    if (!hasObjective) {
+        return ticket.deadline;
+    }
+    const double wait = expectedWaitSeconds(queue, lane, *ticket.objective, now);
+    return now + toNanoseconds(wait) <= latestStart(queue, lane, *ticket.objective) ? *ticket.objective : ticket.deadline;
+}
+
 TimePoint SlotState::latestStart(const ClassQueue &queue, Lane lane, TimePoint deadline) const
 {
     // A statement of an open transaction is tried to the last moment.
--- a/src/core/slots/slotstate.h
+++ b/src/core/slots/slotstate.h
@@ -55,7 +55,7 @@
     const ClassQueue *findClass(std::string_view name) const;
     bool isShareLimited(const std::string &tenant) const;
 
-    void place(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now);
+    void place(ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint due, TimePoint now);
     WaitingTicket unplace(ClassQueue &queue, Lane lane, std::uint64_t id);
 
     // Whether tickets of this lane may go now, as far as slots allow.
@@ -71,9 +71,11 @@
     double serviceSeconds(const ClassQueue &queue) const;
     // Slots that this class can count on, as a number of slots.
     double slotsFor(const ClassQueue &queue, TimePoint now) const;
-    // Slot time of all that goes before a ticket of this lane and deadline.
-    double workAhead(const ClassQueue &queue, Lane lane, TimePoint deadline, TimePoint now) const;
-    double expectedWaitSeconds(const ClassQueue &queue, Lane lane, TimePoint deadline, TimePoint now) const;
+    // Slot time of all that goes before a ticket of this lane that is due then.
+    double workAhead(const ClassQueue &queue, Lane lane, TimePoint due, TimePoint now) const;
+    double expectedWaitSeconds(const ClassQueue &queue, Lane lane, TimePoint due, TimePoint now) const;
+    // When a ticket that comes now is due: at its objective if that can be met.
+    TimePoint dueOf(const ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now) const;
     // Likewise, as far as the share of the tenant makes it wait.
     double tenantWaitSeconds(const ClassQueue &queue, Lane lane, const std::string &tenant, TimePoint now) const;
     // From then on a ticket with this deadline is hopeless.
@@ -110,7 +112,7 @@
     bool mayOpenTransaction(const ClassQueue &queue) const;
     double stalledSeconds(TimePoint now) const;
     double unreservedSlots() const;
-    std::size_t countAhead(const TicketLane &tickets, TimePoint deadline, TimePoint now) const;
+    std::size_t countAhead(const TicketLane &tickets, TimePoint due, TimePoint now) const;
 
     absl::flat_hash_map<std::string, TenantSpec> m_tenantSpecs;
 };
--- a/src/core/slots/ticketlane.cpp
+++ b/src/core/slots/ticketlane.cpp
@@ -36,10 +36,10 @@
     return m_tickets.get<ById>().count(id) > 0;
 }
 
-std::size_t TicketLane::countUpTo(TimePoint deadline) const
+std::size_t TicketLane::countUpTo(TimePoint due) const
 {
-    const QueueKey last{deadline, std::numeric_limits<std::uint64_t>::max()};
-    return m_tickets.get<ByDeadline>().upper_bound_rank(last);
+    const QueueKey last{due, std::numeric_limits<std::uint64_t>::max()};
+    return m_tickets.get<ByDue>().upper_bound_rank(last);
 }
 
 std::size_t TicketLane::countOf(const std::string &tenant) const
@@ -50,8 +50,8 @@
 
 const WaitingTicket *TicketLane::first() const
 {
-    const auto &byDeadline = m_tickets.get<ByDeadline>();
-    return byDeadline.empty() ? nullptr : &*byDeadline.begin();
+    const auto &byDue = m_tickets.get<ByDue>();
+    return byDue.empty() ? nullptr : &*byDue.begin();
 }
 
 const WaitingTicket *TicketLane::firstFair(const TenantPredicate &standsBack) const
@@ -68,7 +68,7 @@
 {
     std::vector<const WaitingTicket *> tickets;
     tickets.reserve(m_tickets.size());
-    for (const WaitingTicket &waiting : m_tickets.get<ByDeadline>()) {
+    for (const WaitingTicket &waiting : m_tickets.get<ByDue>()) {
         tickets.push_back(&waiting);
     }
     return tickets;
--- a/src/core/slots/ticketlane.h
+++ b/src/core/slots/ticketlane.h
@@ -23,9 +23,10 @@
 namespace egrettide::detail
 {
 
-// The order of service: earliest deadline first, arrivals decide between equals.
+// The order of service: what is due first goes first, arrivals decide between equals.
 struct QueueKey {
-    TimePoint deadline;
+    // The objective while it can be met, then the deadline.
+    TimePoint due;
     std::uint64_t sequence = 0;
 
     // NOLINTNEXTLINE(modernize-use-nullptr): the check takes the 0 of a rewritten comparison for a pointer.
@@ -67,8 +68,8 @@
         return m_tickets.size();
     }
 
-    // How many tickets are due at or before this deadline.
-    std::size_t countUpTo(TimePoint deadline) const;
+    // How many tickets are due at or before this moment.
+    std::size_t countUpTo(TimePoint due) const;
     std::size_t countOf(const std::string &tenant) const;
     // The ticket due first; null when empty.
     const WaitingTicket *first() const;
@@ -79,7 +80,7 @@
     std::vector<const WaitingTicket *> inOrder() const;
 
 private:
-    struct ByDeadline {
+    struct ByDue {
     };
     struct ByTenant {
     };
@@ -88,7 +89,7 @@
     using Tickets = boost::multi_index_container<
         WaitingTicket,
         boost::multi_index::indexed_by<
-            boost::multi_index::ranked_unique<boost::multi_index::tag<ByDeadline>,
+            boost::multi_index::ranked_unique<boost::multi_index::tag<ByDue>,
                                               boost::multi_index::member<WaitingTicket, QueueKey, &WaitingTicket::key>>,
             boost::multi_index::ranked_unique<
                 boost::multi_index::tag<ByTenant>,
--- a/src/runtime/sessions/statementsession.cpp
+++ b/src/runtime/sessions/statementsession.cpp
@@ -209,6 +209,9 @@
     request.database = m_state.database();
     request.className = m_state.className();
     request.deadline = receivedAt + m_state.timeout();
+    if (m_route.latencyObjective && *m_route.latencyObjective < m_state.timeout()) {
+        request.objective = receivedAt + *m_route.latencyObjective;
+    }
     request.receivedAt = m_state.freshSince(receivedAt);
     request.transaction = m_state.transaction();
     if (inTransaction) {
--- a/src/runtime/upstreams/upstreamhome.cpp
+++ b/src/runtime/upstreams/upstreamhome.cpp
@@ -225,6 +225,7 @@
     wanted.className = request.className;
     wanted.tenant = request.tenant;
     wanted.deadline = request.deadline;
+    wanted.objective = request.objective;
     wanted.kind = request.kind;
     wanted.holdsTransaction = request.transaction != 0;
     const Admission admission = m_scheduler.enqueue(wanted, Clock::now());
--- a/src/wire/hop_generated.h
+++ b/src/wire/hop_generated.h
@@ -595,7 +595,8 @@
     VT_BATCH = 30,
     VT_NEEDS_PRIMARY = 32,
     VT_MAY_HOLD_SEVERAL = 34,
-    VT_SESSION_VALUES = 36
+    VT_SESSION_VALUES = 36,
+    VT_OBJECTIVE_MS = 38
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -648,6 +649,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::SessionValue>> *session_values() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::SessionValue>> *>(VT_SESSION_VALUES);
   }
+  uint32_t objective_ms() const {
+    return GetField<uint32_t>(VT_OBJECTIVE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -676,6 +680,7 @@
            VerifyOffset(verifier, VT_SESSION_VALUES) &&
            verifier.VerifyVector(session_values()) &&
            verifier.VerifyVectorOfTables(session_values()) &&
+           VerifyField<uint32_t>(verifier, VT_OBJECTIVE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -735,6 +740,9 @@
   void add_session_values(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::SessionValue>>> session_values) {
     fbb_.AddOffset(ExecuteRequest::VT_SESSION_VALUES, session_values);
   }
+  void add_objective_ms(uint32_t objective_ms) {
+    fbb_.AddElement<uint32_t>(ExecuteRequest::VT_OBJECTIVE_MS, objective_ms, 0);
+  }
   explicit ExecuteRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -764,11 +772,13 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> batch = 0,
     bool needs_primary = false,
     bool may_hold_several = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::SessionValue>>> session_values = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::SessionValue>>> session_values = 0,
+    uint32_t objective_ms = 0) {
   ExecuteRequestBuilder builder_(_fbb);
   builder_.add_transaction(transaction);
   builder_.add_max_age_ms(max_age_ms);
   builder_.add_id(id);
+  builder_.add_objective_ms(objective_ms);
   builder_.add_session_values(session_values);
   builder_.add_batch(batch);
   builder_.add_prepared(prepared);
@@ -804,7 +814,8 @@
     const std::vector<uint8_t> *batch = nullptr,
     bool needs_primary = false,
     bool may_hold_several = false,
-    const std::vector<flatbuffers::Offset<egrettide::wire::SessionValue>> *session_values = nullptr) {
+    const std::vector<flatbuffers::Offset<egrettide::wire::SessionValue>> *session_values = nullptr,
+    uint32_t objective_ms = 0) {
   auto database__ = database ? _fbb.CreateString(database) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   auto class_name__ = class_name ? _fbb.CreateString(class_name) : 0;
@@ -830,7 +841,8 @@
       batch__,
       needs_primary,
       may_hold_several,
-      session_values__);
+      session_values__,
+      objective_ms);
 }
 
 struct ErrorInfo FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -311,6 +311,10 @@
     table.add_class_name(className);
     table.add_tenant(tenant);
     table.add_remaining_ms(remainingMilliseconds(request.deadline, m_now));
+    if (request.objective) {
+        // Zero would mean that there is none.
+        table.add_objective_ms(std::max<std::uint32_t>(1, remainingMilliseconds(*request.objective, m_now)));
+    }
     if (request.freshness.floor) {
         table.add_floor(&floor);
     }
@@ -413,6 +417,9 @@
     request.className = text(table.class_name());
     request.tenant = text(table.tenant());
     request.deadline = now + milliseconds{table.remaining_ms()};
+    if (table.objective_ms() > 0) {
+        request.objective = now + milliseconds{table.objective_ms()};
+    }
     request.receivedAt = now;
     request.freshness.floor = unpackOptionalMark(table.floor());
     if (table.max_age_ms() >= 0) {
