Gather store changes that come in a row

Cause: at the grown sites each of 73 hosts called again at once after every change; 24 upstreams register one by one, and each dbRole or draining change does the same.

Change: after a change the next call waits 0.5 s.

Tests: collection_test; runtime and platform pass.

--- a/src/runtime/configuration/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -11,9 +11,15 @@
 {
 
 constexpr milliseconds listTimeout{2000};
-// A waiting call counts as one, so long ones are cheap; but a connection that fell
-// silent is noticed only when one of them ends.
+// A waiting call counts as one, so long ones are cheap. But a store that takes a call and
+// never answers it, while its connection stays up, is noticed only at the call's end: at
+// 5 s a host that such a store has left behind follows again before a configuration
+// that is accepted 4 s after the store's return has to be in force, 3 s later.
 constexpr milliseconds changesTimeout{5000};
+// After a change the next call waits this long: when 24 upstreams register one by one,
+// each of 73 hosts would else call 24 times. It delays a change that follows closely on
+// another one, of the 3 s in which a configuration has to be in force.
+constexpr milliseconds changesSpacing{500};
 // Between two attempts while the store does not answer: each is counted.
 constexpr milliseconds firstBackoff{100};
 constexpr milliseconds lastBackoff{800};
@@ -73,7 +79,7 @@
                          if (changes) {
                              setReached(true);
                              apply(*changes);
-                             wait();
+                             waitAfter(changes->changes.empty() ? milliseconds{0} : changesSpacing);
                              return;
                          }
                          m_listed = m_listed && changes.error() != CollectionFailure::HistoryGone;
@@ -81,6 +87,20 @@
                      });
 }
 
+void CollectionFollower::waitAfter(milliseconds pause)
+{
+    if (pause == milliseconds{0}) {
+        wait();
+        return;
+    }
+    m_timer.expires_after(pause);
+    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled && !m_stopped) {
+            wait();
+        }
+    });
+}
+
 void CollectionFollower::apply(const CollectionChanges &changes)
 {
     m_revision = std::max(m_revision, changes.revision);
--- a/src/runtime/configuration/collection.h
+++ b/src/runtime/configuration/collection.h
@@ -81,6 +81,7 @@
 private:
     void list();
     void wait();
+    void waitAfter(milliseconds pause);
     void retry();
     void apply(const CollectionChanges &changes);
     void setReached(bool reached);
