Explain a request from its id; never wait for the log's output

Cause: the thread that served callers wrote the log itself and would have stood still with an output that nobody reads; a failed request's line did not name its configuration, freshness and attempts; joining the hosts' lines was left to the reader.

Change: lines go through a bounded queue to a thread of its own, what does not fit is dropped, counted (log_lines_dropped_total) and said (lines_dropped); the end of the process waits 0.5 s for it at most. request_failed names the kind in words, the configuration, the floor, the age and the attempts. egrettidectl explain ID joins lines of any number of hosts: what was decided, what was in force at that moment at the host that answered and at the upstream's home, and whether it may have run.

--- a/include/egrettide/core/request.h
+++ b/include/egrettide/core/request.h
@@ -107,6 +107,8 @@
     GroupHint hint;
     // True when the request had left for the upstream.
     bool sent = false;
+    // How often the front had handed it to a home; set by the front alone.
+    int attempts = 0;
 };
 
 using ReplyHandler = std::function<void(StatementReply)>;
--- a/include/egrettide/core/types.h
+++ b/include/egrettide/core/types.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace egrettide
@@ -114,4 +115,7 @@
 // What a statement may do, as the parser proves it. Anything unproven is a Write.
 enum class StatementKind { Read, Write, Begin, BeginReadOnly, Commit, Rollback, Setting, Refused };
 
+// Its name in logs.
+std::string_view nameOf(StatementKind kind);
+
 } // namespace egrettide
--- a/src/runtime/callers/requestrunner.cpp
+++ b/src/runtime/callers/requestrunner.cpp
@@ -195,6 +195,7 @@
     if (claimsNotRun && reply.sent && m_request.kind != StatementKind::Read && !trusts) {
         reply.error->kind = ErrorKind::UnknownOutcome;
     }
+    reply.attempts = m_sends;
     observe(reply);
     const DoneHandler done = std::move(m_done);
     m_done = nullptr;
--- a/src/runtime/host/hostoperations.cpp
+++ b/src/runtime/host/hostoperations.cpp
@@ -45,6 +45,7 @@
         const auto now = routes();
         MetricsRegistry gauges;
         addStoreMetrics(gauges, m_store->callCounts());
+        addLogMetrics(gauges);
         addHomeMetrics(gauges, homes);
         gauges.set("callers", {}, static_cast<double>(m_front->openConnections()));
         gauges.set("configuration_version", {}, static_cast<double>(now->configuration ? now->configuration->version : 0));
--- a/src/runtime/host/log.cpp
+++ b/src/runtime/host/log.cpp
@@ -1,11 +1,11 @@
-// Structured logs by Boost.Log: a text sink whose messages are JSON objects.
+// Structured logs by Boost.Log: an asynchronous sink whose messages are JSON objects.
 
 #include "runtime/host/log.h"
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
@@ -13,9 +13,14 @@
 
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
-#include <iostream>
+#include <climits>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -27,7 +32,27 @@
 {
 
 namespace blog = boost::log;
-using TextSink = blog::sinks::synchronous_sink<blog::sinks::text_ostream_backend>;
+
+// Lines that did not fit into the queue, or that failure() held back, and how many of
+// them a line has told of.
+std::atomic<std::uint64_t> dropped{0};
+std::atomic<std::uint64_t> droppedTold{0};
+std::atomic<std::uint64_t> heldBack{0};
+
+// What the queue does with a line that does not fit.
+struct CountDropped {
+    template <class Lock> static bool on_overflow(const blog::record_view &, Lock &)
+    {
+        ++dropped;
+        return false;
+    }
+    static void on_queue_space_available()
+    {
+    }
+    static void interrupt()
+    {
+    }
+};
 
 std::atomic<Level> threshold{Level::Warning};
 std::string &hostName()
@@ -71,6 +96,79 @@
     return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+// Writes lines to a descriptor. Looks whether it takes more before each part, so that it
+// never hangs in a write that nobody reads, and ends when told to.
+class OutputBackend : public blog::sinks::basic_formatted_sink_backend<char>
+{
+public:
+    explicit OutputBackend(int output) : m_output(output)
+    {
+    }
+
+    void consume(const blog::record_view &, const string_type &line)
+    {
+        const std::uint64_t lost = dropped.load();
+        if (lost > droppedTold.load()) {
+            const std::uint64_t told = droppedTold.exchange(lost);
+            write(lineFor(Level::Warning, "lines_dropped", {{"lines", lost - told}}));
+        }
+        write(line);
+    }
+
+    void closeBy(std::chrono::steady_clock::time_point deadline)
+    {
+        m_closeBy = deadline.time_since_epoch().count();
+    }
+
+private:
+    // How long a full output is waited for before the end is looked for.
+    static constexpr int pollMilliseconds = 100;
+
+    bool isOverdue() const
+    {
+        return std::chrono::steady_clock::now().time_since_epoch().count() >= m_closeBy.load();
+    }
+
+    void write(std::string line) const
+    {
+        line += '\n';
+        std::size_t done = 0;
+        while (done < line.size() && !isOverdue()) {
+            pollfd ready{m_output, POLLOUT, 0};
+            if (::poll(&ready, 1, pollMilliseconds) <= 0) {
+                continue;
+            }
+            // A pipe that is ready takes this much without waiting.
+            const std::size_t part = std::min<std::size_t>(line.size() - done, PIPE_BUF);
+            const ssize_t written = ::write(m_output, line.data() + done, part);
+            if (written < 0 && errno != EINTR && errno != EAGAIN) {
+                return;
+            }
+            done += static_cast<std::size_t>(std::max<ssize_t>(0, written));
+        }
+    }
+
+    const int m_output;
+    std::atomic<std::chrono::steady_clock::rep> m_closeBy{
+        std::chrono::steady_clock::time_point::max().time_since_epoch().count()};
+};
+
+using LineQueue = blog::sinks::bounded_fifo_queue<queuedLines, CountDropped>;
+using LineSink = blog::sinks::asynchronous_sink<OutputBackend, LineQueue>;
+
+// Both empty, or both set from open() to close().
+struct OpenLog {
+    boost::shared_ptr<LineSink> sink;
+    // Told to end without the sink's lock, which its thread holds while it writes.
+    boost::shared_ptr<OutputBackend> backend;
+};
+
+OpenLog &openLog()
+{
+    static OpenLog log;
+    return log;
+}
+
 } // namespace
 
 Level levelNamed(std::string_view name)
@@ -83,14 +181,30 @@
     return Level::Info;
 }
 
-void open(std::string_view host, Level level)
+void open(std::string_view host, Level level, int output)
 {
     hostName() = host;
     threshold = level;
-    auto backend = boost::make_shared<blog::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-    backend->auto_flush(true);
-    blog::core::get()->add_sink(boost::make_shared<TextSink>(backend));
+    const auto backend = boost::make_shared<OutputBackend>(output);
+    openLog() = OpenLog{boost::make_shared<LineSink>(backend), backend};
+    blog::core::get()->add_sink(openLog().sink);
+}
+
+void close()
+{
+    const OpenLog log = std::exchange(openLog(), OpenLog{});
+    if (!log.sink) {
+        return;
+    }
+    blog::core::get()->remove_sink(log.sink);
+    log.backend->closeBy(std::chrono::steady_clock::now() + closeBound);
+    log.sink->flush();
+    log.sink->stop();
+}
+
+std::uint64_t droppedLines()
+{
+    return dropped.load() + heldBack.load();
 }
 
 void setLevel(Level level)
@@ -125,6 +239,7 @@
         }
         if (m_left == 0) {
             ++m_dropped;
+            ++heldBack;
             return std::nullopt;
         }
         --m_left;
--- a/src/runtime/host/log.h
+++ b/src/runtime/host/log.h
@@ -4,6 +4,8 @@
 
 #pragma once
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 #include <initializer_list>
@@ -53,14 +55,32 @@
     Value value;
 };
 
-// Sends lines of `level` and above to standard output, each with the host's name.
-// To be called once, before other threads start.
-void open(std::string_view host, Level level);
+// Sends lines of `level` and above to the descriptor, standard output by default, each
+// with the host's name. To be called once, before other threads start.
+//
+// What goes wrong when whoever logs also writes: nobody reads the output for a while, the
+// pipe fills up, and every caller of the host waits. So lines go through a queue of
+// `queuedLines` to a thread of its own; what does not fit is dropped and counted, and
+// the next line that fits is preceded by a line that says how many were.
+void open(std::string_view host, Level level, int output = 1);
+
+// Writes what is queued, for `closeBound` at most, and ends the writing thread. Lines of
+// later events are lost.
+void close();
+
+// Lines dropped since the start, those of failure() beyond its budget included.
+std::uint64_t droppedLines();
+
+// About 0.5 MB of lines; at 50 failures a second and host, 40 s of an output that nobody
+// reads.
+constexpr std::size_t queuedLines = 2048;
+// How long the end of the process may wait for an output that nobody reads.
+constexpr std::chrono::milliseconds closeBound{500};
 
 // Changes what is written, at any time and from any thread.
 void setLevel(Level level);
 
-// Writes one line. Thread-safe; may block on a slow standard output.
+// Queues one line. Thread-safe; never waits for the output.
 void event(Level level, std::string_view name, std::initializer_list<Field> fields = {});
 
 // One line for a request that failed. At most `failureLines` a second are written, so
--- a/src/runtime/operators/hoststatus.cpp
+++ b/src/runtime/operators/hoststatus.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/operators/hoststatus.h"
 
+#include "runtime/host/log.h"
+
 #include <nlohmann/json.hpp>
 
 #include <ctime>
@@ -102,6 +104,11 @@
     registry.counter("store_calls_total", {{"kind", "hosts"}}).add(counts.hostLists);
 }
 
+void addLogMetrics(MetricsRegistry &registry)
+{
+    registry.counter("log_lines_dropped_total", {}).add(log::droppedLines());
+}
+
 void addHomeMetrics(MetricsRegistry &registry, const std::vector<UpstreamHomeStats> &homes)
 {
     for (const UpstreamHomeStats &home : homes) {
--- a/src/runtime/operators/hoststatus.h
+++ b/src/runtime/operators/hoststatus.h
@@ -29,6 +29,7 @@
                               const HomeService &homes);
 
 void addStoreMetrics(MetricsRegistry &registry, const StoreCallCounts &counts);
+void addLogMetrics(MetricsRegistry &registry);
 void addHomeMetrics(MetricsRegistry &registry, const std::vector<UpstreamHomeStats> &homes);
 void addPeerMetrics(MetricsRegistry &registry, const PeerTraffic &traffic, std::size_t links);
 
--- a/src/runtime/operators/operatorcommands.cpp
+++ b/src/runtime/operators/operatorcommands.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/operators/operatorcommands.h"
 
+#include "egrettide/core/logstory.h"
+
 #include "egrettide/core/configurationfile.h"
 #include "runtime/configuration/applyrunner.h"
 #include "runtime/host/address.h"
@@ -401,4 +403,26 @@
     return commandResult(*m_settings.host, answer, "Database " + database + " has a new primary.");
 }
 
+CommandResult OperatorCommands::explain(const std::string &requestId, const std::vector<std::string> &logs)
+{
+    LogStory story(requestId);
+    for (const std::string &log : logs) {
+        std::istringstream lines(log);
+        for (std::string line; std::getline(lines, line);) {
+            story.take(line);
+        }
+    }
+    CommandResult result;
+    result.output = story.tell();
+    if (story.skipped() > 0) {
+        result.complaint = std::to_string(story.skipped()) + " lines are no log lines and were skipped\n";
+    }
+    if (!story.found()) {
+        result.code = ExitCode::Refused;
+        result.complaint += "no line is about request " + requestId
+            + "; give the logs of all hosts of that time, and look for failures_not_logged and lines_dropped in them\n";
+    }
+    return result;
+}
+
 } // namespace egrettide
--- a/src/runtime/operators/operatorcommands.h
+++ b/src/runtime/operators/operatorcommands.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace egrettide
 {
@@ -78,6 +79,10 @@
     // Makes `to`, or the best replica when it is empty, the database's primary.
     CommandResult switchover(const std::string &database, const std::string &to) const;
 
+    // Tells the story of a request out of hosts' log lines, of which each text holds any
+    // number; needs neither host nor platform.
+    static CommandResult explain(const std::string &requestId, const std::vector<std::string> &logs);
+
 private:
     CommandResult applyConfiguration(const Configuration &configuration, std::optional<std::uint64_t> ifVersion) const;
     CommandResult drainUpstream(Configuration configuration, const std::string &name) const;
--- a/src/runtime/sessions/statementsession.cpp
+++ b/src/runtime/sessions/statementsession.cpp
@@ -36,6 +36,12 @@
     return defaults;
 }
 
+// As "term.position"; "none" when the read need not see anything in particular.
+std::string textOf(const std::optional<LogMark> &mark)
+{
+    return mark ? std::to_string(mark->term) + "." + std::to_string(mark->position) : "none";
+}
+
 // Names of prepared statements collide between callers, and connections are shared.
 // A name derived from the definition means the same for all of them.
 std::string sharedNameOf(const std::string &definition)
@@ -321,10 +327,14 @@
                  {{"id", pending.id},
                   {"route", m_routeName},
                   {"database", m_state.database()},
-                  {"kind", static_cast<int>(pending.kind)},
+                  {"kind", nameOf(pending.kind)},
                   {"upstream", upstream},
                   {"term", reply.hint.term},
                   {"primary", reply.hint.primary},
+                  {"configuration", m_configuration ? m_configuration->version : 0},
+                  {"floor", textOf(pending.freshness.floor)},
+                  {"max_age_ms", pending.freshness.maxAge.value_or(milliseconds{-1}).count()},
+                  {"attempts", reply.attempts},
                   {"in_transaction", m_state.inTransaction()},
                   {"sent", reply.sent},
                   {"waited_ms", waited.count()},
--- a/src/tools/egrettidectl.cpp
+++ b/src/tools/egrettidectl.cpp
@@ -27,9 +27,10 @@
   drain UPSTREAM                    give the upstream no new work (applies the file in force with it leaving)
   drain HOST                        stop the host gracefully
   switchover DATABASE [--to UPSTREAM]  change the primary without refusing a caller
+  explain ID [--log FILE]...        what was decided about a request, from hosts' log lines (standard input without a file)
 
 diff, apply and drain UPSTREAM need --platform; status, drain HOST and switchover need --operator;
-status proves its answer only when it has both.
+status proves its answer only when it has both; explain needs neither.
 )";
 
 // A fault of the command line.
@@ -49,6 +50,8 @@
     add("who", options::value<std::string>()->value_name("NAME"), "recorded with an accepted file; the user's name by default");
     add("if-version", options::value<std::uint64_t>()->value_name("N"), "apply: the version that the file was made from");
     add("to", options::value<std::string>()->default_value("")->value_name("UPSTREAM"), "switchover: the new primary");
+    add("log", options::value<std::vector<std::string>>()->composing()->value_name("FILE"),
+        "explain: log lines of one host or several; may be given more than once");
     add("json", "status: print JSON");
     add("wait", options::value<double>()->default_value(0, "0")->value_name("SECONDS"),
         "status: wait so long for all hosts to agree");
@@ -124,6 +127,18 @@
     return {std::istreambuf_iterator<char>(stream), {}};
 }
 
+std::vector<std::string> logTexts(const options::variables_map &values)
+{
+    if (values.count("log") == 0) {
+        return {std::string(std::istreambuf_iterator<char>(std::cin), {})};
+    }
+    std::vector<std::string> texts;
+    for (const std::string &path : values["log"].as<std::vector<std::string>>()) {
+        texts.push_back(fileText(path));
+    }
+    return texts;
+}
+
 CommandResult run(const options::variables_map &values)
 {
     const auto words = values.count("words") > 0 ? values["words"].as<std::vector<std::string>>() : std::vector<std::string>();
@@ -136,6 +151,9 @@
         throw UsageError("give one command with its argument; --help lists them");
     }
     const std::string &argument = words.back();
+    if (command == "explain") {
+        return OperatorCommands::explain(argument, logTexts(values));
+    }
     if (command == "validate") {
         return commands.validate(fileText(argument));
     }
--- a/src/tools/egrettided.cpp
+++ b/src/tools/egrettided.cpp
@@ -98,6 +98,7 @@
     const auto addresses = daemon.start();
     if (!addresses) {
         log::error("start_failed", {{"error", addresses.error().message}});
+        log::close();
         std::cerr << "egrettided: " << addresses.error().message << '\n';
         return exitFailed;
     }
@@ -113,6 +114,7 @@
     daemon.wait();
     signalContext.stop();
     signalThread.join();
+    log::close();
     return exitOk;
 }
 
--- a/tests/process/egrettidectl_test.cpp
+++ b/tests/process/egrettidectl_test.cpp
@@ -414,4 +414,19 @@
     expectCode(ctl({"--operator", host.address, "switchover", "bookings"}), 4);
 }
 
+BOOST_AUTO_TEST_CASE(ExplainsARequestFromLogsAlone)
+{
+    const std::string path = (std::filesystem::temp_directory_path() / ("explain-" + std::to_string(::getpid()))).string();
+    std::ofstream(path) << R"({"time_ms":5,"host":"front-1","event":"started"})"
+                        << "\nnoise\n"
+                        << R"({"time_ms":9,"host":"front-1","event":"request_failed","id":"abc","sent":false,"reason":"no slot"})"
+                        << '\n';
+    const Run explained = ctl({"explain", "abc", "--log", path});
+    expectCode(explained, 0);
+    BOOST_TEST(explained.output.find("no slot") != std::string::npos, explained.output);
+    BOOST_TEST(explained.complaint.find("1 lines") != std::string::npos, explained.complaint);
+    expectCode(ctl({"explain", "unheard", "--log", path}), 1);
+    std::filesystem::remove(path);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
