--- a/src/core/operators/logstory.cpp
+++ b/src/core/operators/logstory.cpp
@@ -135,13 +135,17 @@
     return text;
 }
 
-// The newest line of that event that the host wrote up to then; about the database,
-// unless that is empty.
+// The newest line of that event that the host's process wrote up to then; about the
+// database, unless that is empty. What an earlier process of the host believed is over.
 const LogLine *LogStory::newestBefore(const LogLine &line, std::string_view host, std::string_view event,
                                       std::string_view database) const
 {
+    const LogLine *start = event == "started" ? nullptr : newestBefore(line, host, "started", {});
     const LogLine *newest = nullptr;
     for (const LogLine &belief : m_beliefs) {
+        if (start != nullptr && belief.time < start->time) {
+            continue;
+        }
         const bool concerns = belief.host == host && belief.event == event && belief.time <= line.time
             && (database.empty() || fieldOf(belief, "database") == database);
         if (concerns && (newest == nullptr || belief.time >= newest->time)) {
--- a/tests/core/logstory_test.cpp
+++ b/tests/core/logstory_test.cpp
@@ -62,6 +62,17 @@
     BOOST_TEST(contains(story, "home of u1: none in these lines"), "the home had left:\n" << story);
 }
 
+// Symptom: a host is said to be stopping although it runs for minutes already.
+// Sequence: it stopped, started again, and then the request failed.
+// Cause: what the process before had written was told as being in force.
+BOOST_AUTO_TEST_CASE(ForgetsWhatAnEarlierProcessOfTheHostBelieved)
+{
+    std::vector<std::string> taken = lines;
+    taken.push_back(R"({"time_ms":900,"level":"info","host":"front-1","event":"stop_begun","callers":3})");
+    const std::string story = storyOf("abc", taken);
+    BOOST_TEST(!contains(story, "stop_begun"), story);
+}
+
 BOOST_AUTO_TEST_CASE(SkipsAndCountsWhatIsNoLogLine)
 {
     LogStory story("abc");
