--- /dev/null
+++ b/src/runtime/group/groupobserverswitchover.cpp
@@ -0,0 +1,175 @@
+// Planned changes of the primary.
+
+#include "runtime/group/groupobserverimpl.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace egrettide
+{
+
+using detail::namesOf;
+using detail::Overloaded;
+
+namespace
+{
+
+// After a planned change that this host started by itself and that failed.
+constexpr milliseconds ownChangeSpacing{2000};
+// Stands for "not reported yet" until the home says how much is in progress.
+constexpr std::size_t unknownOpen = 1;
+
+Error switchoverError(SwitchoverFailure failure)
+{
+    switch (failure) {
+    case SwitchoverFailure::TransactionsOpen:
+        return {ErrorKind::Conflict, "Transactions stayed open for too long; nothing has changed. Retry when they have ended.",
+                milliseconds{1000}};
+    case SwitchoverFailure::SuccessorBehind:
+        return {ErrorKind::NotFresh, "The successor did not catch up in time; nothing has changed. Retry when its lag is small.",
+                milliseconds{1000}};
+    case SwitchoverFailure::GroupChanged:
+        return {ErrorKind::NoPrimary, "The primary or the successor was lost or has changed; look at the group and retry.",
+                milliseconds{1000}};
+    case SwitchoverFailure::ClockGap:
+        return {ErrorKind::Conflict, "This host stood still during the change; look at the group and retry.", milliseconds{1000}};
+    case SwitchoverFailure::Cancelled:
+        break;
+    }
+    return {ErrorKind::Leaving, "The change was called off; nothing has changed. Retry at another time.", milliseconds{1000}};
+}
+
+} // namespace
+
+void GroupObserver::Impl::switchover(const std::string &to, DoneHandler handler)
+{
+    if (const auto refusal = switchoverRefusal(to)) {
+        handler(tl::unexpected(*refusal));
+        return;
+    }
+    m_switchoverDone = std::move(handler);
+    startSwitchover(to);
+}
+
+std::optional<Error> GroupObserver::Impl::switchoverRefusal(const std::string &to) const
+{
+    const auto names = namesOf(m_database);
+    const auto view = m_monitor.snapshot();
+    if (std::ranges::find(names, to) == names.end()) {
+        return Error{ErrorKind::InvalidInput, "'" + to + "' is no upstream of '" + m_database.name + "'; name one that is."};
+    }
+    if (!m_homes.contains(view->primary)) {
+        return Error{ErrorKind::Moved, "Only the home of the primary '" + view->primary + "' can change it; ask there.",
+                     milliseconds{0}};
+    }
+    if (m_switchover.running() || m_promoter->running()) {
+        return Error{ErrorKind::Conflict, "Another change of the primary is under way; retry when it has ended.",
+                     milliseconds{1000}};
+    }
+    return std::nullopt;
+}
+
+void GroupObserver::Impl::startSwitchover(const std::string &to)
+{
+    const TimePoint now = Clock::now();
+    perform(m_switchover.start(*m_monitor.snapshot(), to, unknownOpen, now));
+    tick();
+}
+
+// A primary that the operators take away, or whose term has to be renewed, is
+// changed by its own home without being asked.
+void GroupObserver::Impl::startOwnChange(const GroupSnapshot &view, TimePoint now)
+{
+    const bool mine = m_homes.contains(view.primary) && view.primaryConfirmed;
+    if (!mine || m_switchover.running() || m_promoter->running() || now < m_nextOwnChangeAt) {
+        return;
+    }
+    const auto successor = m_promoter->needsRenewal() ? std::optional(view.primary) : successorOfLeaving(view);
+    if (successor) {
+        m_nextOwnChangeAt = now + ownChangeSpacing;
+        startSwitchover(*successor);
+    }
+}
+
+std::optional<std::string> GroupObserver::Impl::successorOfLeaving(const GroupSnapshot &view) const
+{
+    const UpstreamSpec *const primary = m_database.upstream(view.primary);
+    if (!primary || !primary->leaving) {
+        return std::nullopt;
+    }
+    const MemberView *best = nullptr;
+    for (const MemberView &member : view.members) {
+        const bool fit = member.reachable && !member.leaving && member.upstream != view.primary;
+        if (fit && (!best || member.received > best->received)) {
+            best = &member;
+        }
+    }
+    return best ? std::optional(best->upstream) : std::nullopt;
+}
+
+void GroupObserver::Impl::perform(const SwitchoverActions &actions)
+{
+    for (const SwitchoverAction &action : actions) {
+        std::visit(Overloaded{[this](const auto &one) { carryOut(one); }}, action);
+    }
+    if (!actions.empty()) {
+        arm();
+    }
+}
+
+void GroupObserver::Impl::carryOut(const PauseWrites &)
+{
+    m_pausedUpstream = m_monitor.snapshot()->primary;
+    if (!m_hooks.pauseWrites) {
+        return;
+    }
+    m_hooks.pauseWrites(m_pausedUpstream, [weak = weak_from_this()](std::size_t open) {
+        if (const auto self = weak.lock()) {
+            self->onControl([open](Impl &impl) { impl.perform(impl.m_switchover.onOpenTransactions(open, Clock::now())); });
+        }
+    });
+}
+
+void GroupObserver::Impl::carryOut(const ResumeWrites &)
+{
+    resumeWrites();
+}
+
+void GroupObserver::Impl::carryOut(const HandOver &action)
+{
+    learnAnnounced(action.term, action.primary);
+    resumeWrites();
+}
+
+void GroupObserver::Impl::resumeWrites()
+{
+    if (m_hooks.resumeWrites) {
+        m_hooks.resumeWrites(m_pausedUpstream);
+    }
+}
+
+void GroupObserver::Impl::carryOut(const StartPromotion &action)
+{
+    perform(m_promoter->startPlanned(action.successor, m_monitor.highestPromised(), Clock::now()));
+}
+
+void GroupObserver::Impl::carryOut(const WatchMarks &)
+{
+    m_roundNow = true;
+}
+
+void GroupObserver::Impl::carryOut(const SwitchoverDone &action)
+{
+    const DoneHandler handler = std::exchange(m_switchoverDone, nullptr);
+    if (!handler) {
+        return;
+    }
+    if (action.failure) {
+        handler(tl::unexpected(switchoverError(*action.failure)));
+    } else {
+        handler({});
+    }
+}
+
+} // namespace egrettide
