Name the introduction of a starting host; count lines that could not be written

Cause: read as a newcomer, two comments gave figures that no run had shown (2 ms, 0.6 s, 20 KB), names were of our own making, and a failed write was neither counted nor said. Change: names, comments, the count.

--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -135,10 +135,9 @@
     double suspicionTicksPerBit = 0.75;
     // Peers asked to confirm that a silent host does not answer them either.
     int helpers = 2;
-    // Hosts of the first list that are called on at once: more than a zone has today
-    // (17), few enough for links of 10 Mbit/s when a whole fleet starts (24 pings and
-    // their answers are about 20 KB).
-    std::size_t greetings = 24;
+    // Hosts of the first list that are pinged at once: more than a zone has today (17),
+    // and no more than that when the fleet grows.
+    std::size_t introductions = 24;
     // What rides on one heartbeat at most.
     std::size_t recordsPerMessage = 4;
     std::size_t healthNotesPerMessage = 24;
@@ -194,8 +193,8 @@
     TimePoint nextTick() const;
     // Takes a message from a peer and gives the messages that it causes.
     std::vector<GossipSend> onMessage(const GossipMessage &message, TimePoint now);
-    // Takes the platform's list; it adds places to look at and removes nobody. The
-    // first one is called on at once, its own zone before the others.
+    // Takes the platform's list; it adds places to look at and removes nobody. Hosts of
+    // the first one are pinged at once, its own zone before the others.
     std::vector<GossipSend> onHostList(const std::vector<HostSeed> &seeds, TimePoint now);
     // A link to the peer was refused or broke: it is probed at once, not declared dead.
     std::vector<GossipSend> onLinkLost(const std::string &peer, TimePoint now);
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -68,18 +68,18 @@
         }
     }
     if (!std::exchange(m_listed, true) && !m_departed) {
-        greet(sends);
+        introduceSelf(sends);
     }
     return sends;
 }
 
 // Symptom: after a power cut nothing is served for a second although all hosts run.
-// Sequence: all start at once, and each calls on one listed host in each period; the
-// views stand still, and homes are taken, only several periods later.
-// So the first list is called on at once, and whoever is called on answers with its
-// own record. Nine hosts that started within 0.2 s know each other 2 ms after the
-// last of them is up, instead of 0.6 s (in simulated time).
-void Membership::State::greet(Sends &sends)
+// Sequence: all start at once, and each pings one listed host in each period; the views
+// stand still, and homes are taken, only several periods later.
+// So hosts of the first list are pinged at once, and answer with their own records. 2 to
+// 24 hosts that started within 0.2 s all know each other 20 ms after the last start (in
+// simulated time).
+void Membership::State::introduceSelf(Sends &sends)
 {
     std::vector<const HostSeed *> unmet;
     for (const auto &[name, seed] : m_seeds) {
@@ -90,12 +90,12 @@
     }
     std::shuffle(unmet.begin(), unmet.end(), m_random);
     std::stable_partition(unmet.begin(), unmet.end(), [this](const HostSeed *seed) { return seed->zone == m_self.zone; });
-    unmet.resize(std::min(unmet.size(), m_options.greetings));
+    unmet.resize(std::min(unmet.size(), m_options.introductions));
     for (const HostSeed *seed : unmet) {
-        GossipMessage greeting = message(GossipKind::Ping, ++m_sequence);
-        greeting.target = seed->name;
-        greeting.records.push_back(m_self);
-        send(seed->name, seed->peerAddress, std::move(greeting), sends);
+        GossipMessage introduction = message(GossipKind::Ping, ++m_sequence);
+        introduction.target = seed->name;
+        introduction.records.push_back(m_self);
+        send(seed->name, seed->peerAddress, std::move(introduction), sends);
     }
 }
 
--- a/src/core/fleet/membershipnews.cpp
+++ b/src/core/fleet/membershipnews.cpp
@@ -245,9 +245,9 @@
         ack.bucketDigests = m_table.bucketDigests();
     }
     // Whoever introduces itself has just started and may know nobody.
-    const bool greets = std::any_of(ping.records.begin(), ping.records.end(),
-                                    [&ping](const HostRecord &record) { return record.name == ping.from; });
-    if (greets) {
+    const bool introduces = std::any_of(ping.records.begin(), ping.records.end(),
+                                        [&ping](const HostRecord &record) { return record.name == ping.from; });
+    if (introduces) {
         ack.records.push_back(m_self);
     }
     send(ping.from, ping.fromAddress, std::move(ack), sends);
--- a/src/core/fleet/membershipstate.h
+++ b/src/core/fleet/membershipstate.h
@@ -116,14 +116,14 @@
     void refuteAtOnce(Sends &sends);
     void trustAgain();
     void announceSelf(TimePoint now, Sends &sends);
-    void greet(Sends &sends);
+    void introduceSelf(Sends &sends);
 
     HostRecord m_self;
     const MembershipOptions m_options;
     std::mt19937_64 m_random;
     MemberTable m_table;
     std::map<std::string, HostSeed> m_seeds;
-    // Set by the first list; its hosts have been called on.
+    // Set by the first list; its hosts have been pinged.
     bool m_listed = false;
     // Whom this host watches, in turn. Invariant: as many as the options say, or
     // all others if there are fewer, plus suspects that stand before them.
--- a/src/core/slots/slotscheduler.cpp
+++ b/src/core/slots/slotscheduler.cpp
@@ -84,7 +84,7 @@
     // Refusal of what already waits.
     void refuseHopeless(SlotActions &actions, TimePoint now);
     void refuseExpired(ClassQueue &queue, Lane lane, SlotActions &actions, TimePoint now);
-    void missObjective(ClassQueue &queue, Lane lane, std::uint64_t id, TimePoint now);
+    void demoteLate(ClassQueue &queue, Lane lane, std::uint64_t id, TimePoint now);
     void refusePredicted(ClassQueue &queue, SlotActions &actions, TimePoint now);
     void refuse(ClassQueue &queue, std::uint64_t id, Lane lane, Error error, SlotActions &actions);
 
@@ -468,7 +468,7 @@
             return;
         }
         if (waiting->key.due < waiting->ticket.deadline) {
-            missObjective(queue, lane, waiting->id(), now);
+            demoteLate(queue, lane, waiting->id(), now);
             continue;
         }
         Error error =
@@ -478,7 +478,7 @@
 }
 
 // It is late already; from now on it makes way for those that need not be.
-void SlotScheduler::Impl::missObjective(ClassQueue &queue, Lane lane, std::uint64_t id, TimePoint now)
+void SlotScheduler::Impl::demoteLate(ClassQueue &queue, Lane lane, std::uint64_t id, TimePoint now)
 {
     const WaitingTicket late = m_state.unplace(queue, lane, id);
     m_state.place(queue, lane, late.ticket, late.ticket.deadline, now);
--- a/src/runtime/host/log.cpp
+++ b/src/runtime/host/log.cpp
@@ -33,10 +33,11 @@
 
 namespace blog = boost::log;
 
-// Lines that did not fit into the queue, or that failure() held back, and how many of
-// them a line has told of.
+// Lines that did not fit into the queue or could not be written, and how many of them a
+// line has told of.
 std::atomic<std::uint64_t> dropped{0};
 std::atomic<std::uint64_t> droppedTold{0};
+// Lines that failure() held back; it tells of them itself.
 std::atomic<std::uint64_t> heldBack{0};
 
 // What the queue does with a line that does not fit.
@@ -142,10 +143,11 @@
             const std::size_t part = std::min<std::size_t>(line.size() - done, PIPE_BUF);
             const ssize_t written = ::write(m_output, line.data() + done, part);
             if (written < 0 && errno != EINTR && errno != EAGAIN) {
-                return;
+                break;
             }
             done += static_cast<std::size_t>(std::max<ssize_t>(0, written));
         }
+        dropped += done < line.size() ? 1 : 0;
     }
 
     const int m_output;
--- a/tests/core/gossipfleet.h
+++ b/tests/core/gossipfleet.h
@@ -54,11 +54,11 @@
         host.zone = zone;
         host.address = self.peerAddress;
         host.membership = std::make_unique<Membership>(self, m_options, m_random(), m_now);
-        auto greetings = host.membership->onHostList(seeds, m_now);
+        auto introductions = host.membership->onHostList(seeds, m_now);
         host.process = ++m_processes;
         m_places[host.address] = name;
         m_hosts[name] = std::move(host);
-        send(name, std::move(greetings));
+        send(name, std::move(introductions));
         schedule(name);
     }
 
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -115,7 +115,7 @@
 // Symptom: after a power cut callers wait for a second and more, although every host
 // is back after a fifth of one.
 // Sequence: all hosts start within 200 ms; each knows the others from the list and
-// calls on one of them in each period.
+// pings one of them in each period.
 // Cause: homes are taken once the view stands still, which took three periods.
 BOOST_AUTO_TEST_CASE(MeetsEverybodyAtOnceWhenAllHostsStartTogether)
 {
@@ -135,8 +135,8 @@
     }));
 }
 
-// The list of a large fleet is not called on as a whole: its own zone first.
-BOOST_AUTO_TEST_CASE(CallsOnItsOwnZoneFirstAndOnABoundedNumber)
+// The list of a large fleet is not pinged as a whole: its own zone first.
+BOOST_AUTO_TEST_CASE(PingsItsOwnZoneFirstAndABoundedNumber)
 {
     std::vector<HostSeed> seeds;
     for (int i = 0; i < 500; ++i) {
@@ -146,13 +146,13 @@
     const MembershipOptions options;
     Membership membership(recordOf("self", 1, HostHealth::Live), options, 1, now);
     const auto sends = membership.onHostList(seeds, now);
-    BOOST_TEST(sends.size() == options.greetings, "called on " << sends.size() << " hosts, not on " << options.greetings);
+    BOOST_TEST(sends.size() == options.introductions, "pinged " << sends.size() << " hosts, not " << options.introductions);
     const auto inZone = std::count_if(sends.begin(), sends.end(), [&seeds](const GossipSend &send) {
         return std::any_of(seeds.begin(), seeds.end(),
                            [&send](const HostSeed &seed) { return seed.name == send.peer && seed.zone == "zone-0"; });
     });
-    BOOST_TEST(inZone == 10, "called on " << inZone << " of the 10 hosts of its zone");
-    BOOST_TEST(membership.onHostList(seeds, now).empty(), "a list is called on once");
+    BOOST_TEST(inZone == 10, "pinged " << inZone << " of the 10 hosts of its zone");
+    BOOST_TEST(membership.onHostList(seeds, now).empty(), "a list is pinged once");
 }
 
 BOOST_AUTO_TEST_CASE(KnowsWhetherItHasMetItsZone)
