Know an upstream by its start, read registrations strictly, log each step of a promotion

Members of a group that start again behind a cut leave their registrations standing, and held up heartbeats write them anew after the cut. Five dead upstreams of eight counted as members; the planned change of a released primary asked for a majority that could not be had, and requests reached the leaving primary too late. Registrations were trusted: an unknown state counted as ready, an entry without an address was an upstream, other types reached casts that throw.

UpstreamSuccession keeps one upstream for each address, the process that runs there now; an upstream's start is part of its name, so that whatever is kept by name ends with its process; registrations are parsed into a type or refused, counted and logged once; a page with unreadable bytes loses only the object that holds them. Claims, fences, orders, planned changes and what a failed request tried are logged.

Ruled out: the store's answers (the claim came at once) and open transactions.

--- a/include/egrettide/core/configuration.h
+++ b/include/egrettide/core/configuration.h
@@ -38,6 +38,11 @@
     int connections = 1;
     // True while operators are taking it away: it gets no new work.
     bool leaving = false;
+    // The time of day at which its process started, where it tells it. Only compared
+    // with other starts at the same address.
+    std::optional<milliseconds> startedAt;
+    // Heartbeats that its process had sent when it last told something new.
+    std::uint64_t heartbeats = 0;
 };
 
 struct DatabaseSpec {
--- a/include/egrettide/core/request.h
+++ b/include/egrettide/core/request.h
@@ -109,6 +109,9 @@
     bool sent = false;
     // How often the front had handed it to a home; set by the front alone.
     int attempts = 0;
+    // Where these went and what became of each, as RouteAttempts::history(); set by the
+    // front alone, for its logs.
+    std::string tried;
 };
 
 using ReplyHandler = std::function<void(StatementReply)>;
--- a/include/egrettide/core/router.h
+++ b/include/egrettide/core/router.h
@@ -121,6 +121,8 @@
         // upstream may be tried once more.
         Term term = 0;
         bool primary = false;
+        // Set once it was refused or lost.
+        std::optional<ErrorKind> refusal;
     };
 
     // The upstream that holds the request now; empty before the first.
@@ -130,6 +132,9 @@
     // round again. Keeps whether an attempt ended without a known outcome: a plain
     // new object would let a later refusal claim that nothing ran.
     void startOver();
+    // Each upstream tried since the request last started over and what became of it,
+    // such as "m1:not_fresh m2:overloaded"; for logs.
+    std::string history() const;
 
 private:
     friend class Router;
--- a/src/core/group/promoter.cpp
+++ b/src/core/group/promoter.cpp
@@ -281,6 +281,11 @@
     return m_renewal;
 }
 
+const std::map<std::string, MemberStatus> &Promoter::promises() const
+{
+    return m_promises;
+}
+
 std::size_t Promoter::majority() const
 {
     return m_members.size() / 2 + 1;
--- a/src/core/upstreams/router.cpp
+++ b/src/core/upstreams/router.cpp
@@ -99,6 +99,20 @@
     m_askOthers = true;
 }
 
+std::string RouteAttempts::history() const
+{
+    std::string text;
+    for (const Try &each : m_tries) {
+        text += text.empty() ? "" : " ";
+        text += each.upstream;
+        if (each.refusal) {
+            text += ':';
+            text += nameOf(*each.refusal);
+        }
+    }
+    return text;
+}
+
 Router::Router(RouterOptions options, SpendRetryHook spendRetry)
     : m_options(std::move(options)), m_spendRetry(std::move(spendRetry))
 {
@@ -209,7 +223,7 @@
 Route Router::route(const Group &group, RouteAttempts &attempts, std::string upstream, std::optional<PrimaryReason> reason) const
 {
     const bool primary = upstream == group.primary;
-    attempts.m_tries.push_back(RouteAttempts::Try{upstream, group.term, primary});
+    attempts.m_tries.push_back(RouteAttempts::Try{upstream, group.term, primary, std::nullopt});
     attempts.m_routeReason = reason;
     return Route{std::move(upstream), primary, reason};
 }
@@ -459,6 +473,9 @@
         return finish(request, reply, attempts);
     }
     const ErrorKind kind = reply.error->kind;
+    if (!attempts.m_tries.empty()) {
+        attempts.m_tries.back().refusal = kind;
+    }
     if (reply.sent || outcomeOf(kind) == Outcome::Unknown) {
         attempts.m_outcomeUnknown = true;
     }
--- a/src/runtime/callers/requestrunner.cpp
+++ b/src/runtime/callers/requestrunner.cpp
@@ -196,6 +196,9 @@
         reply.error->kind = ErrorKind::UnknownOutcome;
     }
     reply.attempts = m_sends;
+    if (reply.error) {
+        reply.tried = m_attempts.history();
+    }
     observe(reply);
     const DoneHandler done = std::move(m_done);
     m_done = nullptr;
--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -69,18 +69,55 @@
 void DiscoveredConfiguration::onRegistrations(const NamedObjects &registrations)
 {
     const TimePoint lapsesAt = Clock::now() + lapsePatience;
-    NamedObjects next = registrations;
-    for (const auto &[name, value] : m_registrations.value_or(NamedObjects{})) {
-        if (next.emplace(name, value).second) {
+    RegisteredUpstreams next = parse(registrations);
+    std::erase_if(m_lapsing, [&next](const auto &entry) { return next.contains(entry.first); });
+    for (const auto &[name, upstream] : m_upstreams) {
+        if (next.emplace(name, upstream).second) {
             m_lapsing.emplace(name, lapsesAt);
         }
     }
-    std::erase_if(m_lapsing, [&registrations](const auto &entry) { return registrations.contains(entry.first); });
-    m_registrations = std::move(next);
+    m_registrations = registrations;
+    m_upstreams = std::move(next);
     armLapse();
     rebuild();
 }
 
+// What goes wrong otherwise: another writer leaves an entry among the registrations. With
+// an unknown state it would count as ready, without an address it would be an upstream
+// that nothing reaches, and a type that nobody expects would end the process.
+RegisteredUpstreams DiscoveredConfiguration::parse(const NamedObjects &registrations)
+{
+    RegisteredUpstreams upstreams;
+    for (const auto &[name, value] : registrations) {
+        auto parsed = m_parts.parseRegistration(name, value);
+        if (parsed) {
+            m_refused.erase(name);
+            upstreams.emplace(name, std::move(*parsed));
+        } else {
+            noteRefused(name, parsed.error());
+        }
+    }
+    std::erase_if(m_refused, [&registrations](const auto &entry) { return !registrations.contains(entry.first); });
+    return upstreams;
+}
+
+// One line for each fault: the entry may be told again with every change of another one.
+void DiscoveredConfiguration::noteRefused(const std::string &name, const Error &fault)
+{
+    std::string &known = m_refused[name];
+    if (known == fault.message) {
+        return;
+    }
+    known = fault.message;
+    ++m_refusals;
+    log::warning("registration_refused", {{"registration", name}, {"fault", fault.message}, {"refused_so_far", m_refusals}});
+}
+
+std::uint64_t DiscoveredConfiguration::refusedRegistrations() const
+{
+    return m_refusals;
+}
+
 void DiscoveredConfiguration::armLapse()
 {
     if (m_lapsing.empty()) {
@@ -101,7 +138,7 @@
     std::erase_if(m_lapsing, [this, now](const auto &entry) {
         const bool lapsed = entry.second <= now;
         if (lapsed) {
-            m_registrations->erase(entry.first);
+            m_upstreams.erase(entry.first);
             log::info("registration_lapsed", {{"upstream", entry.first}});
         }
         return lapsed;
@@ -115,7 +152,7 @@
     if (!m_intent || !m_registrations) {
         return;
     }
-    auto next = m_parts.translate(*m_intent, *m_registrations);
+    auto next = m_parts.translate(*m_intent, m_upstreams);
     if (!next) {
         log::error("configuration_refused", {{"fault", next.error().message}});
         return;
@@ -127,6 +164,9 @@
     if (!m_current || next->version > m_current->version) {
         log::info("configuration_accepted", {{"version", next->version}, {"routes", static_cast<int>(next->routes.size())}});
     }
+    for (const SupersededUpstream &old : m_succession.settle(*next)) {
+        log::info("upstream_superseded", {{"upstream", old.name}, {"address", old.address}, {"by", old.successor}});
+    }
     m_current = std::make_shared<const Configuration>(std::move(*next));
     m_hooks.accepted(m_current);
 }
@@ -160,7 +200,8 @@
 void DiscoveredConfiguration::onPush(const std::string &from, const hop::ConfigPush &push)
 {
     const auto both = nlohmann::json::parse(push.json, nullptr, false);
-    if (!both.is_object() || !both.contains("intent") || !both.contains("registrations")) {
+    const auto holds = [&both](const char *part) { return both.contains(part) && both[part].is_object(); };
+    if (!both.is_object() || !holds("intent") || !holds("registrations")) {
         log::warning("configuration_push_malformed", {{"peer", from}, {"version", push.version}});
         return;
     }
@@ -171,7 +212,8 @@
         m_intent = both["intent"].get<NamedObjects>();
     }
     if (!m_registrationFollower.isReached()) {
-        m_registrations = both["registrations"].get<NamedObjects>();
+        onRegistrations(both["registrations"].get<NamedObjects>());
+        return;
     }
     rebuild();
 }
--- /dev/null
+++ b/src/runtime/group/grouplog.h
@@ -0,0 +1,33 @@
+// One line for each decision of a promotion or of a planned change, with the inputs
+// that decided it, so that a group's story can be read from the logs alone.
+
+#pragma once
+
+#include "egrettide/core/promoter.h"
+#include "egrettide/core/switchover.h"
+
+#include <string>
+
+namespace egrettide::detail
+{
+
+// Logs what the promoter wants done. Fences, which are sent again and again, are logged
+// once for each attempt.
+class PromotionLog
+{
+public:
+    explicit PromotionLog(std::string database);
+
+    // `promoter` is the one that wants it, as it stands now.
+    void onAction(const PromoterAction &action, const Promoter &promoter);
+    void onClaim(AttemptId attempt, const ClaimAnswer &answer) const;
+
+private:
+    std::string m_database;
+    AttemptId m_fencedAttempt = 0;
+};
+
+// What a planned change does to its group. `primary` is the one that is to be replaced.
+void logPlannedChange(const std::string &database, const std::string &primary, const SwitchoverAction &action);
+
+} // namespace egrettide::detail
--- a/src/runtime/group/groupobserver.cpp
+++ b/src/runtime/group/groupobserver.cpp
@@ -63,6 +63,7 @@
     , m_monitor(database.name, membersOf(database), settings.monitor)
     , m_gate(namesOf(database), database.durability, settings.commitFaults)
     , m_switchover(settings.switchover)
+    , m_promotionLog(database.name)
     , m_timer(control)
     , m_published(m_monitor.snapshot())
 {
--- a/src/runtime/group/groupobserverimpl.h
+++ b/src/runtime/group/groupobserverimpl.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "runtime/group/groupobserver.h"
+#include "runtime/group/grouplog.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -128,6 +129,7 @@
     // The home that this host speaks as; one of m_homes.
     std::string m_promoterHome;
     std::unique_ptr<Promoter> m_promoter;
+    detail::PromotionLog m_promotionLog;
 
     bool m_running = false;
     boost::asio::steady_timer m_timer;
--- a/src/runtime/group/groupobserverpromotion.cpp
+++ b/src/runtime/group/groupobserverpromotion.cpp
@@ -21,6 +21,7 @@
 void GroupObserver::Impl::perform(const PromoterActions &actions)
 {
     for (const PromoterAction &action : actions) {
+        m_promotionLog.onAction(action, *m_promoter);
         std::visit(Overloaded{[this](const auto &one) { carryOut(one); }}, action);
     }
     if (!actions.empty()) {
@@ -71,8 +72,10 @@
 {
     const auto onClaim = [weak = weak_from_this(), attempt = action.attempt](const ClaimAnswer &answer) {
         if (const auto self = weak.lock()) {
-            self->onControl(
-                [attempt, answer](Impl &impl) { impl.perform(impl.m_promoter->onClaim(attempt, answer, Clock::now())); });
+            self->onControl([attempt, answer](Impl &impl) {
+                impl.m_promotionLog.onClaim(attempt, answer);
+                impl.perform(impl.m_promoter->onClaim(attempt, answer, Clock::now()));
+            });
         }
     };
     if (m_hooks.claimRecord) {
--- a/src/runtime/group/groupobserverswitchover.cpp
+++ b/src/runtime/group/groupobserverswitchover.cpp
@@ -111,6 +111,7 @@
 void GroupObserver::Impl::perform(const SwitchoverActions &actions)
 {
     for (const SwitchoverAction &action : actions) {
+        detail::logPlannedChange(m_database.name, m_monitor.snapshot()->primary, action);
         std::visit(Overloaded{[this](const auto &one) { carryOut(one); }}, action);
     }
     if (!actions.empty()) {
--- a/src/runtime/sessions/statementsession.cpp
+++ b/src/runtime/sessions/statementsession.cpp
@@ -335,6 +335,7 @@
                   {"floor", textOf(pending.freshness.floor)},
                   {"max_age_ms", pending.freshness.maxAge.value_or(milliseconds{-1}).count()},
                   {"attempts", reply.attempts},
+                  {"tried", reply.tried},
                   {"in_transaction", m_state.inTransaction()},
                   {"sent", reply.sent},
                   {"waited_ms", waited.count()},
--- a/tests/platform/deployment_test.cpp
+++ b/tests/platform/deployment_test.cpp
@@ -4,6 +4,13 @@
 #include <boost/test/unit_test.hpp>
 
 #include "platform/deployment.h"
+#include "platform/registration.h"
+
+#include <rapidcheck.h>
+
+#include <limits>
+#include <string>
+#include <vector>
 
 using namespace egrettide;
 using nlohmann::json;
@@ -29,8 +36,32 @@
 
 json registration(const std::string &service, const std::string &state)
 {
-    return {{"service", service}, {"address", "10.0.0.9:8080"}, {"zone", "a"}, {"slots", 5},
-            {"state", state},     {"dbRole", "replica"}};
+    return {{"service", service}, {"address", "10.0.0.9:8080"}, {"zone", "a"},     {"slots", 5},
+            {"state", state},     {"dbRole", "replica"},        {"version", "v1"}, {"coldRemainingMs", 0},
+            {"sequence", 3}};
+}
+
+RegisteredUpstreams parsed(const NamedObjects &registrations)
+{
+    RegisteredUpstreams upstreams;
+    for (const auto &[id, value] : registrations) {
+        if (const auto one = platform::parseRegistration(id, value)) {
+            upstreams.emplace(id, *one);
+        }
+    }
+    return upstreams;
+}
+
+// A whole entry with one field replaced; without it when `value` is null.
+json withField(const std::string &field, const json &value)
+{
+    json entry = registration("bookings", "ready");
+    if (value.is_null()) {
+        entry.erase(field);
+    } else {
+        entry[field] = value;
+    }
+    return entry;
 }
 
 } // namespace
@@ -60,9 +91,9 @@
 BOOST_AUTO_TEST_CASE(PutUpstreamsUnderTheirService)
 {
     const auto configuration = platform::translate(intent(),
-                                                   {{"i-1", registration("bookings", "ready")},
-                                                    {"i-2", registration("bookings", "draining")},
-                                                    {"i-3", registration("another", "ready")}});
+                                                   parsed({{"i-1", registration("bookings", "ready")},
+                                                           {"i-2", registration("bookings", "draining")},
+                                                           {"i-3", registration("another", "ready")}}));
     BOOST_TEST_REQUIRE(configuration.has_value());
     const DatabaseSpec *database = configuration->database("bookings");
     BOOST_TEST_REQUIRE((database != nullptr && database->upstreams.size() == 2U));
@@ -82,8 +113,122 @@
 {
     const json damaged{
         {"version", "x"}, {"routes", {1, "two", {{"host", 3}}}}, {"services", {{{"name", 4}}}}, {"limits", "none"}};
-    const auto read = platform::translate({{"main", damaged}}, {{"i-1", "text"}, {"i-2", json::array()}});
+    const auto read = platform::translate({{"main", damaged}}, parsed({{"i-1", "text"}, {"i-2", json::array()}}));
     BOOST_TEST((!read.has_value() || read->route("pay") == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(WithNumbersBeyondRangeAreKeptWithinIt)
+{
+    const json damaged{{"version", 1e300},
+                       {"routes", {{{"host", "pay"}, {"service", "bookings"}, {"priority", 1e19}, {"timeoutMs", -1e18}}}},
+                       {"services", {{{"name", "bookings"}, {"maxConnections", 9007199254740993.0e10}}}},
+                       {"limits", {{"txIdleMs", 1e30}}}};
+    const auto read = platform::translate({{"main", damaged}}, parsed({{"i-1", registration("bookings", "ready")}}));
+    BOOST_TEST_REQUIRE(read.has_value());
+    BOOST_TEST(read->version == 0U);
+    BOOST_TEST(read->database("bookings")->upstream("i-1")->connections >= 1);
+    BOOST_TEST(!read->transactionIdleTimeout.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Registrations)
+
+// Symptom: requests go to an upstream that is none, or every host ends at once.
+// Sequence: another program writes an entry among the registrations.
+// Cause: an unknown state counted as ready, a missing address was an address, and a field
+// of another type reached a cast that throws.
+BOOST_AUTO_TEST_CASE(OfAnotherWriterNameNoUpstream)
+{
+    const std::vector<std::pair<std::string, json>> faults{{"service", nullptr},
+                                                           {"service", 4},
+                                                           {"service", ""},
+                                                           {"address", nullptr},
+                                                           {"address", 8080},
+                                                           {"address", "somewhere"},
+                                                           {"address", "10.0.0.9"},
+                                                           {"address", "10.0.0.9:0"},
+                                                           {"address", "10.0.0.9:99999"},
+                                                           {"zone", nullptr},
+                                                           {"zone", json::array()},
+                                                           {"slots", nullptr},
+                                                           {"slots", "5"},
+                                                           {"slots", 0},
+                                                           {"slots", -3},
+                                                           {"slots", 2.5},
+                                                           {"slots", 1e300},
+                                                           {"slots", std::numeric_limits<std::uint64_t>::max()},
+                                                           {"state", nullptr},
+                                                           {"state", "resting"},
+                                                           {"state", true},
+                                                           {"dbRole", "emperor"},
+                                                           {"dbRole", 1},
+                                                           {"dbRole", nullptr},
+                                                           {"coldRemainingMs", "soon"},
+                                                           {"sequence", -1},
+                                                           {"sequence", nullptr},
+                                                           {"version", 3},
+                                                           {"born", "yesterday"},
+                                                           {"born", 1.5},
+                                                           {"born", -1},
+                                                           {"born", 1e300}};
+    for (const auto &[field, value] : faults) {
+        const auto read = platform::parseRegistration("i-1", withField(field, value));
+        BOOST_TEST(!read.has_value(), "an entry whose " << field << " is " << value << " named an upstream");
+        BOOST_TEST((read.has_value() || read.error().message.find(field) != std::string::npos),
+                   "the fault of " << field << " is not named: " << read.error().message);
+    }
+    for (const json &value : {json(), json("text"), json::array(), json(7), json::object()}) {
+        BOOST_TEST(!platform::parseRegistration("i-1", value).has_value());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(WithFieldsThatNobodyKnowsAreTaken)
+{
+    BOOST_TEST(platform::parseRegistration("i-1", withField("colour", "green")).has_value());
+    BOOST_TEST(platform::parseRegistration("i-1", withField("slots", 5.0)).has_value());
+}
+
+// Symptom: positions and roles of a process that is gone are believed of its successor.
+// Sequence: an upstream crashes and starts again under its id.
+// Cause: whatever is remembered was remembered by the id.
+BOOST_AUTO_TEST_CASE(OfAProcessThatStartedAgainNameAnother)
+{
+    const auto first = platform::parseRegistration("i-1", withField("born", 1775980000000));
+    const auto second = platform::parseRegistration("i-1", withField("born", 1775980009000));
+    const auto earlier = platform::parseRegistration("i-1", withField("born", 1775970000000));
+    BOOST_TEST_REQUIRE((first.has_value() && second.has_value() && earlier.has_value()));
+    BOOST_TEST(first->upstream.name != second->upstream.name);
+    BOOST_TEST(first->upstream.name != earlier->upstream.name, "a start time that goes back is another start as well");
+    for (const auto *one : {&first, &second, &earlier}) {
+        BOOST_TEST(platform::instanceIdOf((*one)->upstream.name) == "i-1", "upstreams know themselves by their id alone");
+    }
+    BOOST_TEST(platform::instanceIdOf("i-1") == "i-1");
+}
+
+BOOST_AUTO_TEST_CASE(OfAnyContentThrowNothing)
+{
+    const bool holds = rc::check("whatever an entry holds, it names a usable upstream or none", [] {
+        json entry = registration("bookings", "ready");
+        const auto fields = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 9));
+        const char *const names[] = {"service", "address",         "zone",     "slots", "state",
+                                     "dbRole",  "coldRemainingMs", "sequence", "born"};
+        for (const int field : fields) {
+            const int kind = *rc::gen::inRange(0, 5);
+            json &value = entry[names[field]];
+            value = kind == 0 ? json(*rc::gen::arbitrary<std::string>())
+                : kind == 1   ? json(*rc::gen::arbitrary<std::int64_t>())
+                : kind == 2   ? json(*rc::gen::arbitrary<double>())
+                : kind == 3   ? json(nullptr)
+                              : json::array({1, "x"});
+        }
+        const auto read = platform::parseRegistration("i-1", entry);
+        RC_ASSERT(!read || (read->upstream.slots > 0 && !read->upstream.address.empty() && !read->database.empty()));
+        if (read) {
+            RC_ASSERT(platform::translate(intent(), {{"i-1", *read}}).has_value());
+        }
+    });
+    BOOST_TEST(holds);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/host_test.cpp
+++ b/tests/platform/host_test.cpp
@@ -361,4 +361,53 @@
     BOOST_TEST(site.group.mostConnections("m1") <= 33);
 }
 
+// Symptom: every host ends, or sends requests nowhere.
+// Sequence: another program leaves entries among the upstreams' registrations, one of
+// them in the place of a real one for a moment.
+// Cause: what lay there was believed.
+BOOST_AUTO_TEST_CASE(GoOnBesideRegistrationsOfAnotherWriter)
+{
+    PlatformSite site;
+    nlohmann::json nowhere = site.group.registration("m1");
+    nowhere["address"] = "nowhere";
+    nlohmann::json resting = site.group.registration("m2");
+    resting["state"] = "resting";
+    site.platform.putObject("servers", "odd-1", "text");
+    site.platform.putObject("servers", "odd-2", nowhere);
+    site.platform.putObject("servers", "odd-3", resting);
+    site.platform.putObject("servers", "m3", 7);
+    LineClient client(site.addresses[0]);
+    client.start("log");
+    for (int i = 0; i < 50; ++i) {
+        BOOST_TEST(client.run("WRITE item " + std::to_string(i)).succeeded());
+        BOOST_TEST(client.run("READ item").succeeded());
+    }
+    site.platform.putObject("servers", "m3", site.group.registration("m3"));
+    BOOST_TEST(client.run("READ item").succeeded());
+}
+
+// Symptom: a session is refused for ever, or served by a process that knows nothing.
+// Sequence: the upstreams start again under their ids.
+// Cause: connections and positions of the processes before were believed of them.
+BOOST_AUTO_TEST_CASE(FollowUpstreamsThatStartAgainUnderTheirIds)
+{
+    PlatformSite site;
+    LineClient client(site.addresses[0]);
+    client.start("log");
+    for (int start = 1; start <= 3; ++start) {
+        for (const char *member : {"m1", "m2", "m3"}) {
+            nlohmann::json registration = site.group.registration(member);
+            registration["born"] = 1775980000000 + start;
+            site.group.dropConnections(member);
+            site.platform.putObject("servers", member, registration);
+        }
+        BOOST_TEST(eventually([&] { return client.run("WRITE item x" + std::to_string(start)).succeeded(); }),
+                   "no write was served after start " << start);
+        BOOST_TEST(client.run("READ item").first() == "DATAROW x" + std::to_string(start));
+    }
+    site.group.setDark("m1", true);
+    BOOST_TEST(eventually([&] { return client.run("WRITE item last").succeeded(); }),
+               "an upstream that had started again could not be promoted");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/objectstore_test.cpp
+++ b/tests/platform/objectstore_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "platform/objectstore.h"
+#include "platform/text.h"
 #include "testing/platform/platformstandin.h"
 
 #include <boost/asio/io_context.hpp>
@@ -190,3 +191,35 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Pages)
+
+// Symptom: no upstream is known any more, on any host.
+// Sequence: one object of the list holds bytes that are no text.
+// Cause: the page was read as a whole or not at all.
+BOOST_AUTO_TEST_CASE(WithUnreadableBytesLoseOnlyTheirObject)
+{
+    const std::string page = "{\"items\":[{\"meta\":{\"name\":\"i-1\"},\"spec\":{\"zone\":\"a\"}},\n"
+                             "{\"meta\":{\"name\":\"i-2\"},\"spec\":{\"zone\":\"\xff\xfe\x01\"}}]}";
+    const json read = platform::parsedJson(page);
+    BOOST_TEST_REQUIRE(read.is_object());
+    BOOST_TEST(read["items"][0]["spec"]["zone"] == "a");
+    BOOST_TEST(read["items"][1]["meta"]["name"] == "i-2");
+    BOOST_TEST(platform::parsedJson("{\"half").is_discarded());
+    BOOST_TEST(platform::parsedJson("\"\xc3\xa9\"") == json("\xc3\xa9"), "a text that can be read was changed");
+}
+
+BOOST_FIXTURE_TEST_CASE(OfOddObjectsAreReadAndThrowNothing, Fixture)
+{
+    for (const json &odd : {json(), json(5), json("text"), json::array({1}), json{{"zone", 4}, {"peer", json::array()}}}) {
+        platform.putObject("egrettide-hosts", "odd", odd);
+        platform.putObject("servers", "odd", odd);
+        BOOST_TEST(list("servers").has_value());
+        using Hosts = tl::expected<std::vector<ListedHost>, StoreError>;
+        const auto hosts = await<Hosts>([&](auto done) { store.hosts(Clock::now() + callBound, done); });
+        BOOST_TEST_REQUIRE(hosts.has_value());
+        BOOST_TEST(hosts->empty(), "an object that names no host was taken for one");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
