Notice a silent link within 0.3 s and refuse at once what it would keep

After a zone was cut off, links were given up after 1.5 to 2 s; what had been sent there, and what was sent on, waited for its deadline: 150 reads of 450 a second failed so after 0.6 to 0.8 s, also in the zones that were not cut off. A host that had been lost was dialled for up to a second while requests queued up behind the dial.

A link with requests unanswered is pinged after 80 ms without a byte and given up after three such pings; while one is missed, and while a lost host is dialled again, new requests are refused as not run. Statements of open transactions still take their chance.

--- a/src/runtime/fleet/peernetwork.cpp
+++ b/src/runtime/fleet/peernetwork.cpp
@@ -254,9 +254,16 @@
 
 // --- Timers -----------------------------------------------------------------
 
+// Silence matters only while somebody waits for a peer.
+milliseconds PeerNetwork::State::housekeepingInterval() const
+{
+    const bool isWaiting = std::ranges::any_of(m_outbound, [](const auto &entry) { return !entry.second->pending.empty(); });
+    return std::min(isWaiting ? m_options.quietInterval : m_options.pingInterval, m_options.pingInterval) / 2;
+}
+
 void PeerNetwork::State::scheduleHousekeeping()
 {
-    m_housekeeping.expires_after(m_options.pingInterval / 2);
+    m_housekeeping.expires_after(housekeepingInterval());
     m_housekeeping.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
         if (!error && self && !self->m_stopped) {
--- a/src/runtime/fleet/peernetwork.h
+++ b/src/runtime/fleet/peernetwork.h
@@ -48,12 +48,23 @@
     std::size_t windowBytes = std::size_t{8} * 1024 * 1024;
     // Bytes waiting to be written on one link; beyond it requests are refused.
     std::size_t queueBytes = std::size_t{8} * 1024 * 1024;
-    milliseconds connectTimeout{1000};
+    // A connection within a region takes a few milliseconds; one that takes longer than
+    // this is better tried anew, as an opening packet that was dropped is only sent again
+    // after a second.
+    milliseconds connectTimeout{400};
     // A dialled link without traffic is closed after this.
     milliseconds idleTimeout{60000};
     // A link with requests unanswered is pinged this often, and given up when
     // nothing at all came for three of them.
     milliseconds pingInterval{500};
+    // Without a byte for this long, a link with requests unanswered is pinged, and again
+    // after the same time; it is given up when nothing at all came for three of these.
+    //
+    // What goes wrong with the longer interval alone: a zone is cut off, and everything
+    // that was sent there, or is sent until the link is given up, waits for its deadline:
+    // 150 reads of 450 a second failed so, each after 0.6 to 0.8 s. Hosts that are merely
+    // slow, or wait for their share of the processor for a tenth of a second, answer pings.
+    milliseconds quietInterval{80};
     // First and longest pause between two attempts to dial a peer; jittered.
     milliseconds firstBackoff{50};
     milliseconds longestBackoff{2000};
--- a/src/runtime/fleet/peernetworkstate.h
+++ b/src/runtime/fleet/peernetworkstate.h
@@ -154,6 +154,8 @@
     void giveUp(Outbound &to, std::uint64_t id);
     void rollBack(Outbound &to, const TransactionPlace &place, std::uint64_t transaction);
     void post(ReplyHandler handler, StatementReply reply);
+    bool isSilent(const Outbound &to, TimePoint now) const;
+    void tryAgain(Outbound &to);
     std::optional<Error> refusalFor(const Outbound &to, const StatementRequest &request, std::size_t bytes) const;
     void refuse(const StatementRequest &request, ReplyHandler handler, Error error);
 
@@ -175,6 +177,7 @@
 
     // Timers.
     void scheduleHousekeeping();
+    milliseconds housekeepingInterval() const;
     void keepHouse();
     void keepOutbound(Outbound &to, TimePoint now);
     void pingOutbound(Outbound &to, TimePoint now);
--- a/src/runtime/fleet/peeroutbound.cpp
+++ b/src/runtime/fleet/peeroutbound.cpp
@@ -158,6 +158,9 @@
     }
     Outbound &to = outbound(peer, address);
     const std::size_t bytes = estimatedBytes(request);
+    if (to.backoff > milliseconds{0}) {
+        tryAgain(to);
+    }
     if (auto error = refusalFor(to, request, bytes)) {
         refuse(request, std::move(handler), std::move(*error));
         return;
@@ -171,12 +174,33 @@
     flush(to);
 }
 
+// What goes wrong without it: requests queue up behind a connection attempt to a host that
+// has just been lost, or on a link that nothing comes from any more, and are refused only
+// when their time is up. Told at once, a read goes to another upstream.
+bool PeerNetwork::State::isSilent(const Outbound &to, TimePoint now) const
+{
+    if (to.link) {
+        return to.missedPings > 0;
+    }
+    return to.dialing ? to.backoff > milliseconds{0} : now < to.nextAttempt;
+}
+
+// Dials a host that was lost, so that the next request finds it back.
+void PeerNetwork::State::tryAgain(Outbound &to)
+{
+    if (!to.link && !to.dialing && Clock::now() >= to.nextAttempt) {
+        dial(to);
+    }
+}
+
 // Why a request cannot even be queued; nothing of it has left then.
 std::optional<Error> PeerNetwork::State::refusalFor(const Outbound &to, const StatementRequest &request, std::size_t bytes) const
 {
     const TimePoint now = Clock::now();
-    if (!to.link && !to.dialing && now < to.nextAttempt) {
-        const auto wait = std::chrono::ceil<milliseconds>(to.nextAttempt - now);
+    // A statement of an open transaction can go nowhere else, so it takes its chance.
+    const bool mayGoElsewhere = request.transaction == 0 || !to.link;
+    if (mayGoElsewhere && isSilent(to, now)) {
+        const auto wait = std::chrono::ceil<milliseconds>(std::max(to.nextAttempt, now + m_options.firstBackoff) - now);
         return Error{ErrorKind::Moved, "The home " + to.host + " cannot be reached right now; send the request again.", wait};
     }
     if (bytes > hop::maxFrameBytes) {
@@ -437,11 +461,15 @@
 // like a silent peer.
 void PeerNetwork::State::pingOutbound(Outbound &to, TimePoint now)
 {
-    if (now - to.lastPingAt < m_options.pingInterval) {
+    const TimePoint heardAt = to.link->lastReceivedAt();
+    if (heardAt >= to.lastPingAt) {
+        to.missedPings = 0;
+    }
+    const bool isQuiet = now - std::max(heardAt, to.lastPingAt) >= m_options.quietInterval;
+    if (!isQuiet && now - to.lastPingAt < m_options.pingInterval) {
         return;
     }
-    const bool heard = to.link->lastReceivedAt() >= to.lastPingAt;
-    to.missedPings = heard ? 0 : to.missedPings + 1;
+    to.missedPings += heardAt < to.lastPingAt ? 1 : 0;
     if (to.missedPings >= silentPings) {
         to.link->close();
         return;
--- a/tests/runtime/peernetwork_test.cpp
+++ b/tests/runtime/peernetwork_test.cpp
@@ -502,6 +502,36 @@
     BOOST_TEST((reply.sent && reply.error->kind == ErrorKind::UnknownOutcome), nameOfReply(reply));
 }
 
+// Symptom: for almost a second after a zone was cut off, reads that could be served elsewhere
+// fail at their deadline.
+// Sequence: a link falls silent; more requests are sent on it until it is given up, then
+// queue up behind an attempt to connect that nobody answers.
+// Cause: a link counted as usable until it was closed, and a dial as about to succeed.
+BOOST_AUTO_TEST_CASE(RefusesAtOnceWhatASilentHomeWouldKeep)
+{
+    Pair pair([](PeerNetworkOptions &options) {
+        options.connectTimeout = milliseconds{5000};
+        options.firstBackoff = milliseconds{1};
+        options.longestBackoff = milliseconds{1};
+    });
+    RawPeer frozen(pair.context, helloFrame(hop::protocolVersion, "home") + hop::encodeFrame(hop::Credit{1000000}, Clock::now()));
+    pair.executeAt(frozen.address(), requestOf(1, StatementKind::Write));
+    std::uint64_t id = 1;
+    pair.await("a read that is refused while the write is still out", [&] {
+        if (pair.replies[id].empty() && id > 1) {
+            return false;
+        }
+        if (id > 1 && !pair.replies[id].front().sent) {
+            return true;
+        }
+        pair.executeAt(frozen.address(), requestOf(++id, StatementKind::Read));
+        return false;
+    });
+    const StatementReply &refusal = pair.replies[id].front();
+    BOOST_TEST((refusal.error && refusal.error->kind == ErrorKind::Moved), nameOfReply(refusal));
+    BOOST_TEST(refusal.error->retryAfter.count() > 0, "a refusal has to say when to come back");
+}
+
 // The mirror image: a front that froze must not hold a transaction open.
 BOOST_AUTO_TEST_CASE(ReportsAFrontThatFallsSilentWithWorkOpen)
 {
