Leave a replica out of reads that it has just turned away for their position

While both replicas of a database were seconds behind, each read asked the primary, which had no slot, and then both replicas in vain; callers were told that no state was fresh enough: 1,213 such refusals of 150 reads a second in 16 s.

A replica that turned a read away is left out of reads of its kind (own writes, or any young state) for 20 ms, twice as long each time, 640 ms at most, until it answers one; what another home says of a replica counts only where it is newer, and old news is not held against it.

--- a/include/egrettide/core/router.h
+++ b/include/egrettide/core/router.h
@@ -71,6 +71,18 @@
     // What an upstream's own home says of its health outweighs other homes' for
     // this long: a cut-off home calls everybody else unreachable.
     milliseconds ownHomeTrust{1000};
+    // A replica that turned a read away for its position is left out of such reads for
+    // this long, twice as long each time it does so again, up to the second; its next
+    // answer ends it.
+    //
+    // What goes wrong without: both replicas are seconds behind and the primary is full.
+    // Every read asks all three in vain, and is told that no state is fresh enough instead
+    // of when to come back: 1,200 such refusals in 16 s at 150 reads a second.
+    milliseconds behindFor{20};
+    milliseconds behindForLongest{640};
+    // What another home says of a replica, or its own said long ago, may be old news: from
+    // this age on it is not held against the replica.
+    milliseconds hintTrust{500};
     // The most upstreams that one request is sent to.
     int maxAttempts = 6;
 };
@@ -191,6 +203,12 @@
     const RoutingCounters &counters() const;
 
 private:
+    // See RouterOptions::behindFor.
+    struct Behind {
+        TimePoint until;
+        // How long it was last left out; 0 since its last answer to such a read.
+        milliseconds span{0};
+    };
     struct Member {
         std::string zone;
         // As the configuration says.
@@ -202,6 +220,10 @@
         std::optional<TimePoint> ownHintAt;
         // Reads leave it out before this moment.
         TimePoint avoidUntil;
+        // Reads of a session's own writes turned it away, or reads of any young state:
+        // a replica may be too far behind for the ones and not for the others.
+        Behind forFloors;
+        Behind forAges;
         // Entries replayed a second, smoothed over hints; 0 when unknown.
         double replayRate = 0;
     };
@@ -231,7 +253,9 @@
 
     const Group *group(std::string_view database) const;
     void learnMember(Member &member, const MemberHint &hint, bool fromOwnHome, TimePoint now) const;
+    void noteBehind(Behind &behind, TimePoint now) const;
     void noteRefusal(const StatementRequest &request, const StatementReply &reply, const std::string &upstream, TimePoint now);
+    static bool isBehind(const StatementRequest &request, const Member &member, TimePoint now);
     static bool isHealthy(const Member &member, TimePoint now);
     Route route(const Group &group, RouteAttempts &attempts, std::string upstream, std::optional<PrimaryReason> reason) const;
     std::optional<Route> replicaRoute(const Case &about, RouteAttempts &attempts, std::mt19937_64 &random,
--- a/src/core/upstreams/router.cpp
+++ b/src/core/upstreams/router.cpp
@@ -176,6 +176,12 @@
 {
     const bool trusted = !fromOwnHome && member.ownHintAt && now - *member.ownHintAt < m_options.ownHomeTrust;
     const bool reachable = hint.reachable || (trusted && member.hint.reachable);
+    // A member's own home hears of its positions with every answer, others now and then.
+    const bool isOlder = trusted && hint.replayed <= member.hint.replayed;
+    if (isOlder) {
+        member.hint.leaving = hint.leaving;
+        return;
+    }
     const milliseconds wait = fromOwnHome ? hint.expectedWait : member.hint.expectedWait;
     const std::chrono::duration<double> elapsed = now - member.learnedAt;
     const bool advanced = member.known && hint.replayed.position > member.hint.replayed.position && elapsed.count() > 0;
@@ -282,7 +288,7 @@
 {
     for (const std::string &name : about.group.order) {
         const Member &member = about.group.members.at(name);
-        const bool usable = isHealthy(member, TimePoint::max());
+        const bool usable = isHealthy(member, TimePoint::max()) && !isBehind(about.request, member, about.now);
         if (usable && name != about.group.primary && !about.attempts.tried(name, about.group.term)) {
             return route(about.group, attempts, name, std::nullopt);
         }
@@ -307,6 +313,14 @@
     }
     if (!reply.error) {
         member->second.avoidUntil = TimePoint();
+        member->second.forAges = Behind();
+        if (request.freshness.floor) {
+            member->second.forFloors = Behind();
+        }
+        return;
+    }
+    if (reply.error->kind == ErrorKind::NotFresh && upstream != found.primary) {
+        noteBehind(request.freshness.floor ? member->second.forFloors : member->second.forAges, now);
         return;
     }
     const ErrorKind kind = reply.error->kind;
@@ -317,6 +331,23 @@
     }
 }
 
+void Router::noteBehind(Behind &behind, TimePoint now) const
+{
+    // Reads that were under way together count once.
+    if (now < behind.until) {
+        return;
+    }
+    behind.span = std::clamp(behind.span * 2, m_options.behindFor, m_options.behindForLongest);
+    behind.until = now + behind.span;
+}
+
+bool Router::isBehind(const StatementRequest &request, const Member &member, TimePoint now)
+{
+    const bool forItsFloor = request.freshness.floor && now < member.forFloors.until;
+    const bool forItsAge = request.freshness.maxAge && now < member.forAges.until;
+    return forItsFloor || forItsAge;
+}
+
 std::optional<PrimaryReason> Router::unfit(const Case &about, const Member &member) const
 {
     if (!isHealthy(member, about.now)) {
@@ -326,11 +357,15 @@
         return unfitForBaseline(about, member);
     }
     const Freshness &freshness = about.request.freshness;
-    if (floorWait(about, member) > about.group.replicaWait) {
+    if (isBehind(about.request, member, about.now)) {
+        return freshness.floor ? PrimaryReason::Floor : PrimaryReason::Age;
+    }
+    const bool isNews = about.now < member.learnedAt + m_options.hintTrust;
+    if (isNews && floorWait(about, member) > about.group.replicaWait) {
         return PrimaryReason::Floor;
     }
     // The hint's age is the replica's usual lag; it is renewed until the read arrives.
-    if (member.known && freshness.maxAge && member.hint.age > *freshness.maxAge + about.group.replicaWait) {
+    if (isNews && member.known && freshness.maxAge && member.hint.age > *freshness.maxAge + about.group.replicaWait) {
         return PrimaryReason::Age;
     }
     if (about.now + member.hint.expectedWait > about.request.deadline) {
--- a/tests/core/router_test.cpp
+++ b/tests/core/router_test.cpp
@@ -367,3 +367,88 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ReplicasThatAreBehind)
+
+namespace
+{
+
+StatementReply notFresh()
+{
+    StatementReply reply = refusal(ErrorKind::NotFresh);
+    reply.hint.members.clear();
+    return reply;
+}
+
+// Asks once and tells where it went, and whether the answer was taken there.
+std::string sendRead(Router &router, const StatementRequest &request, const std::set<std::string> &behind, TimePoint now,
+                     std::vector<std::string> &asked)
+{
+    std::mt19937_64 random(1);
+    RouteAttempts attempts;
+    auto route = router.choose(request, attempts, now, random);
+    while (route) {
+        asked.push_back(route->upstream);
+        StatementReply reply = behind.contains(route->upstream) ? notFresh() : StatementReply{};
+        if (route->primary) {
+            reply = refusal(ErrorKind::Overloaded);
+            reply.hint.members.clear();
+        }
+        const auto decision = router.afterReply(request, reply, attempts, now, random);
+        const Route *next = std::get_if<Route>(&decision);
+        if (next == nullptr) {
+            return reply.error ? std::string(nameOf(reply.error->kind)) : "served by " + route->upstream;
+        }
+        route = *next;
+    }
+    return "nobody";
+}
+
+} // namespace
+
+// Symptom: callers are told that no state is fresh enough, and nothing about when to come
+// back, while the primary is merely full.
+// Sequence: both replicas are seconds behind; each read is turned away by both, and by the
+// primary for want of a slot, in three milliseconds; callers ask again at once.
+// Cause: a replica that had just turned a read away was asked again by the next one.
+BOOST_AUTO_TEST_CASE(AreLeftOutOfSuchReadsForAWhile)
+{
+    Router router(RouterOptions{});
+    router.configure(configuration());
+    router.learn(hint(1, "a"), "a", start);
+    StatementRequest read = request(StatementKind::Read);
+    read.freshness.maxAge = milliseconds(1500);
+    read.deadline = start + std::chrono::seconds(60);
+    std::vector<std::string> asked;
+    std::string last;
+    int overloaded = 0;
+    for (int i = 0; i < 600; ++i) {
+        last = sendRead(router, read, {"b", "c"}, start + milliseconds(1000 + 10 * i), asked);
+        overloaded += last == nameOf(ErrorKind::Overloaded) ? 1 : 0;
+    }
+    const auto replicas = std::ranges::count_if(asked, [](const std::string &upstream) { return upstream != "a"; });
+    BOOST_TEST(replicas <= 40, "600 reads in 6 s asked replicas that are behind " << replicas << " times");
+    BOOST_TEST(overloaded >= 560, "only " << overloaded << " of 600 were told of the overload, the last: " << last);
+    asked.clear();
+    const TimePoint caughtUp = start + milliseconds(8000);
+    BOOST_TEST(sendRead(router, read, {}, caughtUp, asked).starts_with("served by "));
+    BOOST_TEST(asked.front() != "a", "a replica that may have caught up was not tried again");
+}
+
+BOOST_AUTO_TEST_CASE(ForASessionsOwnWritesMayServeOlderState)
+{
+    Router router(RouterOptions{});
+    router.configure(configuration());
+    router.learn(hint(1, "a"), "a", start);
+    StatementRequest own = request(StatementKind::Read);
+    own.freshness.floor = LogMark{1, 200};
+    StatementRequest old = request(StatementKind::Read);
+    old.freshness.maxAge = milliseconds(1500);
+    std::vector<std::string> asked;
+    sendRead(router, own, {"b", "c"}, start, asked);
+    asked.clear();
+    BOOST_TEST(sendRead(router, old, {}, start + milliseconds(1), asked) != "served by a");
+    BOOST_TEST(asked.front() != "a", "a read of any young state went to the primary");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
