--- a/include/egrettide/core/slotscheduler.h
+++ b/include/egrettide/core/slotscheduler.h
@@ -98,6 +98,8 @@
     // late. Of a load of 1.6 times the slots for 12 s, 0.68 were answered within their
     // objective, by time alone 0.63 (mean of 20 plays in simulated time); the long ones pay.
     bool shortFirst = true;
+    // Tickets are due at their objective while it can be met; see QueueDiscipline.
+    bool objectives = true;
     // How long waits must exceed the target, while more is asked for than there are
     // slots, to count as overload.
     milliseconds standingInterval{200};
--- a/src/core/slots/slotstate.cpp
+++ b/src/core/slots/slotstate.cpp
@@ -332,7 +332,7 @@
 TimePoint SlotState::dueOf(const ClassQueue &queue, Lane lane, const StatementTicket &ticket, TimePoint now) const
 {
     const bool hasObjective = ticket.objective && *ticket.objective < ticket.deadline && lane != Lane::Continuation;
-    if (!hasObjective) {
+    if (!hasObjective || !options.objectives) {
         return ticket.deadline;
     }
     const double wait = expectedWaitSeconds(queue, lane, *ticket.objective, now);
--- a/src/runtime/callers/front.h
+++ b/src/runtime/callers/front.h
@@ -7,6 +7,7 @@
 #include "egrettide/core/configuration.h"
 #include "egrettide/core/error.h"
 #include "egrettide/core/request.h"
+#include "egrettide/core/router.h"
 #include "egrettide/core/types.h"
 #include "runtime/upstreams/upstreamdialect.h"
 
@@ -109,6 +110,8 @@
     bool reportSession = true;
     // True for RoutingPolicy::Baseline, to measure against.
     bool baselineRouting = false;
+    // How requests are routed; zone and policy follow from the fields above.
+    RouterOptions router;
     // Seeds the choice among equal upstreams.
     std::uint64_t seed = 1;
     // What a caller that came before any configuration is told to wait.
--- a/src/runtime/callers/trafficshard.h
+++ b/src/runtime/callers/trafficshard.h
@@ -87,7 +87,7 @@
 private:
     static RouterOptions routerOptions(const FrontOptions &options)
     {
-        RouterOptions router;
+        RouterOptions router = options.router;
         router.zone = options.zone;
         router.policy = options.baselineRouting ? RoutingPolicy::Baseline : RoutingPolicy::Replicas;
         return router;
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -47,6 +47,7 @@
 HostDaemon::Impl::Impl(Settings settings, HostParts parts)
     : m_settings(std::move(settings))
     , m_parts(std::move(parts))
+    , m_mechanisms(m_settings.mechanismsOff)
     , m_incarnation(static_cast<std::uint64_t>(
           std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()))
     , m_random(randomNumber())
@@ -95,6 +96,7 @@
     options.self = hop::Hello{hop::protocolVersion, m_settings.host, m_settings.zone, m_incarnation};
     options.listenAddress = m_settings.peerAddress;
     options.seed = m_random();
+    m_mechanisms.applyTo(options);
     PeerNetworkHooks hooks;
     hooks.onRequest = [this](const PeerRef &from, StatementRequest request, ReplyHandler reply) {
         onPeerRequest(from, std::move(request), std::move(reply));
@@ -155,6 +157,7 @@
     }
     settings.home.upstreamUser = m_settings.upstreamUser;
     settings.home.firstTransaction = (m_random() >> 2U) | 1U;
+    m_mechanisms.applyTo(settings);
     m_homes = std::make_unique<HomeService>(m_control, trafficContexts(), settings, std::move(hooks));
     m_switchovers = std::make_unique<SwitchoverDesk>(
         m_control, *m_homes,
@@ -169,6 +172,7 @@
     options.maxConnections = static_cast<std::size_t>(m_settings.maxCallers);
     options.tokenKey = m_settings.sessionKey;
     options.baselineRouting = m_settings.routingPolicy == "baseline";
+    m_mechanisms.applyTo(options.router);
     options.seed = m_random();
     options.makeCaller = m_parts.makeCaller;
     options.rollback = m_dialect->rollback;
@@ -262,7 +266,9 @@
     self.callerAddress = addresses->caller;
     self.operatorAddress = addresses->operators;
     self.incarnation = m_incarnation;
-    m_joinGate = std::make_unique<JoinGate>(m_settings.zone, JoinOptions{}, Clock::now());
+    JoinOptions joining;
+    m_mechanisms.applyTo(joining);
+    m_joinGate = std::make_unique<JoinGate>(m_settings.zone, joining, Clock::now());
     m_membership = std::make_unique<MembershipDriver>(
         m_control, *m_store, std::move(self), m_random(),
         MembershipDriverHooks{[this](const std::string &host, const std::string &address, hop::HopMessage message) {
--- a/src/runtime/host/hostdaemonimpl.h
+++ b/src/runtime/host/hostdaemonimpl.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "runtime/host/hostdaemon.h"
+#include "runtime/host/mechanisms.h"
 
 #include "egrettide/core/joingate.h"
 #include "egrettide/core/membership.h"
@@ -156,6 +157,7 @@
 
     Settings m_settings;
     const HostParts m_parts;
+    const Mechanisms m_mechanisms;
     const std::uint64_t m_incarnation;
     std::mt19937_64 m_random;
 
--- a/src/runtime/host/settings.cpp
+++ b/src/runtime/host/settings.cpp
@@ -31,6 +31,7 @@
     "sessionKey": {"type": "string", "minLength": 16},
     "upstreamUser": {"type": "string", "minLength": 1},
     "routingPolicy": {"enum": ["adaptive", "baseline"]},
+    "mechanismsOff": {"type": "array", "uniqueItems": true, "items": {"enum": ["short-first", "objectives", "standing-queue", "replica-wait", "answers-as-probes", "behind-replicas", "avoidance", "zone-affinity", "quick-links", "join-gate"]}},
     "interface": {"enum": ["postgresql", "platform"]},
     "ordersAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
     "readyAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
@@ -56,6 +57,7 @@
     settings.operatorAddress = document.at("operatorAddress");
     settings.platformAddress = document.at("platformAddress");
     settings.sessionKey = document.at("sessionKey");
+    settings.mechanismsOff = document.value("mechanismsOff", settings.mechanismsOff);
     settings.logLevel = document.value("logLevel", settings.logLevel);
     settings.trafficThreads = document.value("trafficThreads", settings.trafficThreads);
     settings.maxCallers = document.value("maxCallers", settings.maxCallers);
@@ -103,6 +105,7 @@
     compare(difference.needRestart, "idleProbeMs", running.idleProbe, next.idleProbe);
     compare(difference.needRestart, "sessionKey", running.sessionKey, next.sessionKey);
     compare(difference.needRestart, "upstreamUser", running.upstreamUser, next.upstreamUser);
+    compare(difference.needRestart, "mechanismsOff", running.mechanismsOff, next.mechanismsOff);
     compare(difference.needRestart, "routingPolicy", running.routingPolicy, next.routingPolicy);
     return difference;
 }
--- a/src/runtime/host/settings.h
+++ b/src/runtime/host/settings.h
@@ -49,6 +49,8 @@
     milliseconds stopBound{30000};
     // "adaptive", or "baseline" to measure against.
     std::string routingPolicy = "adaptive";
+    // For experts who measure; see Mechanisms. Empty in production.
+    std::vector<std::string> mechanismsOff;
 };
 
 // What a changed settings file means for a host that runs. Names are those of the file.
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE Settings
 #include <boost/test/unit_test.hpp>
 
+#include "runtime/host/mechanisms.h"
 #include "runtime/host/settings.h"
 
 #include <nlohmann/json.hpp>
@@ -122,4 +123,18 @@
     BOOST_TEST(differenceBetween(running, running).needRestart.empty());
 }
 
+BOOST_AUTO_TEST_CASE(NameEveryMechanismThatCanBeSwitchedOff)
+{
+    nlohmann::json document = validSettings();
+    for (const std::string_view name : Mechanisms::names()) {
+        document["mechanismsOff"] = {name};
+        const auto settings = parseSettings(document.dump());
+        BOOST_TEST_REQUIRE(settings.has_value(), "the schema does not know " << name);
+        BOOST_TEST(Mechanisms(settings->mechanismsOff).isOff(name));
+    }
+    document["mechanismsOff"] = {"everything"};
+    BOOST_TEST(!parseSettings(document.dump()).has_value());
+    BOOST_TEST(parseSettings(validSettings().dump())->mechanismsOff.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
