--- a/include/egrettide/core/groupmonitor.h
+++ b/include/egrettide/core/groupmonitor.h
@@ -220,6 +220,7 @@
         std::map<std::string, MemberStatus> answers;
     };
 
+    static bool leads(const MemberStatus &status);
     std::size_t majority() const;
     Member *member(std::string_view upstream);
     const Member *member(std::string_view upstream) const;
--- a/include/egrettide/core/router.h
+++ b/include/egrettide/core/router.h
@@ -251,6 +251,7 @@
         TimePoint now;
     };
 
+    static bool readsOnly(StatementKind kind);
     const Group *group(std::string_view database) const;
     void learnMember(Member &member, const MemberHint &hint, bool fromOwnHome, TimePoint now) const;
     void noteBehind(Behind &behind, TimePoint now) const;
--- a/src/core/group/groupmonitor.cpp
+++ b/src/core/group/groupmonitor.cpp
@@ -1,4 +1,5 @@
-// Rounds, the proofs that they give, and what is kept of them.
+// Members, rounds, and what their answers tell. What answers prove is in
+// groupmonitorproof.cpp, whom a round asks in groupmonitorasking.cpp.
 
 #include "egrettide/core/groupmonitor.h"
 
@@ -15,17 +16,6 @@
 constexpr double replayRateGain = 0.25;
 // Samples closer together than this are mostly noise.
 constexpr milliseconds replaySampleSpan{5};
-// A watermark goes when its neighbours lie closer together than this part of
-// their age: ages are then judged at most that much too old.
-constexpr int thinningShare = 8;
-// Always kept apart, so that the newest ones are exact.
-constexpr milliseconds watermarkSpacing{2};
-
-// A primary that has promised nothing above its own term.
-bool leads(const MemberStatus &status)
-{
-    return status.role == UpstreamRole::Primary && status.promisedTerm == status.followingTerm;
-}
 
 // How many members of `list` each majority of it must take from `common`.
 std::size_t neededFromCommon(std::size_t list, std::size_t common)
@@ -130,32 +120,6 @@
     changed();
 }
 
-void GroupMonitor::onStatementAnswer(const StatementProof &proof, TimePoint now)
-{
-    Member *const answering = member(proof.status.upstream);
-    if (!answering || proof.sentAt <= answering->heardAt) {
-        return;
-    }
-    const bool isPrimary = proof.status.upstream == m_primary;
-    answering->detector.onSignOfLife(proof.sentAt);
-    answering->reachable = true;
-    if (answering->status) {
-        answering->status->received = std::max(answering->status->received, proof.status.received);
-        answering->status->replayed = std::max(answering->status->replayed, proof.status.replayed);
-    }
-    if (!isPrimary) {
-        answering->heardAt = proof.sentAt;
-    } else if (proof.leads) {
-        answering->heardAt = proof.sentAt;
-        addWatermark({proof.sentAt, proof.status.received});
-        m_confirmed = true;
-        // What rounds from before could not prove is proven now.
-        m_provenRound = std::max(m_provenRound, m_lastRound);
-        m_hurryUntil = std::min(m_hurryUntil, now);
-    }
-    changed();
-}
-
 void GroupMonitor::onProbeFailed(RoundId id, const std::string &upstream, ProbeFailure failure, TimePoint now)
 {
     Member *const failing = member(upstream);
@@ -245,76 +209,6 @@
     return m_snapshot;
 }
 
-std::optional<Watermark> GroupMonitor::newestWatermark() const
-{
-    if (m_watermarks.empty()) {
-        return std::nullopt;
-    }
-    return m_watermarks.back();
-}
-
-TimePoint GroupMonitor::nextProbeAt(TimePoint now, bool waitersPresent) const
-{
-    if (!m_lastRoundAt) {
-        return now;
-    }
-    const Member *const primary = member(m_primary);
-    if (m_options.asksOnlySilent && primary && !waitersPresent) {
-        TimePoint next = TimePoint::max();
-        for (const Member &each : m_members) {
-            next = std::min(next, dueAt(each, now));
-        }
-        return std::max(next, *m_lastRoundAt + m_options.busyInterval);
-    }
-    // A round without the primary proves nothing, so it is not worth hurrying.
-    const bool trouble = m_troubleAt && *m_troubleAt >= *m_lastRoundAt;
-    if ((waitersPresent || trouble) && !(primary && saturated(*primary))) {
-        return *m_lastRoundAt + m_options.busyInterval;
-    }
-    const bool refusing = primary && primary->detector.refusing() && !primary->detector.refused();
-    const bool hurry = refusing || (!m_confirmed && now < m_hurryUntil);
-    return *m_lastRoundAt + (hurry ? std::min(m_options.hurryInterval, m_options.idleInterval) : m_options.idleInterval);
-}
-
-bool GroupMonitor::isHurried(TimePoint now) const
-{
-    const Member *const primary = member(m_primary);
-    const bool refusing = primary && primary->detector.refusing() && !primary->detector.refused();
-    const bool trouble = m_troubleAt && *m_troubleAt >= *m_lastRoundAt;
-    return refusing || trouble || (!m_confirmed && now < m_hurryUntil);
-}
-
-// How long a member may be silent before it is asked.
-milliseconds GroupMonitor::intervalOf(const Member &member, TimePoint now) const
-{
-    if (member.spec.upstream == m_primary && isHurried(now)) {
-        return std::min(m_options.hurryInterval, m_options.idleInterval);
-    }
-    const bool matters = m_homes.contains(member.spec.upstream) || member.spec.upstream == m_primary;
-    if (matters && member.detector.awaits()) {
-        return m_options.idleInterval / 2;
-    }
-    const bool changedLately = now < m_changedAt + m_options.changeSpan;
-    return matters || changedLately ? m_options.idleInterval : m_options.restInterval;
-}
-
-TimePoint GroupMonitor::dueAt(const Member &member, TimePoint now) const
-{
-    if (saturated(member)) {
-        return TimePoint::max();
-    }
-    return std::max(member.heardAt, member.probedAt) + intervalOf(member, now);
-}
-
-bool GroupMonitor::isAsked(const Member &each, RoundScope scope, TimePoint now) const
-{
-    if (!m_options.asksOnlySilent || scope == RoundScope::All || m_primary.empty()) {
-        return true;
-    }
-    const bool wanted = scope == RoundScope::Proof && each.spec.upstream == m_primary;
-    return wanted || now >= dueAt(each, now);
-}
-
 bool GroupMonitor::suspects(std::string_view upstream, TimePoint now) const
 {
     const Member *const asked = member(upstream);
@@ -383,11 +277,6 @@
     return const_cast<GroupMonitor *>(this)->member(upstream);
 }
 
-bool GroupMonitor::saturated(const Member &member) const
-{
-    return member.outstanding.size() >= m_options.outstandingLimit;
-}
-
 bool GroupMonitor::endProbe(Member &member, RoundId id)
 {
     const auto found = std::ranges::find(member.outstanding, id, &Probe::round);
@@ -532,72 +421,6 @@
     }
 }
 
-void GroupMonitor::tryProof(RoundId id, Round &round, TimePoint now)
-{
-    if (round.proven) {
-        return;
-    }
-    for (const auto &[upstream, status] : round.answers) {
-        if (!leads(status)) {
-            continue;
-        }
-        const Term term = status.followingTerm;
-        const auto standing =
-            std::ranges::count_if(round.answers, [term](const auto &answer) { return answer.second.promisedTerm == term; });
-        const bool needsMajority = !m_options.leaderProvesItself && !m_options.faults.confirmWithoutMajority;
-        if (needsMajority && static_cast<std::size_t>(standing) < majority()) {
-            continue;
-        }
-        round.proven = true;
-        addWatermark({m_options.faults.watermarkAtAnswer ? now : round.sentAt, status.received});
-        if (term == m_term && upstream == m_primary && id > m_provenRound) {
-            m_provenRound = id;
-            m_confirmed = true;
-        }
-        return;
-    }
-}
-
-// Keeps the list sorted and free of proofs that another one implies: the same or
-// a lower mark at a later time says all that an earlier time says.
-void GroupMonitor::addWatermark(const Watermark &watermark)
-{
-    const bool implied = std::ranges::any_of(
-        m_watermarks, [&](const Watermark &known) { return known.sentAt >= watermark.sentAt && known.mark <= watermark.mark; });
-    if (implied) {
-        return;
-    }
-    std::erase_if(m_watermarks,
-                  [&](const Watermark &known) { return known.sentAt <= watermark.sentAt && known.mark >= watermark.mark; });
-    const auto place = std::ranges::upper_bound(m_watermarks, watermark.sentAt, {}, &Watermark::sentAt);
-    m_watermarks.insert(place, watermark);
-    thinWatermarks();
-}
-
-// Bounds the list: kept neighbours lie apart by a share of their age, so their
-// number grows with the logarithm of the span only.
-void GroupMonitor::thinWatermarks()
-{
-    const TimePoint newest = m_watermarks.back().sentAt;
-    std::vector<Watermark> kept;
-    for (std::size_t i = 0; i < m_watermarks.size(); ++i) {
-        const Watermark &each = m_watermarks[i];
-        const bool last = i + 1 == m_watermarks.size();
-        if (!last && newest - each.sentAt > m_options.watermarkSpan) {
-            continue;
-        }
-        if (!last && !kept.empty()) {
-            const auto age = newest - kept.back().sentAt;
-            const auto spacing = std::max<Clock::duration>(watermarkSpacing, age / thinningShare);
-            if (m_watermarks[i + 1].sentAt - kept.back().sentAt < spacing) {
-                continue;
-            }
-        }
-        kept.push_back(each);
-    }
-    m_watermarks = std::move(kept);
-}
-
 void GroupMonitor::changed()
 {
     m_snapshot.reset();
--- /dev/null
+++ b/src/core/group/groupmonitorproof.cpp
@@ -0,0 +1,127 @@
+// What answers prove: that the primary leads, and the marks up to which its log is known.
+
+#include "egrettide/core/groupmonitor.h"
+
+#include <algorithm>
+
+namespace egrettide
+{
+
+namespace
+{
+
+// A watermark goes when its neighbours lie closer together than this part of
+// their age: ages are then judged at most that much too old.
+constexpr int thinningShare = 8;
+// Always kept apart, so that the newest ones are exact.
+constexpr milliseconds watermarkSpacing{2};
+
+} // namespace
+
+// A primary that has promised nothing above its own term.
+bool GroupMonitor::leads(const MemberStatus &status)
+{
+    return status.role == UpstreamRole::Primary && status.promisedTerm == status.followingTerm;
+}
+
+void GroupMonitor::onStatementAnswer(const StatementProof &proof, TimePoint now)
+{
+    Member *const answering = member(proof.status.upstream);
+    if (!answering || proof.sentAt <= answering->heardAt) {
+        return;
+    }
+    const bool isPrimary = proof.status.upstream == m_primary;
+    answering->detector.onSignOfLife(proof.sentAt);
+    answering->reachable = true;
+    if (answering->status) {
+        answering->status->received = std::max(answering->status->received, proof.status.received);
+        answering->status->replayed = std::max(answering->status->replayed, proof.status.replayed);
+    }
+    if (!isPrimary) {
+        answering->heardAt = proof.sentAt;
+    } else if (proof.leads) {
+        answering->heardAt = proof.sentAt;
+        addWatermark({proof.sentAt, proof.status.received});
+        m_confirmed = true;
+        // What rounds from before could not prove is proven now.
+        m_provenRound = std::max(m_provenRound, m_lastRound);
+        m_hurryUntil = std::min(m_hurryUntil, now);
+    }
+    changed();
+}
+
+std::optional<Watermark> GroupMonitor::newestWatermark() const
+{
+    if (m_watermarks.empty()) {
+        return std::nullopt;
+    }
+    return m_watermarks.back();
+}
+
+void GroupMonitor::tryProof(RoundId id, Round &round, TimePoint now)
+{
+    if (round.proven) {
+        return;
+    }
+    for (const auto &[upstream, status] : round.answers) {
+        if (!leads(status)) {
+            continue;
+        }
+        const Term term = status.followingTerm;
+        const auto standing =
+            std::ranges::count_if(round.answers, [term](const auto &answer) { return answer.second.promisedTerm == term; });
+        const bool needsMajority = !m_options.leaderProvesItself && !m_options.faults.confirmWithoutMajority;
+        if (needsMajority && static_cast<std::size_t>(standing) < majority()) {
+            continue;
+        }
+        round.proven = true;
+        addWatermark({m_options.faults.watermarkAtAnswer ? now : round.sentAt, status.received});
+        if (term == m_term && upstream == m_primary && id > m_provenRound) {
+            m_provenRound = id;
+            m_confirmed = true;
+        }
+        return;
+    }
+}
+
+// Keeps the list sorted and free of proofs that another one implies: the same or
+// a lower mark at a later time says all that an earlier time says.
+void GroupMonitor::addWatermark(const Watermark &watermark)
+{
+    const bool implied = std::ranges::any_of(
+        m_watermarks, [&](const Watermark &known) { return known.sentAt >= watermark.sentAt && known.mark <= watermark.mark; });
+    if (implied) {
+        return;
+    }
+    std::erase_if(m_watermarks,
+                  [&](const Watermark &known) { return known.sentAt <= watermark.sentAt && known.mark >= watermark.mark; });
+    const auto place = std::ranges::upper_bound(m_watermarks, watermark.sentAt, {}, &Watermark::sentAt);
+    m_watermarks.insert(place, watermark);
+    thinWatermarks();
+}
+
+// Bounds the list: kept neighbours lie apart by a share of their age, so their
+// number grows with the logarithm of the span only.
+void GroupMonitor::thinWatermarks()
+{
+    const TimePoint newest = m_watermarks.back().sentAt;
+    std::vector<Watermark> kept;
+    for (std::size_t i = 0; i < m_watermarks.size(); ++i) {
+        const Watermark &each = m_watermarks[i];
+        const bool last = i + 1 == m_watermarks.size();
+        if (!last && newest - each.sentAt > m_options.watermarkSpan) {
+            continue;
+        }
+        if (!last && !kept.empty()) {
+            const auto age = newest - kept.back().sentAt;
+            const auto spacing = std::max<Clock::duration>(watermarkSpacing, age / thinningShare);
+            if (m_watermarks[i + 1].sentAt - kept.back().sentAt < spacing) {
+                continue;
+            }
+        }
+        kept.push_back(each);
+    }
+    m_watermarks = std::move(kept);
+}
+
+} // namespace egrettide
