--- a/scripts/ablation.py
+++ b/scripts/ablation.py
@@ -21,6 +21,8 @@
 import subprocess
 import sys
 
+import whatbinds
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 DAYS = ["trouble-1", "scale-1", "trouble-2", "scale-2", "trouble-3"]
 
@@ -48,15 +50,18 @@
 def play(copy, bench, site, day, seed):
     command = [bench, "run", str(site), day, "--no-cpu", "--jobs", "1", "--log", "all"]
     command += ["--seed", str(seed)] if seed else []
-    out = subprocess.run(command, cwd=copy, capture_output=True, text=True, errors="replace").stdout
+    # The hosts' lines come on the one stream, the result on the other.
+    out = subprocess.run(command, cwd=copy, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, errors="replace").stdout
     row = re.search(r"^%s\s+\S+\s+\S+\s+(\S+)" % re.escape(day), out, re.M)
     if not row:
         return None
-    replica = primary = 0
-    for line in re.finditer(r'"event":"served","when":"\w+","reads_by_replica":(\d+),"reads_by_primary":(\d+)', out):
-        replica, primary = replica + int(line[1]), primary + int(line[2])
+    served = whatbinds.Served()
+    for _, host, event in whatbinds.events(out.splitlines()):
+        served.take(host, event)
+    total = served.total()
+    reads = total["reads_by_replica"] + total["reads_by_primary"]
     broken = re.search(r"BROKEN: ([^(\n]*)", out)
-    return {"worth": float(row[1]), "share": replica / max(1, replica + primary), "broken": broken[1].strip() if broken else ""}
+    return {"worth": float(row[1]), "share": total["reads_by_replica"] / max(1, reads), "broken": broken[1].strip() if broken else ""}
 
 
 def play_all(copy, given):
--- a/scripts/whatbinds.py
+++ b/scripts/whatbinds.py
@@ -20,26 +20,30 @@
 ONE_CHANGE_S = 3.0
 
 
-def read(path):
+def events(lines):
     """Yields (second, host, event) of each line; seconds count from the first line."""
     began = None
+    for line in lines:
+        match = LINE.match(line)
+        if not match:
+            continue
+        try:
+            event = json.loads(match[3])
+        except ValueError:
+            continue
+        if "event" not in event:
+            continue
+        if match[1] is not None:
+            second = float(match[1])
+        else:
+            began = event["time_ms"] if began is None else began
+            second = (event["time_ms"] - began) / 1000
+        yield second, event.get("host", match[2] or ""), event
+
+
+def read(path):
     with open(path, errors="replace") as lines:
-        for line in lines:
-            match = LINE.match(line)
-            if not match:
-                continue
-            try:
-                event = json.loads(match[3])
-            except ValueError:
-                continue
-            if "event" not in event:
-                continue
-            if match[1] is not None:
-                second = float(match[1])
-            else:
-                began = event["time_ms"] if began is None else began
-                second = (event["time_ms"] - began) / 1000
-            yield second, event.get("host", match[2] or ""), event
+        yield from events(lines)
 
 
 def tried(event):
