Move callers of hosts that are cut off to hosts that can serve them

The zone's hosts count as ready, its balancer reaches them, and they refuse what needs the other zones.

Change: a host that hears no other zone, or fewer hosts than it lost, asks the store; without an answer it is not ready, and closes its sessions once the balancer has been told twice, again after 1, 2, 4 s.

--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "egrettide/core/partitiondetector.h"
 #include "egrettide/core/placement.h"
 #include "egrettide/core/types.h"
 
@@ -213,6 +214,8 @@
     const HostRecord &self() const;
     // Live hosts, this one included.
     std::size_t liveCount() const;
+    // Which other hosts answer; computed anew only when something has changed.
+    HostReach reach(TimePoint now) const;
     // True once every host that the list names in this host's zone is known to live.
     // False before the first list.
     bool hasMetZone() const;
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -114,6 +114,30 @@
     return m_listed && std::all_of(m_seeds.begin(), m_seeds.end(), isMet);
 }
 
+HostReach Membership::State::reach(TimePoint now) const
+{
+    if (m_reachAtChange == m_table.changes()) {
+        return m_reach;
+    }
+    HostReach reach;
+    for (const auto &[name, member] : m_table.members()) {
+        const HostRecord &record = member.record;
+        const bool isLive = record.health == HostHealth::Live;
+        const bool lostLately = record.health == HostHealth::Suspect || now - member.healthSince < HostReach::lossWindow;
+        // A leaving host that falls silent has left.
+        const bool counts = name != m_self.name && (isLive || (lostLately && !record.leaving));
+        if (!counts) {
+            continue;
+        }
+        const bool isElsewhere = record.zone != m_self.zone;
+        (isLive ? reach.live : reach.lost) += 1;
+        (isLive ? reach.liveElsewhere : reach.lostElsewhere) += isElsewhere ? 1 : 0;
+    }
+    m_reach = reach;
+    m_reachAtChange = m_table.changes();
+    return m_reach;
+}
+
 std::vector<GossipSend> Membership::State::onLinkLost(const std::string &peer, TimePoint now)
 {
     Sends sends;
@@ -248,6 +272,11 @@
     return m_state->onHostList(seeds);
 }
 
+HostReach Membership::reach(TimePoint now) const
+{
+    return m_state->reach(now);
+}
+
 bool Membership::hasMetZone() const
 {
     return m_state->hasMetZone();
--- a/src/core/fleet/membershipstate.h
+++ b/src/core/fleet/membershipstate.h
@@ -46,6 +46,7 @@
         return m_table.livingCount();
     }
 
+    HostReach reach(TimePoint now) const;
     bool hasMetZone() const;
 
 private:
@@ -155,6 +156,9 @@
     mutable std::shared_ptr<const MembershipView> m_view;
     mutable std::uint64_t m_viewAtChange = 0;
     mutable bool m_viewTrusted = false;
+    // Made anew when the table has changed since.
+    mutable HostReach m_reach;
+    mutable std::uint64_t m_reachAtChange = std::numeric_limits<std::uint64_t>::max();
     // Counts changes of trust into the view's version.
     std::uint64_t m_trustChanges = 0;
 };
--- a/src/runtime/callers/front.cpp
+++ b/src/runtime/callers/front.cpp
@@ -49,6 +49,7 @@
     tl::expected<void, Error> listen(const std::string &address, std::uint16_t port);
     std::uint16_t port() const;
     void beginDrain();
+    void moveCallers();
     void stop();
     std::size_t openConnections() const;
     void learn(const GroupHint &hint, const std::string &upstream);
@@ -198,6 +199,11 @@
     forEachConnection(&CallerLink::drain);
 }
 
+void FrontState::moveCallers()
+{
+    forEachConnection(&CallerLink::drain);
+}
+
 void FrontState::stop()
 {
     closeAcceptor();
@@ -246,6 +252,11 @@
     m_state->beginDrain();
 }
 
+void Front::moveCallers()
+{
+    m_state->moveCallers();
+}
+
 std::size_t Front::openConnections() const
 {
     return m_state->openConnections();
--- a/src/runtime/callers/front.h
+++ b/src/runtime/callers/front.h
@@ -146,6 +146,9 @@
     // Stops accepting and tells each connection to go as soon as it is idle
     // outside a transaction: what is under way is finished first.
     void beginDrain();
+    // Tells each connection that is open now to go as soon as it is idle outside a
+    // transaction, and goes on accepting others.
+    void moveCallers();
     // Caller connections that are open now; zero means that a drain is complete.
     std::size_t openConnections() const;
     // Closes everything at once.
--- a/src/runtime/fleet/membershipdriver.cpp
+++ b/src/runtime/fleet/membershipdriver.cpp
@@ -179,6 +179,11 @@
 
 void MembershipDriver::publish()
 {
+    const HostReach reach = m_membership.reach(Clock::now());
+    if (reach != m_publishedReach) {
+        m_publishedReach = reach;
+        m_hooks.reachChanged(reach);
+    }
     const auto view = m_membership.view();
     const bool metZone = m_membership.hasMetZone();
     const bool isNews =
--- a/src/runtime/fleet/membershipdriver.h
+++ b/src/runtime/fleet/membershipdriver.h
@@ -21,6 +21,8 @@
     // Who is there or who leaves has changed, whether the view is trusted, or whether
     // this zone's listed hosts are all known.
     std::function<void(std::shared_ptr<const MembershipView>)> changed;
+    // Which other hosts answer has changed.
+    std::function<void(const HostReach &reach)> reachChanged;
     // The highest configuration version heard of, and a host that has it.
     std::function<void(const std::string &host, std::uint64_t version)> configurationHeard;
     // True when this host reads the platform's list for its zone.
@@ -70,6 +72,8 @@
     std::uint64_t m_published = 0;
     bool m_publishedTrusted = false;
     bool m_publishedMetZone = false;
+    // What was last handed to `reachChanged`.
+    HostReach m_publishedReach;
     // True once the list is read at its interval.
     bool m_reads = false;
     bool m_stopped = false;
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -268,6 +268,11 @@
     self.incarnation = m_incarnation;
     JoinOptions joining;
     m_mechanisms.applyTo(joining);
+    PartitionOptions partition;
+    partition.balancerNotice = m_settings.balancerNotice;
+    partition.balancerMisses = m_settings.balancerMisses;
+    m_mechanisms.applyTo(partition);
+    m_partition = std::make_unique<PartitionDriver>(m_control, *m_store, partition, [this] { m_front->moveCallers(); });
     m_joinGate = std::make_unique<JoinGate>(m_settings.zone, joining, Clock::now());
     m_membership = std::make_unique<MembershipDriver>(
         m_control, *m_store, std::move(self), m_random(),
@@ -275,6 +280,7 @@
                                   sendTo(host, address, std::move(message));
                               },
                               [this](const std::shared_ptr<const MembershipView> &view) { onView(view); },
+                              [this](const HostReach &reach) { m_partition->onReach(reach); },
                               [this](const std::string &host, std::uint64_t version) { m_keeper->heardOf(host, version); },
                               [this] { return isWatcher(); }});
     m_keeper = m_parts.makeConfiguration(
--- a/src/runtime/host/hostdaemonimpl.h
+++ b/src/runtime/host/hostdaemonimpl.h
@@ -14,6 +14,7 @@
 #include "egrettide/core/retrybudget.h"
 #include "runtime/callers/front.h"
 #include "runtime/fleet/membershipdriver.h"
+#include "runtime/fleet/partitiondriver.h"
 #include "runtime/fleet/peernetwork.h"
 #include "runtime/group/groupcoordination.h"
 #include "runtime/group/switchoverdesk.h"
@@ -172,6 +173,7 @@
     std::shared_ptr<const UpstreamDialect> m_dialect;
     std::unique_ptr<PeerNetwork> m_network;
     std::unique_ptr<MembershipDriver> m_membership;
+    std::unique_ptr<PartitionDriver> m_partition;
     std::unique_ptr<ConfigurationSource> m_keeper;
     std::unique_ptr<GroupCoordination> m_coordination;
     std::unique_ptr<HomeService> m_homes;
--- a/src/runtime/host/mechanisms.cpp
+++ b/src/runtime/host/mechanisms.cpp
@@ -12,8 +12,8 @@
 const std::vector<std::string_view> &Mechanisms::names()
 {
     static const std::vector<std::string_view> all{
-        "short-first",     "objectives", "standing-queue", "replica-wait", "answers-as-probes",
-        "behind-replicas", "avoidance",  "zone-affinity",  "quick-links",  "join-gate",
+        "short-first", "objectives",    "standing-queue", "replica-wait", "answers-as-probes", "behind-replicas",
+        "avoidance",   "zone-affinity", "quick-links",    "join-gate",    "move-callers",
     };
     return all;
 }
@@ -69,4 +69,9 @@
     }
 }
 
+void Mechanisms::applyTo(PartitionOptions &partition) const
+{
+    partition.enabled = !isOff("move-callers");
+}
+
 } // namespace egrettide
--- a/src/runtime/host/mechanisms.h
+++ b/src/runtime/host/mechanisms.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "egrettide/core/joingate.h"
+#include "egrettide/core/partitiondetector.h"
 #include "egrettide/core/router.h"
 #include "runtime/fleet/peernetwork.h"
 #include "runtime/upstreams/homeservice.h"
@@ -30,6 +31,7 @@
     void applyTo(RouterOptions &router) const;
     void applyTo(PeerNetworkOptions &network) const;
     void applyTo(JoinOptions &joining) const;
+    void applyTo(PartitionOptions &partition) const;
     bool isOff(std::string_view name) const;
 
 private:
--- a/src/runtime/host/settings.cpp
+++ b/src/runtime/host/settings.cpp
@@ -31,12 +31,13 @@
     "sessionKey": {"type": "string", "minLength": 16},
     "upstreamUser": {"type": "string", "minLength": 1},
     "routingPolicy": {"enum": ["adaptive", "baseline"]},
-    "mechanismsOff": {"type": "array", "uniqueItems": true, "items": {"enum": ["short-first", "objectives", "standing-queue", "replica-wait", "answers-as-probes", "behind-replicas", "avoidance", "zone-affinity", "quick-links", "join-gate"]}},
+    "mechanismsOff": {"type": "array", "uniqueItems": true, "items": {"enum": ["short-first", "objectives", "standing-queue", "replica-wait", "answers-as-probes", "behind-replicas", "avoidance", "zone-affinity", "quick-links", "join-gate", "move-callers"]}},
     "interface": {"enum": ["postgresql", "platform"]},
     "ordersAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
     "readyAddress": {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"},
     "readyPath": {"type": "string", "pattern": "^/[A-Za-z0-9/._-]*$"},
     "balancerNoticeMs": {"type": "integer", "minimum": 0, "maximum": 60000},
+    "balancerMisses": {"type": "integer", "minimum": 0, "maximum": 100},
     "stopBoundMs": {"type": "integer", "minimum": 100, "maximum": 600000}
   }
 }
@@ -69,6 +70,7 @@
     settings.readyAddress = document.value("readyAddress", settings.readyAddress);
     settings.readyPath = document.value("readyPath", settings.readyPath);
     settings.balancerNotice = milliseconds(document.value("balancerNoticeMs", settings.balancerNotice.count()));
+    settings.balancerMisses = document.value("balancerMisses", settings.balancerMisses);
     settings.stopBound = milliseconds(document.value("stopBoundMs", settings.stopBound.count()));
     return settings;
 }
@@ -102,6 +104,7 @@
     compare(difference.needRestart, "readyAddress", running.readyAddress, next.readyAddress);
     compare(difference.needRestart, "trafficThreads", running.trafficThreads, next.trafficThreads);
     compare(difference.needRestart, "maxCallers", running.maxCallers, next.maxCallers);
+    compare(difference.needRestart, "balancerMisses", running.balancerMisses, next.balancerMisses);
     compare(difference.needRestart, "idleProbeMs", running.idleProbe, next.idleProbe);
     compare(difference.needRestart, "sessionKey", running.sessionKey, next.sessionKey);
     compare(difference.needRestart, "upstreamUser", running.upstreamUser, next.upstreamUser);
--- a/src/runtime/host/settings.h
+++ b/src/runtime/host/settings.h
@@ -45,6 +45,9 @@
     // After the start of a graceful stop the balancer may go on sending new callers
     // for this long; they are served.
     milliseconds balancerNotice{0};
+    // After so many answers in a row that this host is not ready the balancer sends new
+    // callers elsewhere; 0 when that is not known, and balancerNotice has to do.
+    int balancerMisses = 0;
     // The whole of a graceful stop; what is still open then is cut.
     milliseconds stopBound{30000};
     // "adaptive", or "baseline" to measure against.
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -178,6 +178,43 @@
     BOOST_TEST(membership.onHostList(seeds, now).empty(), "a list is pinged once");
 }
 
+// Symptom: hosts of a zone that is cut off go on as if nothing had happened.
+// Sequence: one zone of three is cut off from the others.
+// Cause: nothing tells a partition from the loss of single hosts.
+BOOST_AUTO_TEST_CASE(SeesNobodyElsewhereFromAZoneThatIsCutOff)
+{
+    GossipFleet fleet(7);
+    fleet.startMany(9, 3);
+    fleet.runFor(seconds{3});
+    BOOST_TEST(fleet.host("h0").reach(fleet.now()).live == 8U);
+    fleet.cut({"zone-0"});
+    const auto seesTheCut = [&fleet](const std::string &name) {
+        const HostReach reach = fleet.host(name).reach(fleet.now());
+        const bool isCut = fleet.zone(name) == "zone-0";
+        return reach == (isCut ? HostReach{2, 6, 0, 6} : HostReach{5, 3, 3, 3});
+    };
+    const std::vector<std::string> names = fleet.names();
+    const auto seen = fleet.runUntil(seconds{4}, [&] { return std::ranges::all_of(names, seesTheCut); });
+    BOOST_TEST(seen.has_value(), "the cut is not seen by all hosts within 4 s");
+}
+
+// A planned stop is no loss.
+BOOST_AUTO_TEST_CASE(CountsADepartedHostNowhere)
+{
+    GossipFleet fleet(8);
+    fleet.startMany(6, 3);
+    fleet.runFor(seconds{3});
+    fleet.apply("h1", [](Membership &host, TimePoint now) { return host.leave(now); });
+    fleet.runFor(seconds{2});
+    BOOST_TEST(fleet.host("h0").reach(fleet.now()).live == 5U, "a leaving host still answers");
+    fleet.apply("h1", [](Membership &host, TimePoint now) { return host.depart(now); });
+    fleet.crash("h1");
+    fleet.runFor(seconds{2});
+    const HostReach reach = fleet.host("h0").reach(fleet.now());
+    BOOST_TEST(reach.live == 4U);
+    BOOST_TEST(reach.lost == 0U, "a planned stop shows as " << reach.lost << " lost hosts");
+}
+
 BOOST_AUTO_TEST_CASE(KnowsWhetherItHasMetItsZone)
 {
     const TimePoint now{seconds{1000}};
--- a/tests/platform/host_test.cpp
+++ b/tests/platform/host_test.cpp
@@ -333,6 +333,41 @@
     BOOST_TEST(eventually([&] { return other.run("READ last").first() == "DATAROW 1"; }));
 }
 
+// Symptom: callers of a zone that is cut off are refused for as long as the cut lasts.
+// Sequence: the host of the other zone is gone without a word, and the store does not
+// answer; then the store is back.
+// Cause: the host counted as ready, and its sessions stayed.
+BOOST_AUTO_TEST_CASE(ThatAreCutOffSendTheirCallersElsewhere)
+{
+    PlatformSite site(2);
+    LineClient idle(site.addresses[0]);
+    idle.start("pay");
+    BOOST_TEST_REQUIRE(statusLineOf(site.operatorAddresses[0], "/ready") == "HTTP/1.1 200 OK");
+    site.platform.setDown(true);
+    site.daemons[1].reset();
+    BOOST_TEST(idle.receive().broken, "a session was kept at a host that is cut off");
+    BOOST_TEST(statusLineOf(site.operatorAddresses[0], "/ready") == "HTTP/1.1 503 Service Unavailable");
+    LineClient later(site.addresses[0]);
+    BOOST_TEST(later.start("pay").state == 'I', "a caller that finds no better host is turned away");
+    site.platform.setDown(false);
+    BOOST_TEST(eventually([&] { return statusLineOf(site.operatorAddresses[0], "/ready") == "HTTP/1.1 200 OK"; }),
+               "a host that reaches the store is what is left");
+}
+
+// The same without the store's silence: the host is what is left, and goes on.
+BOOST_AUTO_TEST_CASE(ThatAreLeftAloneGoOn)
+{
+    PlatformSite site(2);
+    LineClient client(site.addresses[0]);
+    client.start("pay");
+    site.daemons[1].reset();
+    const TimePoint bound = Clock::now() + milliseconds(3000);
+    while (Clock::now() < bound) {
+        BOOST_TEST_REQUIRE(statusLineOf(site.operatorAddresses[0], "/ready") == "HTTP/1.1 200 OK");
+    }
+    BOOST_TEST(client.run("WRITE alone 1").succeeded(), "a session of the host that is left was closed");
+}
+
 BOOST_AUTO_TEST_CASE(ServeWithoutTheStore)
 {
     PlatformSite site;
--- a/tests/platform/platformsite.h
+++ b/tests/platform/platformsite.h
@@ -4,11 +4,17 @@
 #pragma once
 
 #include "platform/hostparts.h"
+#include "runtime/host/address.h"
 #include "runtime/host/hostdaemon.h"
 #include "testing/platform/linegroup.h"
 #include "testing/platform/platformstandin.h"
 #include "tests/platform/lineclient.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
@@ -36,6 +42,21 @@
     return true;
 }
 
+// The status line of a host's answer to a GET; empty without one.
+inline std::string statusLineOf(const std::string &address, const std::string &path)
+{
+    const auto endpoint = parseEndpoint(address);
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    boost::system::error_code failed;
+    socket.connect(*endpoint, failed);
+    const std::string request = "GET " + path + " HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request), failed);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), failed);
+    return answer.substr(0, answer.find('\r'));
+}
+
 class PlatformSite
 {
 public:
@@ -91,6 +112,7 @@
         const auto started = daemon->start();
         BOOST_TEST_REQUIRE(started.has_value(), "a host did not start");
         addresses.push_back(started->caller);
+        operatorAddresses.push_back(started->operators);
         daemons.push_back(std::move(daemon));
     }
 
@@ -121,6 +143,7 @@
     standin::LineGroup group;
     standin::PlatformStandIn platform;
     std::vector<std::string> addresses;
+    std::vector<std::string> operatorAddresses;
     std::vector<std::unique_ptr<HostDaemon>> daemons;
 };
 
--- a/tests/runtime/membershipdriver_test.cpp
+++ b/tests/runtime/membershipdriver_test.cpp
@@ -98,6 +98,7 @@
     MembershipDriverHooks hooks;
     hooks.send = [](const std::string &, const std::string &, hop::HopMessage) {};
     hooks.changed = [&](const std::shared_ptr<const MembershipView> &) { hasMetZone = started->hasMetZone(); };
+    hooks.reachChanged = [](const HostReach &) {};
     hooks.configurationHeard = [](const std::string &, std::uint64_t) {};
     hooks.isWatcher = [] { return false; };
     MembershipDriver driver(context, store, hostIn("zone-a", "self"), 1, hooks);
