--- a/include/egrettide/core/freshnessgate.h
+++ b/include/egrettide/core/freshnessgate.h
@@ -166,6 +166,7 @@
     std::optional<FreshnessReason> floorObstacle(const Case &about) const;
     std::optional<FreshnessReason> ageObstacle(const Case &about) const;
     std::optional<FreshnessReason> latestObstacle(const Case &about) const;
+    GateDecision awaitFirstWord(const Case &about) const;
     GateDecision waitOrLeave(const Case &about, FreshnessReason reason) const;
     TimePoint predictedReady(const Case &about, FreshnessReason reason) const;
 
--- a/include/egrettide/core/groupmonitor.h
+++ b/include/egrettide/core/groupmonitor.h
@@ -208,6 +208,8 @@
         TimePoint rateSampleAt;
         Position rateSample = 0;
         bool reachable = false;
+        // See MemberView::judged; never false again.
+        bool judged = false;
     };
 
     struct Round {
--- a/include/egrettide/core/types.h
+++ b/include/egrettide/core/types.h
@@ -85,6 +85,9 @@
     // Entries replayed a second, smoothed; 0 when unknown.
     double replayRate = 0;
     bool reachable = false;
+    // False until it has answered, or failed to: nothing is known of it yet, neither that
+    // it can be reached nor that it can't.
+    bool judged = false;
     bool leaving = false;
 };
 
--- a/src/core/group/freshnessgate.cpp
+++ b/src/core/group/freshnessgate.cpp
@@ -87,7 +87,7 @@
 {
     const Freshness &wanted = about.request.freshness;
     if (!about.member.reachable) {
-        return GoElsewhere{FreshnessReason::Unreachable};
+        return waitOrLeave(about, FreshnessReason::Unreachable);
     }
     Serve serve{about.member.replayed, std::nullopt};
     if (wanted.floor) {
@@ -253,9 +253,23 @@
     return std::chrono::ceil<milliseconds>(now - newest->sentAt);
 }
 
+// What goes wrong without the wait for a member of which nothing is known yet: a home has
+// just been taken, by a host that has just started, or since the upstream itself has, and
+// its first look at the group is under way. A read that comes meanwhile is refused as if the
+// upstream could not be reached, by one home after the other.
+GateDecision FreshnessGate::awaitFirstWord(const Case &about) const
+{
+    const TimePoint budget = std::min(about.request.deadline, about.request.replicaWaitUntil);
+    const bool waits = !about.member.judged && about.now < budget && m_options.waitPolicy != WaitPolicy::Never;
+    return waits ? GateDecision(WaitUntil{budget, FreshnessReason::Unreachable}) : GoElsewhere{FreshnessReason::Unreachable};
+}
+
 GateDecision FreshnessGate::waitOrLeave(const Case &about, FreshnessReason reason) const
 {
-    if (reason == FreshnessReason::Unreachable || reason == FreshnessReason::NotFollowing) {
+    if (reason == FreshnessReason::Unreachable) {
+        return awaitFirstWord(about);
+    }
+    if (reason == FreshnessReason::NotFollowing) {
         return GoElsewhere{reason};
     }
     const bool primary = isPrimary(about.snapshot, about.member);
--- a/src/core/group/groupmonitor.cpp
+++ b/src/core/group/groupmonitor.cpp
@@ -127,6 +127,8 @@
         return;
     }
     failing->detector.onFailure(failure, now);
+    // Silence is judged by the detector, and room for a probe may come.
+    failing->judged = failing->judged || failure == ProbeFailure::Refused || failure == ProbeFailure::Reset;
     failing->reachable = failing->reachable && !failing->detector.suspects(now);
     finishProbe(id);
     changed();
@@ -202,6 +204,7 @@
         view.observedAt = each.observedAt;
         view.replayRate = each.replayRate;
         view.reachable = each.reachable;
+        view.judged = each.judged;
         view.leaving = each.spec.leaving;
         built->members.push_back(std::move(view));
     }
@@ -311,8 +314,9 @@
         changed();
     }
     const bool suspected = member.detector.suspects(now);
-    if (suspected && member.reachable) {
+    if (suspected && (member.reachable || !member.judged)) {
         member.reachable = false;
+        member.judged = true;
         changed();
     }
 }
@@ -320,6 +324,7 @@
 void GroupMonitor::observe(Member &member, RoundId id, const MemberStatus &status, TimePoint sentAt)
 {
     member.reachable = true;
+    member.judged = true;
     member.heardAt = std::max(member.heardAt, sentAt);
     if (member.status && id <= member.statusRound) {
         return;
--- a/src/core/group/groupmonitorproof.cpp
+++ b/src/core/group/groupmonitorproof.cpp
@@ -33,6 +33,7 @@
     const bool isPrimary = proof.status.upstream == m_primary;
     answering->detector.onSignOfLife(proof.sentAt);
     answering->reachable = true;
+    answering->judged = true;
     if (answering->status) {
         answering->status->received = std::max(answering->status->received, proof.status.received);
         answering->status->replayed = std::max(answering->status->replayed, proof.status.replayed);
--- a/src/runtime/group/grouphint.cpp
+++ b/src/runtime/group/grouphint.cpp
@@ -17,7 +17,8 @@
         entry.upstream = member.upstream;
         entry.replayed = member.replayed;
         entry.age = gate.provenAge(snapshot, member, now).value_or(unprovenAge);
-        entry.reachable = member.reachable;
+        // Of whom nothing is known, its own home will say more.
+        entry.reachable = member.reachable || !member.judged;
         entry.leaving = member.leaving;
         hint.members.push_back(std::move(entry));
     }
--- a/tests/core/freshnessgate_test.cpp
+++ b/tests/core/freshnessgate_test.cpp
@@ -28,6 +28,7 @@
     view.observedAt = at(0);
     view.replayRate = 1000;
     view.reachable = true;
+    view.judged = true;
     return view;
 }
 
@@ -187,6 +188,26 @@
     BOOST_TEST(decide(Freshness{}, snapshot, "x") == "elsewhere unreachable");
 }
 
+// Symptom: a session writes, and its next read is refused: its upstream can't be reached.
+// Sequence: the upstream has just started again, or this host has just become its home; the
+// read comes before the first look at the group has been answered.
+// Cause: whoever had not answered yet counted as unreachable.
+BOOST_AUTO_TEST_CASE(AwaitsTheFirstWordOfAMemberOfWhichNothingIsKnown)
+{
+    GateOptions checksMarks;
+    checksMarks.upstreamChecksMarks = true;
+    GroupSnapshot snapshot = group();
+    snapshot.members[1].reachable = false;
+    snapshot.members[1].judged = false;
+    for (const GateOptions &options : {GateOptions{}, checksMarks}) {
+        BOOST_TEST(decide(withFloor({2, 90}), snapshot, "r", 10, options) == "wait unreachable");
+        BOOST_TEST(decide(withFloor({2, 90}), snapshot, "r", 30, options) == "elsewhere unreachable",
+                   "a read waits for a replica for 20 ms, not longer");
+    }
+    snapshot.members[1].judged = true;
+    BOOST_TEST(decide(withFloor({2, 90}), snapshot, "r", 10, checksMarks) == "elsewhere unreachable");
+}
+
 // Symptom: a session with a token from a group that was restored from a backup never gets an answer.
 // Sequence: the restored group's marks lie below the token's floor; no replay can reach it.
 // Cause: the floor is bogus, and the gate waits for it.
--- a/tests/core/groupmonitor_test.cpp
+++ b/tests/core/groupmonitor_test.cpp
@@ -175,6 +175,22 @@
     BOOST_TEST(!monitor.snapshot()->members[1].reachable);
 }
 
+BOOST_AUTO_TEST_CASE(JudgeAMemberOnceItHasAnsweredRefusedOrBeenSilent)
+{
+    const auto judged = [this](std::size_t member) { return monitor.snapshot()->members.at(member).judged; };
+    BOOST_TEST(!judged(0), "nothing is known of a member that was never asked");
+    const RoundId round = monitor.beginRound(at(0)).id;
+    BOOST_TEST(!judged(0), "a question says nothing yet");
+    monitor.onStatus(round, primary("a", 1, 7), at(1));
+    monitor.onProbeFailed(round, "b", ProbeFailure::Refused, at(1));
+    BOOST_TEST(judged(0));
+    BOOST_TEST(judged(1));
+    BOOST_TEST(!judged(2));
+    monitor.beginRound(at(10));
+    monitor.onTimer(at(5000));
+    BOOST_TEST(judged(2), "silence for longer than any timeout is an answer, too");
+}
+
 BOOST_AUTO_TEST_CASE(FollowCloselyWhileSomebodyWaits)
 {
     settledRound(0, 7);
