Open connections to upstreams in the name of a workspace

Change: ConnectionPlan decides whose connection is opened, kept and closed; the pool hands a connection to its owner alone. Which one makes way is the spare one of the owner that asks least often; openings ahead of requests take free slots only. Where a dialect shares connections nothing changes.

--- a/src/runtime/upstreams/upstreamdialect.h
+++ b/src/runtime/upstreams/upstreamdialect.h
@@ -27,6 +27,9 @@
     // True when a primary that has been replaced knows it: its own word then proves
     // that it leads, and no majority is asked.
     bool leaderProvesItself = false;
+    // True when upstreams have to know for which workspace a statement runs: a connection is
+    // then opened in its name and used for it alone.
+    bool connectsAsWorkspace = false;
     // True when an upstream refuses what exceeds its slots and queue, and its slots are
     // exactly as many as it says.
     //
--- a/src/runtime/upstreams/upstreamhome.cpp
+++ b/src/runtime/upstreams/upstreamhome.cpp
@@ -40,6 +40,13 @@
     return options;
 }
 
+ConnectionPlanOptions planOptions(const UpstreamHomeSettings &settings)
+{
+    ConnectionPlanOptions options = settings.connections;
+    options.perOwner = settings.dialect->connectsAsWorkspace;
+    return options;
+}
+
 } // namespace
 
 UpstreamHome::UpstreamHome(asio::io_context &context, std::shared_ptr<const Configuration> configuration,
@@ -53,7 +60,7 @@
     , m_hooks(std::move(hooks))
     , m_view(database.name, upstream.name, settings.gate)
     , m_pool(context, settings.dialect->control.makeLink, connectionSettings(settings, database.name, upstream),
-             budgetOptions(settings, upstream), settings.openTimeout,
+             budgetOptions(settings, upstream), planOptions(settings), settings.openTimeout,
              UpstreamPool::Hooks{[this] { settle(); }, [this](const Error &) { settle(); }})
     , m_scheduler(schedulerOptions())
     , m_nextTransaction(std::max<std::uint64_t>(1, settings.firstTransaction))
@@ -104,6 +111,9 @@
         settle();
         return;
     }
+    if (request.transaction == 0) {
+        m_pool.asked(ownerOf(request), Clock::now());
+    }
     const Ticket ticket = ++m_lastTicket;
     HomeRequest pending;
     pending.request = std::move(request);
@@ -279,7 +289,8 @@
         return false;
     }
     const std::uint64_t transaction = found->second.request.transaction;
-    const Connection connection = transaction != 0 ? m_transactions.at(transaction).connection : m_pool.take();
+    const Connection connection =
+        transaction != 0 ? m_transactions.at(transaction).connection : m_pool.take(ownerOf(found->second.request));
     if (!connection) {
         return false;
     }
@@ -287,6 +298,25 @@
     return true;
 }
 
+std::string UpstreamHome::ownerOf(const StatementRequest &request) const
+{
+    return m_settings.dialect->connectsAsWorkspace ? request.tenant : std::string();
+}
+
+// The owners of those that have a slot and no connection.
+std::vector<std::string_view> UpstreamHome::ownersWaiting() const
+{
+    std::vector<std::string_view> owners;
+    for (const Ticket ticket : m_ready) {
+        const auto found = m_pending.find(ticket);
+        if (found != m_pending.end() && found->second.stage == RequestStage::AwaitingConnection) {
+            owners.push_back(m_settings.dialect->connectsAsWorkspace ? std::string_view(found->second.request.tenant)
+                                                                     : std::string_view());
+        }
+    }
+    return owners;
+}
+
 // The last look before a request leaves: what held when it was queued may not
 // hold any more. Refuses it, or lets it wait again, when it must not be sent.
 bool UpstreamHome::maySendNow(Ticket ticket)
--- a/src/runtime/upstreams/upstreamhome.h
+++ b/src/runtime/upstreams/upstreamhome.h
@@ -30,6 +30,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -59,6 +60,8 @@
     // How long a write that a replaced primary has not answered is still waited for.
     milliseconds replacedPrimaryPatience{300};
     ConnectionBudgetOptions budget;
+    // Whether connections have owners follows from the dialect.
+    ConnectionPlanOptions connections;
     SlotSchedulerOptions scheduler;
     GateOptions gate;
     // Never null.
@@ -197,6 +200,8 @@
     // Time.
     void settle();
     std::size_t freeSlots() const;
+    std::string ownerOf(const StatementRequest &request) const;
+    std::vector<std::string_view> ownersWaiting() const;
     void flushOutbox();
     void onTimer();
     void giveUpOverdue(TimePoint now);
--- a/src/runtime/upstreams/upstreamhomeupkeep.cpp
+++ b/src/runtime/upstreams/upstreamhomeupkeep.cpp
@@ -26,7 +26,7 @@
         m_unsettled = false;
         followAllowance(Clock::now());
         sendReady();
-        m_pool.balance(m_ready.size(), freeSlots(), Clock::now());
+        m_pool.balance(ownersWaiting(), freeSlots(), Clock::now());
         flushOutbox();
     } while (m_unsettled || !m_outbox.empty());
     reportProgress();
--- a/src/runtime/upstreams/upstreampool.cpp
+++ b/src/runtime/upstreams/upstreampool.cpp
@@ -3,6 +3,7 @@
 #include "runtime/upstreams/upstreampool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace egrettide
 {
@@ -16,12 +17,15 @@
 } // namespace
 
 UpstreamPool::UpstreamPool(boost::asio::io_context &context, UpstreamLinkFactory makeLink, ConnectionSettings settings,
-                           const ConnectionBudgetOptions &budget, milliseconds openTimeout, Hooks hooks)
+                           const ConnectionBudgetOptions &budget, ConnectionPlanOptions plan, milliseconds openTimeout,
+                           Hooks hooks)
     : m_context(context)
     , m_makeLink(std::move(makeLink))
     , m_settings(std::move(settings))
     , m_openTimeout(openTimeout)
     , m_budget(budget)
+    , m_perOwner(plan.perOwner)
+    , m_plan(plan)
     , m_hooks(std::move(hooks))
     , m_backoff(firstBackoff)
 {
@@ -30,26 +34,29 @@
 UpstreamPool::~UpstreamPool()
 {
     m_alive.reset();
-    for (const Connection &connection : m_opening) {
+    for (const auto &[connection, owner] : m_opening) {
         connection->abandon();
     }
-    for (const Connection &connection : m_spare) {
-        connection->abandon();
+    for (const SpareConnection &spare : m_spare) {
+        spare.connection->abandon();
     }
-    for (const Connection &connection : m_taken) {
+    for (const auto &[connection, owner] : m_taken) {
         connection->abandon();
     }
 }
 
-UpstreamPool::Connection UpstreamPool::take()
+UpstreamPool::Connection UpstreamPool::take(const std::string &owner)
 {
-    while (!m_spare.empty()) {
-        // The one used last is the warmest; the others may become surplus.
-        Connection connection = m_spare.back();
-        m_spare.pop_back();
+    // The one used last is the warmest; the others may become surplus.
+    for (std::size_t i = m_spare.size(); i-- > 0;) {
+        if (m_spare[i].owner != owner) {
+            continue;
+        }
+        const Connection connection = m_spare[i].connection;
+        m_spare.erase(m_spare.begin() + static_cast<std::ptrdiff_t>(i));
         connection->onIdleLoss(nullptr);
         if (connection->usable()) {
-            m_taken.insert(connection);
+            m_taken.emplace(connection, owner);
             return connection;
         }
         connection->close();
@@ -57,18 +64,28 @@
     return nullptr;
 }
 
+void UpstreamPool::asked(const std::string &owner, TimePoint now)
+{
+    m_plan.asked(owner, now);
+}
+
 void UpstreamPool::put(const Connection &connection)
 {
-    m_taken.erase(connection);
-    if (!connection->usable() || connection->transactionState() != 'I') {
+    auto taken = m_taken.extract(connection);
+    if (taken.empty() || !connection->usable() || connection->transactionState() != 'I') {
         connection->close();
         return;
     }
-    m_spare.push_back(connection);
+    addSpare(connection, std::move(taken.mapped()));
+}
+
+void UpstreamPool::addSpare(const Connection &connection, std::string owner)
+{
+    m_spare.push_back({connection, std::move(owner)});
     connection->onIdleLoss([this, alive = std::weak_ptr<bool>(m_alive), weak = std::weak_ptr(connection)] {
         const auto lost = weak.lock();
         if (!alive.expired() && lost) {
-            std::erase(m_spare, lost);
+            std::erase_if(m_spare, [&lost](const SpareConnection &spare) { return spare.connection == lost; });
         }
     });
 }
@@ -79,38 +96,63 @@
     connection->close();
 }
 
-void UpstreamPool::balance(std::size_t waiting, std::size_t freeSlots, TimePoint now)
+void UpstreamPool::balance(const std::vector<std::string_view> &waiting, std::size_t freeSlots, TimePoint now)
 {
-    closeSurplus(now);
-    if (now < m_retryAt) {
-        return;
+    const bool mayOpen = now >= m_retryAt;
+    while (const auto step = m_plan.next(listed(), waiting, limits(freeSlots, now), now)) {
+        if (step->kind == PoolStep::Kind::Close) {
+            closeSpareAt(step->index);
+        } else if (mayOpen) {
+            openOne(step->owner, now);
+        } else {
+            break;
+        }
     }
-    const auto allowance = static_cast<std::size_t>(std::max(0, m_budget.allowance(now)));
-    const auto target = static_cast<std::size_t>(std::max(0, m_budget.target(now)));
-    while (size() < allowance && m_opening.size() + m_spare.size() < waiting) {
-        openOne(now);
+}
+
+PoolLimits UpstreamPool::limits(std::size_t freeSlots, TimePoint now) const
+{
+    PoolLimits limits;
+    limits.allowance = static_cast<std::size_t>(std::max(0, m_budget.allowance(now)));
+    // A connection of one owner is of no use to another: those that are open are kept.
+    limits.target = m_perOwner ? limits.allowance : static_cast<std::size_t>(std::max(0, m_budget.target(now)));
+    limits.freeSlots = freeSlots;
+    return limits;
+}
+
+// Spare ones first, so that a step's place in it is the place in m_spare.
+std::vector<PooledConnection> UpstreamPool::listed() const
+{
+    std::vector<PooledConnection> all;
+    all.reserve(size());
+    for (const SpareConnection &spare : m_spare) {
+        all.push_back({spare.owner, PooledState::Spare});
+    }
+    for (const auto &[connection, owner] : m_opening) {
+        all.push_back({owner, PooledState::Opening});
     }
-    while (size() < target && m_opening.size() < waiting + freeSlots) {
-        openOne(now);
+    for (const auto &[connection, owner] : m_taken) {
+        all.push_back({owner, PooledState::Taken});
     }
+    return all;
 }
 
-void UpstreamPool::closeSurplus(TimePoint now)
+void UpstreamPool::closeSpareAt(std::size_t index)
 {
-    const auto allowance = static_cast<std::size_t>(std::max(0, m_budget.allowance(now)));
-    const auto target = static_cast<std::size_t>(std::max(0, m_budget.target(now)));
-    while (!m_spare.empty() && (size() > allowance || size() > target)) {
-        const Connection oldest = m_spare.front();
-        m_spare.erase(m_spare.begin());
-        oldest->onIdleLoss(nullptr);
-        oldest->close();
-    }
+    const Connection connection = m_spare[index].connection;
+    m_spare.erase(m_spare.begin() + static_cast<std::ptrdiff_t>(index));
+    connection->onIdleLoss(nullptr);
+    connection->close();
 }
 
-void UpstreamPool::openOne(TimePoint now)
+void UpstreamPool::openOne(const std::string &owner, TimePoint now)
 {
-    const Connection connection = m_makeLink(m_context, m_settings);
-    m_opening.insert(connection);
+    ConnectionSettings settings = m_settings;
+    if (!owner.empty()) {
+        settings.user = owner;
+    }
+    const Connection connection = m_makeLink(m_context, settings);
+    m_opening.emplace(connection, owner);
     connection->open(now + m_openTimeout, [this, alive = std::weak_ptr<bool>(m_alive), connection](const auto &result) {
         if (!alive.expired()) {
             onOpened(connection, result);
@@ -120,14 +162,18 @@
 
 void UpstreamPool::onOpened(const Connection &connection, const tl::expected<void, Error> &result)
 {
-    m_opening.erase(connection);
+    auto opening = m_opening.extract(connection);
     if (!result) {
         noteFailure(result.error());
         return;
     }
     m_backoff = firstBackoff;
     ++m_opened;
-    put(connection);
+    if (opening.empty() || !connection->usable()) {
+        connection->close();
+    } else {
+        addSpare(connection, std::move(opening.mapped()));
+    }
     m_hooks.available();
 }
 
@@ -150,20 +196,20 @@
 
 void UpstreamPool::closeSpare()
 {
-    for (const Connection &connection : std::exchange(m_spare, {})) {
-        connection->onIdleLoss(nullptr);
-        connection->close();
+    for (const SpareConnection &spare : std::exchange(m_spare, {})) {
+        spare.connection->onIdleLoss(nullptr);
+        spare.connection->close();
     }
 }
 
 void UpstreamPool::close()
 {
     closeSpare();
-    // Their handlers are called from within close; the sets must not change then.
-    for (const Connection &connection : std::exchange(m_opening, {})) {
+    // Their handlers are called from within close; the maps must not change then.
+    for (const auto &[connection, owner] : std::exchange(m_opening, {})) {
         connection->close();
     }
-    for (const Connection &connection : std::exchange(m_taken, {})) {
+    for (const auto &[connection, owner] : std::exchange(m_taken, {})) {
         connection->close();
     }
 }
