Count the requests of a workspace at one host, and keep quotas in every part of a fleet

Change: each workspace has a keeper, found by rendezvous hashing; a host asks it before a request starts, and before one that may have run is sent anew. A keeper hands out the part of the quota that the hosts in its view are of all known ones, so that parts that do not hear of each other keep it together. A keeper that has just become one begins with a twentieth of the bound. What would be granted within 300 ms is granted for later, unless the workspace asks too much all the time. Refusals are at once and say when to come back.

Ways weighed: fixed shares by host (68 hosts for workspaces that ask 2 a second: most would be refused), counting at the 24 homes (uneven by primary and replica), one keeper (kept).

--- a/include/egrettide/core/error.h
+++ b/include/egrettide/core/error.h
@@ -39,6 +39,7 @@
     AuthenticationFailed,
     Internal,
     UnknownStatement, // no prepared statement of that name in the session
+    QuotaExceeded, // the workspace has asked more than its quota allows
 };
 
 // An error and what to do about it.
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -49,6 +49,8 @@
         return {"authentication_failed", "28P01", Outcome::NotRun};
     case ErrorKind::UnknownStatement:
         return {"unknown_statement", "26000", Outcome::NotRun};
+    case ErrorKind::QuotaExceeded:
+        return {"quota_exceeded", "53400", Outcome::NotRun};
     case ErrorKind::Internal:
         break;
     }
--- /dev/null
+++ b/src/core/fleet/quotakeeper.cpp
@@ -0,0 +1,149 @@
+// Token buckets of workspaces, and who keeps them.
+
+#include "egrettide/core/quotakeeper.h"
+
+#include "egrettide/core/membership.h"
+#include "egrettide/core/placement.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace egrettide
+{
+
+namespace
+{
+
+using Seconds = std::chrono::duration<double>;
+
+// A request below this rate of arrivals would wait for longer than anybody does.
+constexpr milliseconds longestRetryAfter{30000};
+
+// There are at most eight parts of this size.
+constexpr double leastPartForOne = 0.125;
+
+absl::string_view keyOf(std::string_view text)
+{
+    return absl::string_view(text.data(), text.size());
+}
+
+} // namespace
+
+std::size_t quotaSlotOf(std::string_view workspace)
+{
+    return static_cast<std::size_t>(placementKey(workspace) % quotaSlots);
+}
+
+QuotaKeepers quotaKeepersIn(const MembershipView &view)
+{
+    std::vector<std::pair<std::uint64_t, std::string>> hosts;
+    for (PlacementHost &host : view.placementHosts()) {
+        if (!host.leaving) {
+            hosts.emplace_back(placementKey(host.name), std::move(host.name));
+        }
+    }
+    QuotaKeepers keepers;
+    for (std::size_t slot = 0; slot < quotaSlots && !hosts.empty(); ++slot) {
+        const std::uint64_t slotKey = placementKey(absl::StrCat("egrettide/quota/", slot));
+        const auto best = std::ranges::max_element(hosts, {}, [slotKey](const auto &host) {
+            return std::pair(rendezvousScore(host.first, slotKey), std::string_view(host.second));
+        });
+        keepers[slot] = best->second;
+    }
+    return keepers;
+}
+
+double partInView(const MembershipView &view)
+{
+    std::size_t known = 0;
+    std::size_t live = 0;
+    for (const HostRecord &host : view.hosts) {
+        const bool isDead = host.health == HostHealth::Dead;
+        known += isDead && host.leaving ? 0 : 1;
+        live += isDead ? 0 : 1;
+    }
+    return known == 0 ? 0 : static_cast<double>(live) / static_cast<double>(known);
+}
+
+QuotaKeeper::QuotaKeeper(QuotaKeeperOptions options) : m_options(options)
+{
+}
+
+QuotaKeeper::Allowance QuotaKeeper::allowanceOf(const RequestQuota &quota) const
+{
+    const double window = Seconds(m_options.bounds.window).count();
+    const double bound = (quota.perSecond * window + quota.burst) * (1 + m_options.bounds.overage) + m_options.bounds.slack;
+    const double used = bound * m_options.usedPart;
+    const double atOnce = used * m_options.atOncePart;
+    return {(used - atOnce) / window, atOnce, bound * m_options.firstPart};
+}
+
+void QuotaKeeper::configure(const Configuration &configuration)
+{
+    m_allowances.clear();
+    for (const TenantSpec &workspace : configuration.tenants) {
+        if (workspace.quota) {
+            m_allowances.emplace(workspace.name, allowanceOf(*workspace.quota));
+        }
+    }
+    absl::erase_if(m_buckets, [this](const auto &entry) { return !m_allowances.contains(entry.first); });
+}
+
+void QuotaKeeper::keep(const std::bitset<quotaSlots> &slots, double part, TimePoint now)
+{
+    absl::erase_if(m_buckets, [&slots](const auto &entry) { return !slots.test(quotaSlotOf(entry.first)); });
+    for (std::size_t slot = 0; slot < quotaSlots; ++slot) {
+        if (slots.test(slot) && !m_kept.test(slot)) {
+            m_keptSince[slot] = now;
+        }
+    }
+    m_kept = slots;
+    m_part = m_options.faults.ignoresParts ? 1 : part;
+}
+
+bool QuotaKeeper::isLimited(std::string_view workspace) const
+{
+    return m_allowances.contains(keyOf(workspace));
+}
+
+QuotaVerdict QuotaKeeper::ask(std::string_view workspace, TimePoint now)
+{
+    const auto found = m_allowances.find(keyOf(workspace));
+    if (found == m_allowances.end()) {
+        return {};
+    }
+    const std::size_t slot = quotaSlotOf(workspace);
+    if (!m_kept.test(slot) && !m_options.faults.answersForOthers) {
+        return {QuotaVerdict::Kind::NotKeeper, milliseconds{0}};
+    }
+    const double rate = found->second.perSecond * m_part;
+    // Less than one would never let anything through. Where many small parts each let one
+    // through they would be beyond the quota together; so these let through nothing.
+    const double share = found->second.atOnce * m_part;
+    const double most = m_part >= leastPartForOne ? std::max(1.0, share) : share;
+    const auto [place, isNew] = m_buckets.try_emplace(std::string(workspace));
+    Bucket &bucket = place->second;
+    if (isNew) {
+        bucket.tokens = m_options.faults.beginsFull ? most : std::min(most, found->second.first * m_part);
+        bucket.at = m_keptSince[slot];
+    }
+    bucket.tokens = std::min(most, bucket.tokens + rate * std::max(0.0, Seconds(now - bucket.at).count()));
+    const double span = Seconds(m_options.demandSpan).count();
+    bucket.demand = bucket.demand * std::exp(-Seconds(now - bucket.at).count() / span) + 1 / span;
+    bucket.at = now;
+    bucket.tokens -= 1;
+    if (bucket.tokens >= 0) {
+        return {};
+    }
+    const Seconds wait(rate > 0 ? -bucket.tokens / rate : Seconds(longestRetryAfter).count());
+    const milliseconds after = std::chrono::ceil<milliseconds>(std::min(wait, Seconds(longestRetryAfter)));
+    if (after <= m_options.longestWait && bucket.demand <= rate) {
+        return {QuotaVerdict::Kind::Granted, after};
+    }
+    bucket.tokens += 1;
+    return {QuotaVerdict::Kind::Refused, after};
+}
+
+} // namespace egrettide
--- a/src/runtime/callers/front.h
+++ b/src/runtime/callers/front.h
@@ -55,6 +55,11 @@
     ExecuteHook execute;
     // Asks the home to stop the request of that id. Its reply still comes.
     std::function<void(std::uint64_t requestId)> cancel;
+    // Counts a request against the quota of its workspace; the handler gets an error when it
+    // must not start. It may be called on any thread, from within the call too.
+    std::function<void(const std::string &workspace, TimePoint until, std::function<void(tl::expected<void, Error>)> handler)>
+        admit =
+            [](const std::string &, TimePoint, const std::function<void(tl::expected<void, Error>)> &handler) { handler({}); };
     std::function<TimePoint()> now = [] { return Clock::now(); };
     // Takes one retry from the budget, or says that there is none left. Without
     // a budget a failover turns into a storm of retries.
@@ -121,6 +126,8 @@
     RouterOptions router;
     // Seeds the choice among equal upstreams.
     std::uint64_t seed = 1;
+    // How long the count of a workspace's quota is waited for.
+    milliseconds quotaPatience{1000};
     // What a caller that came before any configuration is told to wait.
     milliseconds noConfigurationRetry{1000};
     CallerLinkFactory makeCaller = postgresCallers();
--- a/src/runtime/callers/requestrunner.cpp
+++ b/src/runtime/callers/requestrunner.cpp
@@ -30,7 +30,31 @@
         send();
         return;
     }
-    choose();
+    admit([this] { choose(); });
+}
+
+// Asks whether one more request of the workspace may reach an upstream. A transaction counts
+// once, at its start, and so does each time that a request is sent anew after it may have run.
+void RequestRunner::admit(std::function<void()> admitted)
+{
+    if (m_request.tenant.empty()) {
+        admitted();
+        return;
+    }
+    const TimePoint until = std::min(m_request.deadline, m_shard->now() + m_shard->common->options.quotaPatience);
+    m_shard->common->hooks.admit(
+        m_request.tenant, until, [self = shared_from_this(), admitted = std::move(admitted)](tl::expected<void, Error> granted) {
+            boost::asio::dispatch(self->m_shard->context, [self, admitted, granted = std::move(granted)] {
+                if (self->m_finished) {
+                    return;
+                }
+                if (granted) {
+                    admitted();
+                } else {
+                    self->finishWith(granted.error());
+                }
+            });
+        });
 }
 
 void RequestRunner::choose()
@@ -95,7 +119,11 @@
     if (next != nullptr && !m_canceled) {
         m_route = std::move(*next);
         m_request.upstream = m_route.upstream;
-        send();
+        if (reply.sent) {
+            admit([this] { send(); });
+        } else {
+            send();
+        }
         return;
     }
     const auto *last = std::get_if<Finish>(&decision);
--- a/src/runtime/callers/requestrunner.h
+++ b/src/runtime/callers/requestrunner.h
@@ -36,6 +36,7 @@
 
 private:
     bool isPinned() const;
+    void admit(std::function<void()> admitted);
     void choose();
     void send();
     void onReply(std::uint64_t id, StatementReply reply);
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -117,6 +117,16 @@
     m_network = std::make_unique<PeerNetwork>(m_link, std::move(options), std::move(hooks));
 }
 
+void HostDaemon::Impl::makeQuotas()
+{
+    QuotaKeeperOptions options;
+    options.bounds = m_settings.quota;
+    m_quotas = std::make_unique<QuotaDesk>(
+        m_link, m_settings.host, options,
+        QuotaDeskHooks{[this](std::size_t slot) { return routes()->quotaKeepers[slot]; },
+                       [this](const std::string &host, hop::HopMessage message) { send(host, std::move(message)); }});
+}
+
 void HostDaemon::Impl::makeHomes()
 {
     m_coordination = std::make_unique<GroupCoordination>(
@@ -188,6 +198,9 @@
     hooks.configuration = [this] { return routes()->configuration; };
     hooks.execute = [this](StatementRequest request, ReplyHandler handler) { execute(std::move(request), std::move(handler)); };
     hooks.cancel = [this](std::uint64_t id) { cancel(id); };
+    hooks.admit = [this](const std::string &workspace, TimePoint until, QuotaDesk::AdmitHandler handler) {
+        m_quotas->admit(workspace, until, std::move(handler));
+    };
     hooks.takeRetry = [this] {
         const std::lock_guard<std::mutex> lock(m_retryMutex);
         return m_retries.mayRetry({});
@@ -260,6 +273,7 @@
         return tl::unexpected(made.error());
     }
     makeNetwork();
+    makeQuotas();
     makeHomes();
     makeFront();
     makeOperators();
--- a/src/runtime/host/hostdaemonimpl.h
+++ b/src/runtime/host/hostdaemonimpl.h
@@ -16,6 +16,7 @@
 #include "runtime/fleet/membershipdriver.h"
 #include "runtime/fleet/partitiondriver.h"
 #include "runtime/fleet/peernetwork.h"
+#include "runtime/fleet/quotadesk.h"
 #include "runtime/group/groupcoordination.h"
 #include "runtime/group/switchoverdesk.h"
 #include "runtime/host/address.h"
@@ -62,6 +63,7 @@
     std::shared_ptr<const Configuration> configuration;
     std::shared_ptr<const MembershipView> view;
     std::unique_ptr<const Placement> placement;
+    QuotaKeepers quotaKeepers;
 
     std::optional<std::string> homeOf(const UpstreamSpec &upstream) const
     {
@@ -95,6 +97,7 @@
     void makeContexts();
     tl::expected<void, Error> makeStore();
     void makeNetwork();
+    void makeQuotas();
     void makeHomes();
     void makeFront();
     void makeOperators();
@@ -126,6 +129,7 @@
     void onConfiguration();
     void onView(const std::shared_ptr<const MembershipView> &view);
     void rebuildRoutes();
+    void keepQuotas();
     void joinWhenDue();
     void logRecordAgain();
     bool isWatcher() const;
@@ -173,6 +177,7 @@
     std::unique_ptr<Store> m_store;
     std::shared_ptr<const UpstreamDialect> m_dialect;
     std::unique_ptr<PeerNetwork> m_network;
+    std::unique_ptr<QuotaDesk> m_quotas;
     std::unique_ptr<MembershipDriver> m_membership;
     std::unique_ptr<PartitionDriver> m_partition;
     std::unique_ptr<ConfigurationSource> m_keeper;
--- a/src/runtime/host/hostrouting.cpp
+++ b/src/runtime/host/hostrouting.cpp
@@ -158,6 +158,14 @@
         }
         return;
     }
+    if (const auto *ask = std::get_if<hop::QuotaAsk>(&message)) {
+        send(from.host, m_quotas->onAsk(*ask));
+        return;
+    }
+    if (const auto *reply = std::get_if<hop::QuotaReply>(&message)) {
+        m_quotas->onReply(*reply);
+        return;
+    }
     asio::post(m_control, [this, from, message = std::move(message)] { onControlMessage(from, message); });
 }
 
--- a/src/runtime/host/hostview.cpp
+++ b/src/runtime/host/hostview.cpp
@@ -39,6 +39,9 @@
 void HostDaemon::Impl::onConfiguration()
 {
     m_membership->setConfigurationVersion(m_keeper->announced());
+    if (const auto configuration = m_keeper->current()) {
+        m_quotas->configure(*configuration);
+    }
     rebuildRoutes();
 }
 
@@ -55,7 +58,22 @@
     // force until a peer has answered, and homes that moved meanwhile answer Moved.
     if (view->trusted || !routes()->configuration) {
         rebuildRoutes();
+    } else {
+        keepQuotas();
+    }
+}
+
+// What goes wrong otherwise: this process was paused, others count meanwhile, and it goes on
+// from what it had counted before. So it keeps nothing until a peer has answered.
+void HostDaemon::Impl::keepQuotas()
+{
+    const auto now = routes();
+    const auto view = m_membership->view();
+    std::bitset<quotaSlots> kept;
+    for (std::size_t slot = 0; slot < quotaSlots && m_joined && view->trusted; ++slot) {
+        kept.set(slot, now->quotaKeepers[slot] == m_settings.host);
     }
+    m_quotas->keep(kept, partInView(*view));
 }
 
 void HostDaemon::Impl::rebuildRoutes()
@@ -64,7 +82,9 @@
     next->configuration = m_keeper ? m_keeper->current() : nullptr;
     next->view = m_membership->view();
     next->placement = detail::placementFor(next->configuration.get(), *next->view);
+    next->quotaKeepers = quotaKeepersIn(*next->view);
     std::atomic_store(&m_routes, std::shared_ptr<const detail::Routes>(next));
+    keepQuotas();
     if (next->configuration) {
         m_homes->update(next->configuration, [this, next](const DatabaseSpec &, const UpstreamSpec &upstream) {
             return m_joined && next->homeOf(upstream) == m_settings.host;
--- a/src/runtime/host/settings.cpp
+++ b/src/runtime/host/settings.cpp
@@ -39,6 +39,9 @@
     "balancerNoticeMs": {"type": "integer", "minimum": 0, "maximum": 60000},
     "balancerMisses": {"type": "integer", "minimum": 0, "maximum": 100},
     "linkMbps": {"type": "number", "minimum": 0, "maximum": 1000000},
+    "quotaWindowSeconds": {"type": "number", "minimum": 0.1, "maximum": 600},
+    "quotaOverage": {"type": "number", "minimum": 0, "maximum": 10},
+    "quotaSlack": {"type": "number", "minimum": 0, "maximum": 1000000},
     "stopBoundMs": {"type": "integer", "minimum": 100, "maximum": 600000}
   }
 }
@@ -73,6 +76,11 @@
     settings.balancerNotice = milliseconds(document.value("balancerNoticeMs", settings.balancerNotice.count()));
     settings.balancerMisses = document.value("balancerMisses", settings.balancerMisses);
     settings.linkMbps = document.value("linkMbps", settings.linkMbps);
+    const std::chrono::duration<double> quotaWindow(
+        document.value("quotaWindowSeconds", std::chrono::duration<double>(settings.quota.window).count()));
+    settings.quota.window = std::chrono::round<milliseconds>(quotaWindow);
+    settings.quota.overage = document.value("quotaOverage", settings.quota.overage);
+    settings.quota.slack = document.value("quotaSlack", settings.quota.slack);
     settings.stopBound = milliseconds(document.value("stopBoundMs", settings.stopBound.count()));
     return settings;
 }
@@ -108,6 +116,9 @@
     compare(difference.needRestart, "maxCallers", running.maxCallers, next.maxCallers);
     compare(difference.needRestart, "balancerMisses", running.balancerMisses, next.balancerMisses);
     compare(difference.needRestart, "linkMbps", running.linkMbps, next.linkMbps);
+    compare(difference.needRestart, "quotaWindowSeconds", running.quota.window, next.quota.window);
+    compare(difference.needRestart, "quotaOverage", running.quota.overage, next.quota.overage);
+    compare(difference.needRestart, "quotaSlack", running.quota.slack, next.quota.slack);
     compare(difference.needRestart, "idleProbeMs", running.idleProbe, next.idleProbe);
     compare(difference.needRestart, "sessionKey", running.sessionKey, next.sessionKey);
     compare(difference.needRestart, "upstreamUser", running.upstreamUser, next.upstreamUser);
--- a/src/runtime/host/settings.h
+++ b/src/runtime/host/settings.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "egrettide/core/error.h"
+#include "egrettide/core/quotakeeper.h"
 
 #include <tl/expected.hpp>
 
@@ -51,6 +52,8 @@
     // What this host's link carries, in megabits a second; 0 when that is not known. Bulk
     // between hosts and from the store takes half of it.
     double linkMbps = 0;
+    // What the quotas of workspaces promise; see QuotaBounds.
+    QuotaBounds quota;
     // The whole of a graceful stop; what is still open then is cut.
     milliseconds stopBound{30000};
     // "adaptive", or "baseline" to measure against.
--- a/src/wire/hop_generated.h
+++ b/src/wire/hop_generated.h
@@ -106,6 +106,12 @@
 struct CatalogPush;
 struct CatalogPushBuilder;
 
+struct QuotaAsk;
+struct QuotaAskBuilder;
+
+struct QuotaReply;
+struct QuotaReplyBuilder;
+
 struct HopFrame;
 struct HopFrameBuilder;
 
@@ -133,11 +139,13 @@
   HopBody_CatalogOffer = 20,
   HopBody_CatalogPull = 21,
   HopBody_CatalogPush = 22,
+  HopBody_QuotaAsk = 23,
+  HopBody_QuotaReply = 24,
   HopBody_MIN = HopBody_NONE,
-  HopBody_MAX = HopBody_CatalogPush
+  HopBody_MAX = HopBody_QuotaReply
 };
 
-inline const HopBody (&EnumValuesHopBody())[23] {
+inline const HopBody (&EnumValuesHopBody())[25] {
   static const HopBody values[] = {
     HopBody_NONE,
     HopBody_Hello,
@@ -161,13 +169,15 @@
     HopBody_HomeClaimReply,
     HopBody_CatalogOffer,
     HopBody_CatalogPull,
-    HopBody_CatalogPush
+    HopBody_CatalogPush,
+    HopBody_QuotaAsk,
+    HopBody_QuotaReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesHopBody() {
-  static const char * const names[24] = {
+  static const char * const names[26] = {
     "NONE",
     "Hello",
     "ExecuteRequest",
@@ -191,13 +201,15 @@
     "CatalogOffer",
     "CatalogPull",
     "CatalogPush",
+    "QuotaAsk",
+    "QuotaReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameHopBody(HopBody e) {
-  if (flatbuffers::IsOutRange(e, HopBody_NONE, HopBody_CatalogPush)) return "";
+  if (flatbuffers::IsOutRange(e, HopBody_NONE, HopBody_QuotaReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesHopBody()[index];
 }
@@ -294,6 +306,14 @@
   static const HopBody enum_value = HopBody_CatalogPush;
 };
 
+template<> struct HopBodyTraits<egrettide::wire::QuotaAsk> {
+  static const HopBody enum_value = HopBody_QuotaAsk;
+};
+
+template<> struct HopBodyTraits<egrettide::wire::QuotaReply> {
+  static const HopBody enum_value = HopBody_QuotaReply;
+};
+
 bool VerifyHopBody(flatbuffers::Verifier &verifier, const void *obj, HopBody type);
 bool VerifyHopBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<uint8_t> *types);
 
@@ -2844,6 +2864,130 @@
       difference__);
 }
 
+struct QuotaAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaAskBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_WORKSPACE = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaAskBuilder {
+  typedef QuotaAsk Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(QuotaAsk::VT_ID, id, 0);
+  }
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(QuotaAsk::VT_WORKSPACE, workspace);
+  }
+  explicit QuotaAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaAsk> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaAsk>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaAsk> CreateQuotaAsk(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0) {
+  QuotaAskBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_workspace(workspace);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuotaAsk> CreateQuotaAskDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *workspace = nullptr) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return egrettide::wire::CreateQuotaAsk(
+      _fbb,
+      id,
+      workspace__);
+}
+
+struct QuotaReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaReplyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_VERDICT = 6,
+    VT_RETRY_AFTER_MS = 8
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint8_t verdict() const {
+    return GetField<uint8_t>(VT_VERDICT, 0);
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuotaReplyBuilder {
+  typedef QuotaReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(QuotaReply::VT_ID, id, 0);
+  }
+  void add_verdict(uint8_t verdict) {
+    fbb_.AddElement<uint8_t>(QuotaReply::VT_VERDICT, verdict, 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(QuotaReply::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  explicit QuotaReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaReply> CreateQuotaReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint8_t verdict = 0,
+    uint32_t retry_after_ms = 0) {
+  QuotaReplyBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_verdict(verdict);
+  return builder_.Finish();
+}
+
 struct HopFrame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HopFrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2923,6 +3067,12 @@
   const egrettide::wire::CatalogPush *body_as_CatalogPush() const {
     return body_type() == egrettide::wire::HopBody_CatalogPush ? static_cast<const egrettide::wire::CatalogPush *>(body()) : nullptr;
   }
+  const egrettide::wire::QuotaAsk *body_as_QuotaAsk() const {
+    return body_type() == egrettide::wire::HopBody_QuotaAsk ? static_cast<const egrettide::wire::QuotaAsk *>(body()) : nullptr;
+  }
+  const egrettide::wire::QuotaReply *body_as_QuotaReply() const {
+    return body_type() == egrettide::wire::HopBody_QuotaReply ? static_cast<const egrettide::wire::QuotaReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3020,6 +3170,14 @@
   return body_as_CatalogPush();
 }
 
+template<> inline const egrettide::wire::QuotaAsk *HopFrame::body_as<egrettide::wire::QuotaAsk>() const {
+  return body_as_QuotaAsk();
+}
+
+template<> inline const egrettide::wire::QuotaReply *HopFrame::body_as<egrettide::wire::QuotaReply>() const {
+  return body_as_QuotaReply();
+}
+
 struct HopFrameBuilder {
   typedef HopFrame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3144,6 +3302,14 @@
       auto ptr = reinterpret_cast<const egrettide::wire::CatalogPush *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case HopBody_QuotaAsk: {
+      auto ptr = reinterpret_cast<const egrettide::wire::QuotaAsk *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case HopBody_QuotaReply: {
+      auto ptr = reinterpret_cast<const egrettide::wire::QuotaReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -111,7 +111,7 @@
     if (info == nullptr) {
         return true;
     }
-    if (info->kind() > static_cast<std::uint8_t>(ErrorKind::UnknownStatement)) {
+    if (info->kind() > static_cast<std::uint8_t>(ErrorKind::QuotaExceeded)) {
         return false;
     }
     error = Error{static_cast<ErrorKind>(info->kind()), text(info->message()), milliseconds{info->retry_after_ms()}};
@@ -291,6 +291,19 @@
                                             message.digest, difference));
     }
 
+    PackedBody operator()(const QuotaAsk &message) const
+    {
+        const auto workspace = m_builder.CreateString(message.workspace);
+        return body(wire::HopBody_QuotaAsk, wire::CreateQuotaAsk(m_builder, message.id, workspace));
+    }
+
+    PackedBody operator()(const QuotaReply &message) const
+    {
+        const auto verdict = static_cast<std::uint8_t>(message.verdict.kind);
+        const auto retryAfter = static_cast<std::uint32_t>(std::max<std::int64_t>(0, message.verdict.after.count()));
+        return body(wire::HopBody_QuotaReply, wire::CreateQuotaReply(m_builder, message.id, verdict, retryAfter));
+    }
+
 private:
     template <typename Table> static PackedBody body(wire::HopBody type, Offset<Table> table)
     {
@@ -587,6 +600,15 @@
     return Hello{table.version(), text(table.host()), text(table.zone()), table.incarnation()};
 }
 
+// A verdict out of range is refused: to take it for a grant would let anything through.
+Decoded unpack(const wire::QuotaReply &table)
+{
+    if (table.verdict() > static_cast<std::uint8_t>(QuotaVerdict::Kind::NotKeeper)) {
+        return tl::unexpected(malformed("quota verdict"));
+    }
+    return QuotaReply{table.id(), {static_cast<QuotaVerdict::Kind>(table.verdict()), milliseconds{table.retry_after_ms()}}};
+}
+
 Decoded unpack(const wire::Announce &table, TimePoint /*now*/)
 {
     return Announce{text(table.database()), table.term(), text(table.primary())};
@@ -666,6 +688,10 @@
                            push.digest(),
                            text(push.difference())};
     }
+    case wire::HopBody_QuotaAsk:
+        return QuotaAsk{frame.body_as_QuotaAsk()->id(), text(frame.body_as_QuotaAsk()->workspace())};
+    case wire::HopBody_QuotaReply:
+        return unpack(*frame.body_as_QuotaReply());
     case wire::HopBody_NONE:
         break;
     }
--- a/src/wire/hopcodec.h
+++ b/src/wire/hopcodec.h
@@ -7,6 +7,7 @@
 #include "egrettide/core/catalogversion.h"
 #include "egrettide/core/error.h"
 #include "egrettide/core/membership.h"
+#include "egrettide/core/quotakeeper.h"
 #include "egrettide/core/request.h"
 
 #include <tl/expected.hpp>
@@ -179,9 +180,20 @@
     std::string difference;
 };
 
+// Asks the keeper of a workspace's quota to count one request; see QuotaKeeper.
+struct QuotaAsk {
+    std::uint64_t id = 0;
+    std::string workspace;
+};
+
+struct QuotaReply {
+    std::uint64_t id = 0;
+    QuotaVerdict verdict;
+};
+
 using HopMessage = std::variant<Hello, ExecuteRequest, ExecuteReply, Cancel, FrontGone, Credit, Gossip, Opinion, OpinionReply,
                                 Announce, ConfigOffer, ConfigPull, ConfigPush, SwitchoverRequest, SwitchoverReply, Release, Ping,
-                                HomeClaim, HomeClaimReply, CatalogOffer, CatalogPull, CatalogPush>;
+                                HomeClaim, HomeClaimReply, CatalogOffer, CatalogPull, CatalogPush, QuotaAsk, QuotaReply>;
 
 // The whole frame, length included, as it goes onto the socket. `now` turns
 // deadlines into remaining time. Frames above maxFrameBytes are encoded too; the
--- a/tests/core/hopcodec_test.cpp
+++ b/tests/core/hopcodec_test.cpp
@@ -325,6 +325,12 @@
         const auto catalog = std::get<CatalogPush>(roundTrip(CatalogPush{version, {number, number}, number, number + 2, one}));
         RC_ASSERT(catalog.version == version && catalog.through == (CatalogVersion{number, number}));
         RC_ASSERT(catalog.baseDigest == number && catalog.digest == number + 2 && catalog.difference == one);
+        const auto ask = std::get<QuotaAsk>(roundTrip(QuotaAsk{number, one}));
+        RC_ASSERT(ask.id == number && ask.workspace == one);
+        const QuotaVerdict verdict{flag ? QuotaVerdict::Kind::Refused : QuotaVerdict::Kind::NotKeeper, milliseconds{250}};
+        const auto counted = std::get<QuotaReply>(roundTrip(QuotaReply{number, verdict}));
+        RC_ASSERT(counted.id == number && counted.verdict.kind == verdict.kind);
+        RC_ASSERT(counted.verdict.after == verdict.after);
         const auto request = std::get<SwitchoverRequest>(roundTrip(SwitchoverRequest{number, one, two}));
         RC_ASSERT(request.id == number && request.database == one && request.to == two);
         const auto failed = std::get<SwitchoverReply>(roundTrip(SwitchoverReply{number, Error{ErrorKind::Conflict, one}}));
--- /dev/null
+++ b/tests/platform/workspaces_test.cpp
@@ -0,0 +1,204 @@
+// Callers that show keys: who is let in, in whose name upstreams run their statements, and
+// what is refused beyond a quota.
+
+#define BOOST_TEST_MODULE Workspaces
+#include <boost/test/unit_test.hpp>
+
+#include "tests/platform/platformsite.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace egrettide;
+using namespace egrettide::test;
+
+namespace
+{
+
+// Waits until every host asks for keys and serves callers with this one, or lets none with it
+// in. A host that has just started counts nothing until it knows whether it is alone.
+bool allHosts(const PlatformSite &site, const std::string &key, bool letIn)
+{
+    return std::ranges::all_of(site.addresses, [&](const std::string &address) {
+        return eventually([&] {
+            LineClient stranger(address);
+            if (stranger.start("log", "nobody's").state == 'I') {
+                return false;
+            }
+            LineClient probe(address);
+            const bool started = probe.start("log", key).state == 'I';
+            return letIn ? started && probe.run("READ item").succeeded() : !started;
+        });
+    });
+}
+
+nlohmann::json deskAndFamily()
+{
+    return {PlatformSite::workspace("desk", {"desk-1", "desk-2"}), PlatformSite::workspace("family", {"family-1"})};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Keys)
+
+BOOST_AUTO_TEST_CASE(ThatNobodyHoldsAreRefusedWhetherTheDatabaseExistsOrNot)
+{
+    // Symptom: strangers are served, or learn which databases there are.
+    // Sequence: a session starts with a key that no version ever had.
+    // Cause: the key was read and dropped, and the database was looked up first.
+    PlatformSite site;
+    site.configure(2, {}, deskAndFamily());
+    BOOST_TEST_REQUIRE(allHosts(site, "desk-1", true));
+    for (const char *route : {"log", "nowhere"}) {
+        LineClient stranger(site.addresses[0]);
+        const LineAnswer answer = stranger.start(route, "nobody's");
+        BOOST_TEST(answer.failedWith("UNAUTH"), "a stranger was answered '" << answer.first() << "'");
+        BOOST_TEST(answer.first().find("nobody's") == std::string::npos, "the answer repeats the key");
+    }
+    LineClient lost(site.addresses[0]);
+    BOOST_TEST(lost.start("nowhere", "desk-1").failedWith("NODB"));
+}
+
+BOOST_AUTO_TEST_CASE(NameTheWorkspaceToUpstreamsAndNeverLeave)
+{
+    // Symptom: a statement of one workspace runs in the name of another.
+    // Sequence: sessions of two workspaces take turns on the same hosts, and more than once
+    // use the connections that the other has left behind.
+    // Cause: a connection that was opened in one name was handed to the other.
+    PlatformSite site(2);
+    site.configure(2, {}, deskAndFamily());
+    BOOST_TEST_REQUIRE(allHosts(site, "family-1", true));
+    const std::map<std::string, std::string> workspaceOf{{"desk-1", "desk"}, {"desk-2", "desk"}, {"family-1", "family"}};
+    std::map<std::string, std::string> expected;
+    // Kept, so that no two of them give their statements the same ids.
+    std::vector<std::unique_ptr<LineClient>> clients;
+    for (int round = 0; round < 5; ++round) {
+        for (const auto &[key, workspace] : workspaceOf) {
+            clients.push_back(std::make_unique<LineClient>(site.addresses[static_cast<std::size_t>(round) % 2]));
+            LineClient &client = *clients.back();
+            client.start("log", key);
+            for (const char *text : {"WRITE item x", "READ item", "BEGIN", "READ item", "WRITE item y", "COMMIT"}) {
+                BOOST_TEST(client.run(text).succeeded());
+                expected[client.lastId] = workspace;
+            }
+        }
+    }
+    for (const standin::RanStatement &statement : site.group.ran()) {
+        const auto found = expected.find(statement.id);
+        if (found != expected.end()) {
+            BOOST_TEST(statement.caller == found->second,
+                       statement.text << " of " << found->second << " ran in the name of " << statement.caller);
+        }
+        BOOST_TEST(!workspaceOf.contains(statement.caller), "an upstream was told a key");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ThatAreTakenAwayEndWhatIsOpenUnderThem)
+{
+    // Symptom: a customer that was locked out goes on for hours.
+    // Sequence: sessions are idle, between two statements and inside a transaction while a
+    // new version takes their key away; a session of another key of the same workspace is
+    // not concerned.
+    // Cause: keys were looked at once, when a session began.
+    PlatformSite site;
+    site.configure(2, {}, deskAndFamily());
+    BOOST_TEST_REQUIRE(allHosts(site, "desk-1", true));
+    LineClient idle(site.addresses[0]);
+    idle.start("log", "desk-1");
+    LineClient inside(site.addresses[0]);
+    inside.start("log", "desk-1");
+    BOOST_TEST(inside.run("PREPARE s1 WRITE shape").succeeded());
+    BOOST_TEST(inside.run("BEGIN").state == 'T');
+    BOOST_TEST(inside.run("WRITE left x").succeeded());
+    LineClient committing(site.addresses[0]);
+    committing.start("log", "desk-1");
+    BOOST_TEST(committing.run("BEGIN").state == 'T');
+    BOOST_TEST(committing.run("WRITE left y").succeeded());
+    LineClient other(site.addresses[0]);
+    other.start("log", "desk-2");
+
+    site.configure(3, {}, {PlatformSite::workspace("desk", {"desk-2"}), PlatformSite::workspace("family", {"family-1"})});
+    BOOST_TEST_REQUIRE(allHosts(site, "desk-1", false));
+
+    BOOST_TEST(idle.run("READ item").failedWith("UNAUTH"));
+    BOOST_TEST(idle.run("SET tz x").failedWith("UNAUTH"));
+    const LineAnswer refused = inside.run("EXECUTE s1 left z");
+    BOOST_TEST(refused.failedWith("UNAUTH"));
+    BOOST_TEST(refused.state == 'E', "a transaction that was refused stands at '" << refused.state << "'");
+    BOOST_TEST(inside.run("ROLLBACK").state == 'I');
+    const LineAnswer commit = committing.run("COMMIT");
+    BOOST_TEST(commit.failedWith("UNAUTH"));
+    BOOST_TEST(commit.state == 'I');
+    BOOST_TEST(other.run("READ left").first() == "DATAROW -", "a transaction without a key was committed");
+}
+
+BOOST_AUTO_TEST_CASE(ThatAreAddedLetTheirCallersIn)
+{
+    PlatformSite site(2);
+    site.configure(2, {}, deskAndFamily());
+    BOOST_TEST_REQUIRE(allHosts(site, "family-1", true));
+    site.configure(3, {},
+                   {PlatformSite::workspace("desk", {"desk-1"}), PlatformSite::workspace("family", {"family-1", "family-2"})});
+    BOOST_TEST(allHosts(site, "family-2", true));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Quotas)
+
+BOOST_AUTO_TEST_CASE(HoldOverAllHostsTogether)
+{
+    // Symptom: a workspace gets its quota once for each host.
+    // Sequence: callers of one workspace ask as fast as they can through three hosts, for
+    // longer than the window of the quota's promise.
+    // Cause: every host counted for itself.
+    constexpr double perSecond = 20;
+    PlatformSite site(3);
+    site.configure(
+        2, {}, {PlatformSite::workspace("busy", {"busy-1"}, perSecond), PlatformSite::workspace("calm", {"calm-1"}, perSecond)});
+    BOOST_TEST_REQUIRE(allHosts(site, "busy-1", true));
+    const TimePoint begun = Clock::now();
+    const TimePoint until = begun + std::chrono::seconds(4);
+    std::vector<std::thread> threads;
+    std::atomic<int> refused{0};
+    std::atomic<int> truthful{0};
+    // Fewer callers, each waiting for its answer, would be paced and never refused.
+    constexpr std::size_t callers = 15;
+    for (std::size_t i = 0; i < callers; ++i) {
+        threads.emplace_back([&, address = site.addresses[i % site.addresses.size()]] {
+            LineClient client(address);
+            client.start("log", "busy-1");
+            while (Clock::now() < until) {
+                const LineAnswer answer = client.run("READ item");
+                refused += answer.failedWith("BUSY") ? 1 : 0;
+                truthful += answer.first().find("Come back in") != std::string::npos ? 1 : 0;
+                std::this_thread::sleep_for(milliseconds(2));
+            }
+        });
+    }
+    LineClient calm(site.addresses[0]);
+    calm.start("log", "calm-1");
+    int calmRefused = 0;
+    while (Clock::now() < until) {
+        calmRefused += calm.run("READ item").succeeded() ? 0 : 1;
+        std::this_thread::sleep_for(milliseconds(200));
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    long ran = 0;
+    for (const standin::RanStatement &statement : site.group.ran()) {
+        ran += statement.caller == "busy" ? 1 : 0;
+    }
+    const double seconds = std::chrono::duration<double>(Clock::now() - begun).count();
+    BOOST_TEST(static_cast<double>(ran) <= perSecond * seconds + perSecond, "" << ran << " requests ran in " << seconds << " s");
+    BOOST_TEST(refused > 0);
+    BOOST_TEST(truthful == refused, "a refusal did not say when to come back");
+    BOOST_TEST(calmRefused == 0, "a workspace below its quota was refused " << calmRefused << " times");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
