Let calm workspaces go on for one window while the keeper of their quota is silent

Change: a keeper says with each verdict whether the workspace is calm. Where it does not answer for 100 ms, a host repeats, once a window, what it was granted in the window before; it still asks, so that it hears when the silence is over.

--- a/include/egrettide/core/quotakeeper.h
+++ b/include/egrettide/core/quotakeeper.h
@@ -64,16 +64,18 @@
     QuotaBounds bounds;
     // The part of the bound that is handed out. The rest is for the moments in which two
     // hosts take themselves for the keeper, since views take a second or two to agree.
-    double usedPart = 0.8;
+    double usedPart = 0.75;
     // The part of that which may be asked for at once; the rest flows evenly.
     double atOncePart = 0.2;
     // The part of the bound that a keeper lets through at once when it has just become one.
-    double firstPart = 0.05;
+    double firstPart = 0.04;
     // A request that would be granted within this time is granted and has to wait until
     // then, while the workspace asks less than the rate on the whole. Refused, callers that
     // come at the same moment, or all at once after an outage, would have asked in vain; but
     // of a workspace that asks too much all the time, every request would be late.
     milliseconds longestWait{300};
+    // A workspace is calm up to this part of the rate.
+    double calmPart = 0.8;
     // Over how long it is seen whether a workspace asks too much.
     milliseconds demandSpan{2000};
     QuotaKeeperFaults faults;
@@ -91,6 +93,8 @@
     // Granted: how long to wait before it starts. Refused: when the next request would be
     // granted if nobody else asked.
     milliseconds after{0};
+    // True when the workspace asks clearly less than it may, on the whole.
+    bool calm = false;
 };
 
 // Not thread-safe.
--- a/src/core/fleet/quotakeeper.cpp
+++ b/src/core/fleet/quotakeeper.cpp
@@ -134,16 +134,17 @@
     bucket.demand = bucket.demand * std::exp(-Seconds(now - bucket.at).count() / span) + 1 / span;
     bucket.at = now;
     bucket.tokens -= 1;
+    const bool calm = bucket.demand <= rate * m_options.calmPart;
     if (bucket.tokens >= 0) {
-        return {};
+        return {QuotaVerdict::Kind::Granted, milliseconds{0}, calm};
     }
     const Seconds wait(rate > 0 ? -bucket.tokens / rate : Seconds(longestRetryAfter).count());
     const milliseconds after = std::chrono::ceil<milliseconds>(std::min(wait, Seconds(longestRetryAfter)));
     if (after <= m_options.longestWait && bucket.demand <= rate) {
-        return {QuotaVerdict::Kind::Granted, after};
+        return {QuotaVerdict::Kind::Granted, after, calm};
     }
     bucket.tokens += 1;
-    return {QuotaVerdict::Kind::Refused, after};
+    return {QuotaVerdict::Kind::Refused, after, false};
 }
 
 } // namespace egrettide
--- a/src/runtime/fleet/quotadesk.cpp
+++ b/src/runtime/fleet/quotadesk.cpp
@@ -16,7 +16,7 @@
 
 // A keeper answers within a few milliseconds; a link that is being dialled, or a host that
 // waits for its share of the processor, within a tenth of a second.
-constexpr milliseconds answerPatience{150};
+constexpr milliseconds answerPatience{100};
 // Views that do not agree who the keeper is do so soon.
 constexpr milliseconds disagreementPause{50};
 // When to come back if no keeper answers: by then a dead one has been replaced.
@@ -38,7 +38,12 @@
 } // namespace
 
 QuotaDesk::QuotaDesk(boost::asio::io_context &link, std::string self, QuotaKeeperOptions options, QuotaDeskHooks hooks)
-    : m_self(std::move(self)), m_hooks(std::move(hooks)), m_link(link), m_keeper(options), m_timer(link)
+    : m_self(std::move(self))
+    , m_hooks(std::move(hooks))
+    , m_link(link)
+    , m_keeper(options)
+    , m_grace(options.bounds.window)
+    , m_timer(link)
 {
 }
 
@@ -79,19 +84,28 @@
         return;
     }
     waiting.nextAt = now + (keeper.empty() ? disagreementPause : answerPatience);
+    // Asked also where the answer is not waited for: it tells when the silence is over.
     if (!keeper.empty()) {
         m_hooks.send(keeper, hop::QuotaAsk{id, waiting.workspace});
     }
+    if (m_grace.take(waiting.workspace)) {
+        outcomes.push_back({std::exchange(waiting.handler, nullptr), {}});
+        waiting.granted = true;
+    }
 }
 
 // Forgets the request where its fate is known.
 void QuotaDesk::take(std::uint64_t id, const QuotaVerdict &verdict, TimePoint now, std::vector<Outcome> &outcomes)
 {
     const auto found = m_waiting.find(id);
-    if (found == m_waiting.end() || found->second.granted) {
+    if (found == m_waiting.end()) {
         return;
     }
     Waiting &waiting = found->second;
+    m_grace.heard(waiting.workspace, verdict, now);
+    if (waiting.granted) {
+        return;
+    }
     switch (verdict.kind) {
     case QuotaVerdict::Kind::NotKeeper:
         waiting.nextAt = now + disagreementPause;
@@ -166,11 +180,15 @@
         for (const std::uint64_t id : due) {
             Waiting &waiting = m_waiting.at(id);
             if (!waiting.granted && now < waiting.until) {
+                m_grace.unanswered(waiting.workspace, now);
                 ask(id, waiting, now, outcomes);
                 continue;
             }
             if (waiting.granted) {
-                outcomes.push_back({std::move(waiting.handler), {}});
+                // Empty where the request has started already, without an answer.
+                if (waiting.handler) {
+                    outcomes.push_back({std::move(waiting.handler), {}});
+                }
             } else {
                 outcomes.push_back({std::move(waiting.handler), tl::unexpected(noKeeper(waiting.workspace))});
             }
--- a/src/runtime/fleet/quotadesk.h
+++ b/src/runtime/fleet/quotadesk.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "egrettide/core/error.h"
+#include "egrettide/core/quotagrace.h"
 #include "egrettide/core/quotakeeper.h"
 #include "runtime/host/timer.h"
 #include "wire/hopcodec.h"
@@ -82,6 +83,7 @@
     std::mutex m_mutex;
     // Guarded by m_mutex, like all below.
     QuotaKeeper m_keeper;
+    QuotaGrace m_grace;
     std::uint64_t m_lastId = 0;
     absl::flat_hash_map<std::uint64_t, Waiting> m_waiting;
     Timer m_timer;
--- a/src/wire/hop_generated.h
+++ b/src/wire/hop_generated.h
@@ -2932,7 +2932,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_VERDICT = 6,
-    VT_RETRY_AFTER_MS = 8
+    VT_AFTER_MS = 8,
+    VT_CALM = 10
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2940,14 +2941,18 @@
   uint8_t verdict() const {
     return GetField<uint8_t>(VT_VERDICT, 0);
   }
-  uint32_t retry_after_ms() const {
-    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  uint32_t after_ms() const {
+    return GetField<uint32_t>(VT_AFTER_MS, 0);
+  }
+  bool calm() const {
+    return GetField<uint8_t>(VT_CALM, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
            VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
-           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AFTER_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_CALM, 1) &&
            verifier.EndTable();
   }
 };
@@ -2962,8 +2967,11 @@
   void add_verdict(uint8_t verdict) {
     fbb_.AddElement<uint8_t>(QuotaReply::VT_VERDICT, verdict, 0);
   }
-  void add_retry_after_ms(uint32_t retry_after_ms) {
-    fbb_.AddElement<uint32_t>(QuotaReply::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  void add_after_ms(uint32_t after_ms) {
+    fbb_.AddElement<uint32_t>(QuotaReply::VT_AFTER_MS, after_ms, 0);
+  }
+  void add_calm(bool calm) {
+    fbb_.AddElement<uint8_t>(QuotaReply::VT_CALM, static_cast<uint8_t>(calm), 0);
   }
   explicit QuotaReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2980,10 +2988,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t id = 0,
     uint8_t verdict = 0,
-    uint32_t retry_after_ms = 0) {
+    uint32_t after_ms = 0,
+    bool calm = false) {
   QuotaReplyBuilder builder_(_fbb);
   builder_.add_id(id);
-  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_after_ms(after_ms);
+  builder_.add_calm(calm);
   builder_.add_verdict(verdict);
   return builder_.Finish();
 }
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -300,8 +300,9 @@
     PackedBody operator()(const QuotaReply &message) const
     {
         const auto verdict = static_cast<std::uint8_t>(message.verdict.kind);
-        const auto retryAfter = static_cast<std::uint32_t>(std::max<std::int64_t>(0, message.verdict.after.count()));
-        return body(wire::HopBody_QuotaReply, wire::CreateQuotaReply(m_builder, message.id, verdict, retryAfter));
+        const auto after = static_cast<std::uint32_t>(std::max<std::int64_t>(0, message.verdict.after.count()));
+        return body(wire::HopBody_QuotaReply,
+                    wire::CreateQuotaReply(m_builder, message.id, verdict, after, message.verdict.calm));
     }
 
 private:
@@ -606,7 +607,8 @@
     if (table.verdict() > static_cast<std::uint8_t>(QuotaVerdict::Kind::NotKeeper)) {
         return tl::unexpected(malformed("quota verdict"));
     }
-    return QuotaReply{table.id(), {static_cast<QuotaVerdict::Kind>(table.verdict()), milliseconds{table.retry_after_ms()}}};
+    return QuotaReply{table.id(),
+                      {static_cast<QuotaVerdict::Kind>(table.verdict()), milliseconds{table.after_ms()}, table.calm()}};
 }
 
 Decoded unpack(const wire::Announce &table, TimePoint /*now*/)
--- a/tests/core/hopcodec_test.cpp
+++ b/tests/core/hopcodec_test.cpp
@@ -327,10 +327,10 @@
         RC_ASSERT(catalog.baseDigest == number && catalog.digest == number + 2 && catalog.difference == one);
         const auto ask = std::get<QuotaAsk>(roundTrip(QuotaAsk{number, one}));
         RC_ASSERT(ask.id == number && ask.workspace == one);
-        const QuotaVerdict verdict{flag ? QuotaVerdict::Kind::Refused : QuotaVerdict::Kind::NotKeeper, milliseconds{250}};
+        const QuotaVerdict verdict{flag ? QuotaVerdict::Kind::Refused : QuotaVerdict::Kind::NotKeeper, milliseconds{250}, flag};
         const auto counted = std::get<QuotaReply>(roundTrip(QuotaReply{number, verdict}));
         RC_ASSERT(counted.id == number && counted.verdict.kind == verdict.kind);
-        RC_ASSERT(counted.verdict.after == verdict.after);
+        RC_ASSERT(counted.verdict.after == verdict.after && counted.verdict.calm == verdict.calm);
         const auto request = std::get<SwitchoverRequest>(roundTrip(SwitchoverRequest{number, one, two}));
         RC_ASSERT(request.id == number && request.database == one && request.to == two);
         const auto failed = std::get<SwitchoverReply>(roundTrip(SwitchoverReply{number, Error{ErrorKind::Conflict, one}}));
--- a/tests/core/quotafleet.h
+++ b/tests/core/quotafleet.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "egrettide/core/membership.h"
+#include "egrettide/core/quotagrace.h"
 #include "egrettide/core/quotakeeper.h"
 
 #include <algorithm>
@@ -26,6 +27,9 @@
     double load = 8;
     QuotaBounds bounds{milliseconds{5000}, 0.1, 20};
     QuotaKeeperFaults faults;
+    // From then on, calm before it: the load, as a multiple of the quota.
+    std::chrono::seconds calmFor{0};
+    bool bridgesSilence = true;
     // How late a host hears of a change, at most.
     milliseconds newsDelay{1500};
     // Between two events; 0 for none.
@@ -54,6 +58,9 @@
     // The moments of all granted requests.
     const std::vector<TimePoint> &run()
     {
+        // What most workspaces ask most of the time.
+        constexpr double calmLoad = 0.6;
+        const TimePoint begun = m_now;
         const TimePoint end = m_now + m_options.length;
         TimePoint nextEvent = m_now + m_options.eventSpacing;
         double owed = 0;
@@ -70,7 +77,8 @@
                     look(i);
                 }
             }
-            owed += m_options.load * m_options.quota.perSecond * std::chrono::duration<double>(step).count();
+            const double load = m_now < begun + m_options.calmFor ? calmLoad : m_options.load;
+            owed += load * m_options.quota.perSecond * std::chrono::duration<double>(step).count();
             for (; owed >= 1; --owed) {
                 request();
             }
@@ -102,6 +110,7 @@
 private:
     struct Host {
         std::unique_ptr<QuotaKeeper> keeper;
+        std::unique_ptr<QuotaGrace> grace;
         int part = 0;
         TimePoint deadUntil = TimePoint::min();
         // When it hears how things stand.
@@ -121,6 +130,7 @@
         options.faults = m_options.faults;
         host.keeper = std::make_unique<QuotaKeeper>(options);
         host.keeper->configure(m_configuration);
+        host.grace = std::make_unique<QuotaGrace>(m_options.bounds.window);
     }
 
     bool isDead(const Host &host) const
@@ -196,9 +206,16 @@
             if (nameOf(i) != keeper || !reaches(host, m_hosts[i])) {
                 continue;
             }
-            if (m_hosts[i].keeper->ask("hot", m_now).kind == QuotaVerdict::Kind::Granted) {
+            const QuotaVerdict verdict = m_hosts[i].keeper->ask("hot", m_now);
+            host.grace->heard("hot", verdict, m_now);
+            if (verdict.kind == QuotaVerdict::Kind::Granted) {
                 m_granted.push_back(m_now);
             }
+            return;
+        }
+        host.grace->unanswered("hot", m_now);
+        if (m_options.bridgesSilence && host.grace->take("hot")) {
+            m_granted.push_back(m_now);
         }
     }
 
--- /dev/null
+++ b/tests/core/quotagrace_test.cpp
@@ -0,0 +1,71 @@
+// What is let through while the keeper of a quota is silent.
+
+#define BOOST_TEST_MODULE QuotaGrace
+#include <boost/test/unit_test.hpp>
+
+#include "egrettide/core/quotagrace.h"
+
+using namespace egrettide;
+
+namespace
+{
+
+const TimePoint begin = TimePoint(std::chrono::hours(1));
+const QuotaVerdict calmGrant{QuotaVerdict::Kind::Granted, milliseconds{0}, true};
+const QuotaVerdict hotGrant{QuotaVerdict::Kind::Granted, milliseconds{0}, false};
+
+int taken(QuotaGrace &grace)
+{
+    int count = 0;
+    while (grace.take("desk")) {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(QuotaGraces)
+
+BOOST_AUTO_TEST_CASE(RepeatWhatWasGrantedInTheWindowBefore)
+{
+    QuotaGrace grace(milliseconds{5000});
+    for (int i = 0; i < 8; ++i) {
+        grace.heard("desk", calmGrant, begin + std::chrono::seconds(i));
+    }
+    BOOST_TEST(taken(grace) == 0, "something was let through although the keeper answers");
+    grace.unanswered("desk", begin + std::chrono::seconds(8));
+    BOOST_TEST(taken(grace) == 5);
+}
+
+BOOST_AUTO_TEST_CASE(GiveNothingToThoseThatAskTooMuchOrAreNotKnown)
+{
+    QuotaGrace grace(milliseconds{5000});
+    grace.unanswered("desk", begin);
+    BOOST_TEST(taken(grace) == 0);
+    grace.heard("desk", calmGrant, begin);
+    grace.heard("desk", hotGrant, begin);
+    grace.unanswered("desk", begin);
+    BOOST_TEST(taken(grace) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(BridgeOneSilenceAWindow)
+{
+    // Symptom: a workspace gets a multiple of its quota while the links of a host flap.
+    // Sequence: a keeper falls silent, answers once, falls silent again, and so on.
+    // Cause: every silence was bridged anew.
+    QuotaGrace grace(milliseconds{5000});
+    grace.heard("desk", calmGrant, begin);
+    int all = 0;
+    for (int i = 0; i < 40; ++i) {
+        const TimePoint now = begin + milliseconds(100 * i);
+        grace.unanswered("desk", now);
+        all += taken(grace);
+        grace.heard("desk", calmGrant, now);
+    }
+    BOOST_TEST(all == 1);
+    grace.unanswered("desk", begin + milliseconds(6000));
+    BOOST_TEST(taken(grace) > 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/quotakeeper_test.cpp
+++ b/tests/core/quotakeeper_test.cpp
@@ -181,6 +181,7 @@
         options.load = *rc::gen::element(1.0, 8.0, 30.0);
         options.eventSpacing = milliseconds(*rc::gen::inRange(500, 6000));
         options.length = std::chrono::seconds(20);
+        options.calmFor = std::chrono::seconds(*rc::gen::inRange(0, 20));
         QuotaFleet fleet(options, *rc::gen::arbitrary<std::uint64_t>());
         fleet.run();
         RC_ASSERT(static_cast<double>(fleet.mostInAWindow()) <= fleet.bound());
@@ -206,6 +207,11 @@
     options.length = std::chrono::seconds(60);
     QuotaFleet fleet(options, 7);
     const auto granted = static_cast<double>(fleet.run().size());
+    options.bridgesSilence = false;
+    QuotaFleet without(options, 7);
+    const auto grantedWithout = static_cast<double>(without.run().size());
+    BOOST_TEST_MESSAGE(granted << " granted, " << grantedWithout << " where silent keepers are only waited for");
+    BOOST_TEST(granted > grantedWithout);
     const double asked = options.load * options.quota.perSecond * 60;
     BOOST_TEST(granted >= 0.5 * asked, "" << granted << " of " << asked << " were granted");
 }
