--- a/src/runtime/upstreams/upstreampool.cpp
+++ b/src/runtime/upstreams/upstreampool.cpp
@@ -52,7 +52,7 @@
         if (m_spare[i].owner != owner) {
             continue;
         }
-        const Connection connection = m_spare[i].connection;
+        Connection connection = m_spare[i].connection;
         m_spare.erase(m_spare.begin() + static_cast<std::ptrdiff_t>(i));
         connection->onIdleLoss(nullptr);
         if (connection->usable()) {
