--- a/include/egrettide/core/quotakeeper.h
+++ b/include/egrettide/core/quotakeeper.h
@@ -56,8 +56,6 @@
     bool ignoresParts = false;
     // A new keeper begins with all that may be asked for at once.
     bool beginsFull = false;
-    // A host answers for workspaces that others keep.
-    bool answersForOthers = false;
 };
 
 struct QuotaKeeperOptions {
--- a/src/core/fleet/quotakeeper.cpp
+++ b/src/core/fleet/quotakeeper.cpp
@@ -115,8 +115,8 @@
         return {};
     }
     const std::size_t slot = quotaSlotOf(workspace);
-    if (!m_kept.test(slot) && !m_options.faults.answersForOthers) {
-        return {QuotaVerdict::Kind::NotKeeper, milliseconds{0}};
+    if (!m_kept.test(slot)) {
+        return {QuotaVerdict::Kind::NotKeeper};
     }
     const double rate = found->second.perSecond * m_part;
     // Less than one would never let anything through. Where many small parts each let one
--- a/tests/core/quotafleet.h
+++ b/tests/core/quotafleet.h
@@ -27,8 +27,9 @@
     double load = 8;
     QuotaBounds bounds{milliseconds{5000}, 0.1, 20};
     QuotaKeeperFaults faults;
-    // From then on, calm before it: the load, as a multiple of the quota.
+    // For so long the workspace asks little; then `load` comes.
     std::chrono::seconds calmFor{0};
+    // Whether hosts go on for a while when a keeper is silent; see QuotaGrace.
     bool bridgesSilence = true;
     // How late a host hears of a change, at most.
     milliseconds newsDelay{1500};
