Tell the truth about a repeat that its quota refuses

Cause, found by reading: a request whose answer was lost is counted again before it is sent anew. Refused there, it ended as one that had never left, and "not run" was told of what may have run.

Change: the runner remembers that a sending may have run. requestrunner_test failed before in that case; it also shows that each such sending is counted, and that nothing is sent that may not start.

--- a/src/runtime/callers/requestrunner.cpp
+++ b/src/runtime/callers/requestrunner.cpp
@@ -120,6 +120,7 @@
         m_route = std::move(*next);
         m_request.upstream = m_route.upstream;
         if (reply.sent) {
+            m_mayHaveRun = true;
             admit([this] { send(); });
         } else {
             send();
@@ -237,6 +238,7 @@
 void RequestRunner::finishWith(Error error)
 {
     StatementReply reply;
+    reply.sent = m_mayHaveRun;
     reply.error = std::move(error);
     finish(std::move(reply));
 }
--- a/src/runtime/callers/requestrunner.h
+++ b/src/runtime/callers/requestrunner.h
@@ -63,6 +63,9 @@
     // Counts waits for a primary, so that the news that ended one do not end the next.
     std::size_t m_waits = 0;
     bool m_waiting = false;
+    // True once a sending has ended without the proof that nothing ran: whatever ends the
+    // request later must not be told as "not run".
+    bool m_mayHaveRun = false;
     bool m_canceled = false;
     bool m_finished = false;
     // Runs the wait for a primary, or guards an outstanding execution.
