Spare the keeper of a hot workspace what it would refuse

Change: after a refusal a host asks the keeper about 0.6 of the requests that it asked about before, and about 0.5 of all more with each second; the others it refuses itself, with the time that the keeper last said.

--- a/src/runtime/fleet/quotadesk.cpp
+++ b/src/runtime/fleet/quotadesk.cpp
@@ -64,12 +64,15 @@
     std::vector<Outcome> outcomes;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
+        const TimePoint now = Clock::now();
         if (!m_keeper.isLimited(workspace)) {
             outcomes.push_back({std::move(handler), {}});
+        } else if (const auto after = m_backoff.refusesHere(workspace, now)) {
+            outcomes.push_back({std::move(handler), tl::unexpected(beyondQuota(workspace, *after))});
         } else {
             const std::uint64_t id = ++m_lastId;
             const auto place = m_waiting.emplace(id, Waiting{workspace, until, TimePoint::max(), std::move(handler)}).first;
-            ask(id, place->second, Clock::now(), outcomes);
+            ask(id, place->second, now, outcomes);
             armTimer();
         }
     }
@@ -111,6 +114,7 @@
         waiting.nextAt = now + disagreementPause;
         return;
     case QuotaVerdict::Kind::Refused:
+        m_backoff.refused(waiting.workspace, verdict.after, now);
         outcomes.push_back({std::move(waiting.handler), tl::unexpected(beyondQuota(waiting.workspace, verdict.after))});
         break;
     case QuotaVerdict::Kind::Granted:
--- a/src/runtime/fleet/quotadesk.h
+++ b/src/runtime/fleet/quotadesk.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "egrettide/core/error.h"
+#include "egrettide/core/quotabackoff.h"
 #include "egrettide/core/quotagrace.h"
 #include "egrettide/core/quotakeeper.h"
 #include "runtime/host/timer.h"
@@ -84,6 +85,7 @@
     // Guarded by m_mutex, like all below.
     QuotaKeeper m_keeper;
     QuotaGrace m_grace;
+    QuotaBackoff m_backoff;
     std::uint64_t m_lastId = 0;
     absl::flat_hash_map<std::uint64_t, Waiting> m_waiting;
     Timer m_timer;
