--- a/src/runtime/host/settings.cpp
+++ b/src/runtime/host/settings.cpp
@@ -40,7 +40,7 @@
     "balancerMisses": {"type": "integer", "minimum": 0, "maximum": 100},
     "linkMbps": {"type": "number", "minimum": 0, "maximum": 1000000},
     "quotaWindowSeconds": {"type": "number", "minimum": 0.1, "maximum": 600},
-    "quotaOverage": {"type": "number", "minimum": 0, "maximum": 10},
+    "quotaTolerance": {"type": "number", "minimum": 0, "maximum": 10},
     "quotaSlack": {"type": "number", "minimum": 0, "maximum": 1000000},
     "stopBoundMs": {"type": "integer", "minimum": 100, "maximum": 600000}
   }
@@ -79,7 +79,7 @@
     const std::chrono::duration<double> quotaWindow(
         document.value("quotaWindowSeconds", std::chrono::duration<double>(settings.quota.window).count()));
     settings.quota.window = std::chrono::round<milliseconds>(quotaWindow);
-    settings.quota.overage = document.value("quotaOverage", settings.quota.overage);
+    settings.quota.overage = document.value("quotaTolerance", settings.quota.overage);
     settings.quota.slack = document.value("quotaSlack", settings.quota.slack);
     settings.stopBound = milliseconds(document.value("stopBoundMs", settings.stopBound.count()));
     return settings;
@@ -117,7 +117,7 @@
     compare(difference.needRestart, "balancerMisses", running.balancerMisses, next.balancerMisses);
     compare(difference.needRestart, "linkMbps", running.linkMbps, next.linkMbps);
     compare(difference.needRestart, "quotaWindowSeconds", running.quota.window, next.quota.window);
-    compare(difference.needRestart, "quotaOverage", running.quota.overage, next.quota.overage);
+    compare(difference.needRestart, "quotaTolerance", running.quota.overage, next.quota.overage);
     compare(difference.needRestart, "quotaSlack", running.quota.slack, next.quota.slack);
     compare(difference.needRestart, "idleProbeMs", running.idleProbe, next.idleProbe);
     compare(difference.needRestart, "sessionKey", running.sessionKey, next.sessionKey);
