Log who told a host its configuration, whom it asked, and links given up for silence

The incident's hypotheses could not be told apart: configuration_accepted did not say whether the store or a peer brought it (OPERATIONS.md already promised the field), a request for a peer's copy left no line, and neither did a link that was closed because nothing came over it.

--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -15,6 +15,7 @@
 // A registration lapses while its store is away although its upstream is well, and is
 // back within two seconds of the store's return; half a second more for the way here.
 constexpr milliseconds lapsePatience{2500};
+constexpr const char *storeSource = "store";
 
 } // namespace
 
@@ -61,6 +62,7 @@
 
 void DiscoveredConfiguration::onIntentChanged()
 {
+    m_intentSource = storeSource;
     rebuild();
     tellZone();
 }
@@ -169,7 +171,8 @@
         return;
     }
     if (!m_current || next->version > m_current->version) {
-        log::info("configuration_accepted", {{"version", next->version}, {"routes", static_cast<int>(next->routes.size())}});
+        log::info("configuration_accepted",
+                  {{"version", next->version}, {"routes", static_cast<int>(next->routes.size())}, {"source", m_intentSource}});
     }
     for (const SupersededUpstream &old : m_succession.settle(*next)) {
         log::info("upstream_superseded", {{"upstream", old.name}, {"address", old.address}, {"by", old.successor}});
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -132,6 +132,8 @@
     std::uint64_t m_refusals = 0;
     UpstreamSuccession m_succession;
     std::shared_ptr<const Configuration> m_current;
+    // Who told the operators' intent as it stands here: the store, or a host by name.
+    std::string m_intentSource;
     // When a peer may be asked again.
     TimePoint m_pullBefore;
     // Since when this host has known of something newer than it has.
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -176,6 +176,7 @@
 void DiscoveredConfiguration::pullFrom(const std::string &host, std::uint64_t heldDigest)
 {
     m_pullBefore = Clock::now() + pullSpacing;
+    log::info("catalog_asked", {{"peer", host}, {"intent_revision", version().intent}});
     m_hooks.send(host, hop::CatalogPull{version(), heldDigest});
 }
 
@@ -249,6 +250,9 @@
         m_intentFollower.adopt(catalog[intentPart].get<NamedObjects>(), push.version.intent, push.through.intent, text.size());
     const bool registrations = m_registrationFollower.adopt(catalog[registrationsPart].get<NamedObjects>(),
                                                             push.version.registrations, push.through.registrations, 0);
+    if (intent) {
+        m_intentSource = from;
+    }
     if (registrations) {
         takeRegistrations(m_registrationFollower.objects());
     }
--- a/src/runtime/fleet/peeroutbound.cpp
+++ b/src/runtime/fleet/peeroutbound.cpp
@@ -3,6 +3,7 @@
 #include "runtime/fleet/peernetworkstate.h"
 
 #include "runtime/host/address.h"
+#include "runtime/host/log.h"
 #include "wire/pgwire.h"
 
 #include <boost/asio/post.hpp>
@@ -22,6 +23,11 @@
 constexpr std::uint64_t rollbackIds = 1ULL << 63U;
 constexpr std::chrono::seconds rollbackTimeout{10};
 
+void logSilence(const std::string &peer, Clock::duration silence)
+{
+    log::info("peer_link_silent", {{"peer", peer}, {"silent_ms", std::chrono::duration_cast<milliseconds>(silence).count()}});
+}
+
 } // namespace
 
 // --- Dialling ---------------------------------------------------------------
@@ -471,6 +477,7 @@
     }
     to.missedPings += heardAt < to.lastPingAt ? 1 : 0;
     if (to.missedPings >= silentPings) {
+        logSilence(to.host, now - heardAt);
         to.link->close();
         return;
     }
