Probe links between hosts that carry only messages

What callers saw: "refused with 404 as an older version says; version 15 was acked more than 3000 ms before" (CONFIG): a route that had been added was not served.

Cause: a link to another host was probed only while a request was out on it. Differences, offers and requests for a copy are one-way messages: on a link that had gone silent they were lost without a sign, again and again, until the operating system broke the link after 4 s. Class: liveness of a connection judged by the waiting of one of its users only.

Ruled out here: a copy that claims too much (the host asks in the end), membership (it had the host back within a second, over other links).

Change: LinkProbe decides for both ends of a link; a message that nothing has followed counts as a reason to probe, at most once in 500 ms while probes are answered. Heartbeats don't count: membership times them, and they are several a second. A link with messages alone is given up after three probes of 250 ms, so that an answer behind bulk on a slow link is no cause.

Failing first: peernetwork_test GivesUpOnASilentLinkThatCarriesOnlyMessages and GivesUpOnASilentLinkThatThePeerDialled (10 s in vain before, 0.2 s after).

--- a/src/runtime/fleet/peernetwork.cpp
+++ b/src/runtime/fleet/peernetwork.cpp
@@ -3,6 +3,7 @@
 #include "runtime/fleet/peernetworkstate.h"
 
 #include "runtime/host/address.h"
+#include "runtime/host/log.h"
 
 #include <absl/container/flat_hash_set.h>
 
@@ -71,7 +72,7 @@
     }
     if (!dialled) {
         if (Inbound *inbound = readyInboundOf(peer)) {
-            writeMessage(*inbound->link, message);
+            sendMessage(*inbound->link, inbound->probe, message);
             return;
         }
     }
@@ -80,7 +81,7 @@
         to.transactions.onFrontGone(gone->transaction);
     }
     if (to.ready) {
-        writeMessage(*to.link, message);
+        sendMessage(*to.link, to.probe, message);
         return;
     }
     if (!to.link && !to.dialing && Clock::now() < to.nextAttempt) {
@@ -97,12 +98,12 @@
 {
     const auto inbound = m_inbound.find(peer.link);
     if (inbound != m_inbound.end()) {
-        writeMessage(*inbound->second->link, message);
+        sendMessage(*inbound->second->link, inbound->second->probe, message);
         return;
     }
     const auto found = m_outbound.find(peer.host);
     if (found != m_outbound.end() && found->second->ready && found->second->linkId == peer.link) {
-        writeMessage(*found->second->link, message);
+        sendMessage(*found->second->link, found->second->probe, message);
     }
 }
 
@@ -111,13 +112,13 @@
     absl::flat_hash_set<std::string> reached;
     for (const auto &[host, to] : m_outbound) {
         if (to->ready) {
-            writeMessage(*to->link, message);
+            sendMessage(*to->link, to->probe, message);
             reached.insert(host);
         }
     }
     for (const auto &[id, from] : m_inbound) {
         if (from->ready && reached.insert(from->peer.host).second) {
-            writeMessage(*from->link, message);
+            sendMessage(*from->link, from->probe, message);
         }
     }
 }
@@ -208,6 +209,42 @@
     return bytes;
 }
 
+// A message that no answer to this host follows on the link: the link is probed for it.
+void PeerNetwork::State::sendMessage(PeerLink &link, LinkProbe &probe, const hop::HopMessage &message)
+{
+    writeMessage(link, message);
+    // Membership notices by itself that a heartbeat is not answered, and sends several a second.
+    if (!std::holds_alternative<hop::Gossip>(message)) {
+        probe.onMessageSent(Clock::now());
+    }
+}
+
+void PeerNetwork::State::probe(PeerLink &link, LinkProbe &probe, const std::string &peer, bool working, TimePoint now)
+{
+    const TimePoint heardAt = link.lastReceivedAt();
+    switch (probe.next(heardAt, working, now)) {
+    case LinkProbeStep::Wait:
+        break;
+    case LinkProbeStep::Ping:
+        writeMessage(link, hop::Ping{++m_lastPing, false});
+        break;
+    case LinkProbeStep::GiveUp:
+        log::info("peer_link_silent",
+                  {{"peer", peer}, {"silent_ms", std::chrono::duration_cast<milliseconds>(now - heardAt).count()}});
+        link.close();
+        break;
+    }
+}
+
+LinkProbeOptions PeerNetwork::State::probing() const
+{
+    LinkProbeOptions options;
+    options.pingInterval = m_options.pingInterval;
+    options.quietInterval = m_options.quietInterval;
+    options.messageInterval = m_options.messageInterval;
+    return options;
+}
+
 void PeerNetwork::State::deliver(const PeerRef &from, hop::HopMessage message)
 {
     if (m_hooks.onMessage) {
@@ -254,10 +291,15 @@
 
 // --- Timers -----------------------------------------------------------------
 
-// Silence matters only while somebody waits for a peer.
+// Silence matters only while somebody waits for a peer, or news may have been lost.
 milliseconds PeerNetwork::State::housekeepingInterval() const
 {
-    const bool isWaiting = std::ranges::any_of(m_outbound, [](const auto &entry) { return !entry.second->pending.empty(); });
+    const auto isUnproven = [](const auto &entry) {
+        const auto &side = *entry.second;
+        return side.link && side.probe.isUnproven(side.link->lastReceivedAt());
+    };
+    const bool isWaiting = std::ranges::any_of(m_outbound, [](const auto &entry) { return !entry.second->pending.empty(); })
+        || std::ranges::any_of(m_outbound, isUnproven) || std::ranges::any_of(m_inbound, isUnproven);
     return std::min(isWaiting ? m_options.quietInterval : m_options.pingInterval, m_options.pingInterval) / 2;
 }
 
@@ -279,7 +321,7 @@
     // After a pause of this process what peers sent meanwhile is still unread:
     // judging their silence now would cut links that are fine.
     if (now - m_keptHouseAt > m_options.pingInterval * 2) {
-        m_judgesSilenceFrom = now + m_options.pingInterval * silentPings;
+        m_judgesSilenceFrom = now + m_options.pingInterval * probing().mostMissed;
     }
     m_keptHouseAt = now;
     for (const auto &[host, to] : m_outbound) {
--- a/src/runtime/fleet/peernetwork.h
+++ b/src/runtime/fleet/peernetwork.h
@@ -54,17 +54,18 @@
     milliseconds connectTimeout{400};
     // A dialled link without traffic is closed after this.
     milliseconds idleTimeout{60000};
-    // A link with requests unanswered is pinged this often, and given up when
-    // nothing at all came for three of them.
+    // See LinkProbeOptions. A link with requests unanswered, or messages sent on it since
+    // the last byte came, is probed.
     milliseconds pingInterval{500};
-    // Without a byte for this long, a link with requests unanswered is pinged, and again
-    // after the same time; it is given up when nothing at all came for three of these.
+    // See LinkProbeOptions.
     //
     // What goes wrong with the longer interval alone: a zone is cut off, and everything
     // that was sent there, or is sent until the link is given up, waits for its deadline:
     // 150 reads of 450 a second failed so, each after 0.6 to 0.8 s. Hosts that are merely
     // slow, or wait for their share of the processor for a tenth of a second, answer pings.
     milliseconds quietInterval{80};
+    // See LinkProbeOptions.
+    milliseconds messageInterval{250};
     // First and longest pause between two attempts to dial a peer; jittered.
     milliseconds firstBackoff{50};
     milliseconds longestBackoff{2000};
--- a/src/runtime/fleet/peernetworkstate.h
+++ b/src/runtime/fleet/peernetworkstate.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "egrettide/core/linkprobe.h"
 #include "runtime/fleet/peerlink.h"
 #include "runtime/fleet/peernetwork.h"
 #include "runtime/fleet/peerrequest.h"
@@ -28,13 +29,15 @@
 
 using boost::asio::ip::tcp;
 
-// Ping intervals without any byte after which a link with work on it is given up.
-constexpr int silentPings = 3;
 // When to come back to a home that is overloaded or not there yet.
 constexpr milliseconds overloadedRetry{100};
 
 // A host that we dial.
 struct Outbound {
+    explicit Outbound(const LinkProbeOptions &probing) : probe(probing)
+    {
+    }
+
     std::string host;
     std::string address;
     // Unset while there is none; closed links are never kept here.
@@ -58,10 +61,7 @@
     absl::flat_hash_map<std::uint64_t, TransactionPlace> abandoned;
     milliseconds backoff{0};
     TimePoint nextAttempt;
-    std::uint64_t pingNumber = 0;
-    TimePoint lastPingAt;
-    // Pings in a row after which nothing at all came.
-    int missedPings = 0;
+    LinkProbe probe;
 };
 
 // A request of a peer that this host has not answered yet.
@@ -73,6 +73,10 @@
 
 // A link that a peer dialled.
 struct Inbound {
+    explicit Inbound(const LinkProbeOptions &probing) : probe(probing)
+    {
+    }
+
     PeerRef peer;
     std::shared_ptr<PeerLink> link;
     // Unset until the peer's Hello came.
@@ -81,6 +85,7 @@
     absl::flat_hash_map<std::uint64_t, ServedRequest> served;
     std::size_t servedBytes = 0;
     OpenTransactions transactions;
+    LinkProbe probe;
 };
 
 } // namespace detail
@@ -180,7 +185,9 @@
     milliseconds housekeepingInterval() const;
     void keepHouse();
     void keepOutbound(Outbound &to, TimePoint now);
-    void pingOutbound(Outbound &to, TimePoint now);
+    LinkProbeOptions probing() const;
+    void sendMessage(PeerLink &link, LinkProbe &probe, const hop::HopMessage &message);
+    void probe(PeerLink &link, LinkProbe &probe, const std::string &peer, bool working, TimePoint now);
     void closeIdle(Outbound &to);
     void keepInbound(Inbound &from, TimePoint now);
     Deadlines::iterator armDeadline(TimePoint deadline, const DeadlineKey &key);
@@ -202,6 +209,7 @@
     TimePoint m_judgesSilenceFrom;
     std::uint64_t m_lastLinkId = 0;
     std::uint64_t m_lastRollback = 0;
+    std::uint64_t m_lastPing = 0;
     // unique_ptr: references to an entry stay good while others come and go.
     std::map<std::string, std::unique_ptr<Outbound>> m_outbound;
     std::map<std::uint64_t, std::unique_ptr<Inbound>> m_inbound;
--- a/src/runtime/fleet/peeroutbound.cpp
+++ b/src/runtime/fleet/peeroutbound.cpp
@@ -3,7 +3,6 @@
 #include "runtime/fleet/peernetworkstate.h"
 
 #include "runtime/host/address.h"
-#include "runtime/host/log.h"
 #include "wire/pgwire.h"
 
 #include <boost/asio/post.hpp>
@@ -23,11 +22,6 @@
 constexpr std::uint64_t rollbackIds = 1ULL << 63U;
 constexpr std::chrono::seconds rollbackTimeout{10};
 
-void logSilence(const std::string &peer, Clock::duration silence)
-{
-    log::info("peer_link_silent", {{"peer", peer}, {"silent_ms", std::chrono::duration_cast<milliseconds>(silence).count()}});
-}
-
 } // namespace
 
 // --- Dialling ---------------------------------------------------------------
@@ -36,7 +30,7 @@
 {
     std::unique_ptr<Outbound> &entry = m_outbound[peer];
     if (!entry) {
-        entry = std::make_unique<Outbound>();
+        entry = std::make_unique<Outbound>(probing());
         entry->host = peer;
         entry->address = address;
     }
@@ -47,7 +41,7 @@
         if (entry->link) {
             entry->link->abandon();
         }
-        entry = std::make_unique<Outbound>();
+        entry = std::make_unique<Outbound>(probing());
         entry->host = peer;
         entry->address = address;
     }
@@ -147,7 +141,7 @@
     to.ready = true;
     to.backoff = milliseconds{0};
     for (const hop::HopMessage &message : std::exchange(to.messages, {})) {
-        writeMessage(*to.link, message);
+        sendMessage(*to.link, to.probe, message);
     }
     to.link->wake();
 }
@@ -186,7 +180,7 @@
 bool PeerNetwork::State::isSilent(const Outbound &to, TimePoint now) const
 {
     if (to.link) {
-        return to.missedPings > 0;
+        return to.probe.isSilent();
     }
     return to.dialing ? to.backoff > milliseconds{0} : now < to.nextAttempt;
 }
@@ -454,35 +448,11 @@
         if (now >= to.dialDeadline) {
             to.link->close();
         }
-    } else if (working) {
-        pingOutbound(to, now);
-    } else if (now - to.link->lastUsedAt() > m_options.idleTimeout) {
+    } else if (!working && now - to.link->lastUsedAt() > m_options.idleTimeout) {
         closeIdle(to);
     } else {
-        to.missedPings = 0;
-    }
-}
-
-// Counts pings instead of time, so that a pause of this process does not look
-// like a silent peer.
-void PeerNetwork::State::pingOutbound(Outbound &to, TimePoint now)
-{
-    const TimePoint heardAt = to.link->lastReceivedAt();
-    if (heardAt >= to.lastPingAt) {
-        to.missedPings = 0;
-    }
-    const bool isQuiet = now - std::max(heardAt, to.lastPingAt) >= m_options.quietInterval;
-    if (!isQuiet && now - to.lastPingAt < m_options.pingInterval) {
-        return;
-    }
-    to.missedPings += heardAt < to.lastPingAt ? 1 : 0;
-    if (to.missedPings >= silentPings) {
-        logSilence(to.host, now - heardAt);
-        to.link->close();
-        return;
+        probe(*to.link, to.probe, to.host, working, now);
     }
-    to.lastPingAt = now;
-    writeMessage(*to.link, hop::Ping{++to.pingNumber, false});
 }
 
 // Not a failure: nothing is lost, nobody is told, and the next request dials again.
--- a/tests/runtime/peernetwork_test.cpp
+++ b/tests/runtime/peernetwork_test.cpp
@@ -547,6 +547,51 @@
     BOOST_TEST(pair.lost[0].host == "frozen");
 }
 
+// Guards against a configuration that is told over a dead connection for seconds.
+BOOST_AUTO_TEST_CASE(GivesUpOnASilentLinkThatCarriesOnlyMessages)
+{
+    Pair pair;
+    RawPeer silent(pair.context, helloFrame(hop::protocolVersion, "home"));
+    pair.front.send("home", silent.address(), hop::ConfigOffer{3});
+    pair.await("the link", [&] { return pair.front.linkCount() == 1; });
+    pair.await("the end of the link", [&] { return pair.front.linkCount() == 0; });
+    pair.await("membership's look at the host", [&] { return pair.unreachable.size() == 1; });
+    pair.front.send("home", silent.address(), hop::ConfigOffer{4});
+    pair.await("another link", [&] {
+        pair.front.send("home", silent.address(), hop::ConfigOffer{4});
+        return silent.sockets.size() == 2;
+    });
+}
+
+// Guards against a configuration that is told over a dead connection that the other host opened.
+BOOST_AUTO_TEST_CASE(GivesUpOnASilentLinkThatThePeerDialled)
+{
+    Pair pair;
+    tcp::socket silent(pair.context);
+    silent.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), pair.home.port()));
+    boost::asio::write(silent, boost::asio::buffer(helloFrame(hop::protocolVersion, "silent")));
+    pair.await("the hello and a message on the link", [&] {
+        pair.home.send("silent", "127.0.0.1:1", hop::ConfigOffer{3});
+        return silent.available() > 100;
+    });
+    pair.await("the end of the link", [&] { return pair.home.linkCount() == 0; });
+}
+
+// Guards against links that are closed although the other side answers.
+BOOST_AUTO_TEST_CASE(KeepsALinkThatCarriesOnlyMessagesWhileThePeerAnswers)
+{
+    Pair pair;
+    for (std::uint64_t version = 1; version <= 20; ++version) {
+        pair.front.send("home", pair.address(), hop::ConfigOffer{version});
+        pair.await("the message", [&] { return pair.homeMessages.size() == version; });
+        const TimePoint pauseEnd = Clock::now() + milliseconds{40};
+        pair.await("a pause", [&] { return Clock::now() >= pauseEnd; });
+        pair.home.send("front", "127.0.0.1:1", hop::ConfigOffer{version});
+    }
+    BOOST_TEST(pair.front.linkCount() == 1U);
+    BOOST_TEST((pair.unreachable.empty() && pair.lost.empty()), "a link was given up although its peer answered");
+}
+
 BOOST_AUTO_TEST_CASE(ClosesIdleLinksWithoutAlarm)
 {
     Pair pair([](PeerNetworkOptions &options) { options.idleTimeout = milliseconds{100}; });
