Notice a dead connection to the store in three seconds, and distrust its neighbours

The users count hosts as in touch again 4 s after the end of a disturbance; what is confirmed in the first second of it has to be in force then.

Cause: probes of connections to the store began after 2 s of silence, 1 s apart, two of them, and unacknowledged data had 4 s. Besides, a call that ended in silence was followed by one on another idle connection of the same age, up to eight of them.

Change: connections to the store are probed after 1 s (3 s in all); a call that ends in silence closes the idle ones. More calls with shorter waits were weighed and not taken: each call is priced, a probe is not.

Tests: httpclient_test UseNoIdleConnectionAfterOneWasFoundSilent fails without the second part; AreProbedOftenEnoughForAChangeToBeInForceInTime has 3 s as its bound where the code had 4; EndSoonOnAConnectionThatNothingComesOverAnyMore drops the packets of a connection in the kernel and passes before and after.

--- a/src/runtime/host/socketoptions.cpp
+++ b/src/runtime/host/socketoptions.cpp
@@ -16,13 +16,23 @@
 
 template <int Name> using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
-// Seconds of silence before the first probe, between probes, and probes that may be
-// lost: a peer that is gone is noticed after 4 s, and one lost packet is no cause.
-constexpr int lastingIdleSeconds = 2;
-constexpr int lastingProbeSeconds = 1;
-constexpr int lastingProbes = 2;
-// Unacknowledged data breaks the connection after as long as the probes do.
-constexpr int lastingUnsentMilliseconds = 4000;
+// How soon a connection breaks over which nothing comes any more. One lost packet is no cause.
+struct ProbePlan {
+    // Silence before the first probe, and the time between probes, in seconds.
+    int idleSeconds;
+    int probeSeconds;
+    // Probes in a row that may be lost.
+    int probes;
+
+    // Unacknowledged data breaks the connection after as long as the probes do.
+    int unsentMilliseconds() const
+    {
+        return (idleSeconds + probeSeconds * probes) * 1000;
+    }
+};
+
+constexpr ProbePlan lastingPlan{2, 1, 2};
+constexpr ProbePlan storePlan{1, 1, 2};
 // One probe a minute for each idle caller: at 4,000 callers a host, 67 a second.
 constexpr int callerIdleSeconds = 60;
 
@@ -34,15 +44,25 @@
     socket.set_option(TcpOption<TCP_KEEPIDLE>(seconds), ignored);
 }
 
+void probeAsPlanned(asio::ip::tcp::socket &socket, const ProbePlan &plan)
+{
+    boost::system::error_code ignored;
+    probeAfter(socket, plan.idleSeconds);
+    socket.set_option(TcpOption<TCP_KEEPINTVL>(plan.probeSeconds), ignored);
+    socket.set_option(TcpOption<TCP_KEEPCNT>(plan.probes), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(plan.unsentMilliseconds()), ignored);
+}
+
 } // namespace
 
 void setLastingOptions(asio::ip::tcp::socket &socket)
 {
-    boost::system::error_code ignored;
-    probeAfter(socket, lastingIdleSeconds);
-    socket.set_option(TcpOption<TCP_KEEPINTVL>(lastingProbeSeconds), ignored);
-    socket.set_option(TcpOption<TCP_KEEPCNT>(lastingProbes), ignored);
-    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(lastingUnsentMilliseconds), ignored);
+    probeAsPlanned(socket, lastingPlan);
+}
+
+void setStoreOptions(asio::ip::tcp::socket &socket)
+{
+    probeAsPlanned(socket, storePlan);
 }
 
 void setCallerOptions(asio::ip::tcp::socket &socket)
--- a/src/runtime/store/httpclient.cpp
+++ b/src/runtime/store/httpclient.cpp
@@ -112,6 +112,13 @@
     return error == asio::error::would_block;
 }
 
+// Nothing came although the server should have answered or acknowledged. Connections that were
+// idle meanwhile may have gone silent with this one, and nothing shows it until they are used.
+bool wasSilent(const error_code &error)
+{
+    return error == beast::error::timeout || error == asio::error::timed_out;
+}
+
 } // namespace
 
 void HttpClient::State::start(const HttpCall &call, TimePoint deadline, HttpHandler handler)
@@ -155,7 +162,7 @@
             self->fail(connection, false, "connect", error);
             return;
         }
-        setLastingOptions(connection->stream.socket());
+        setStoreOptions(connection->stream.socket());
         self->send(connection);
     });
 }
@@ -209,6 +216,9 @@
 {
     std::erase(busy, connection);
     connection->stream.close();
+    if (wasSilent(error)) {
+        idle.clear();
+    }
     const HttpHandler handler = std::exchange(connection->handler, nullptr);
     handler(tl::make_unexpected(HttpFailure{mayHaveArrived, step + " failed: " + error.message()}));
 }
