Send messages to a host over the link that it spoke on last

Cause: a host that gives a dead link up dials anew. The other side holds both for a while, and sent what it had to say, answers to questions from the new link too, over the one that was accepted first: the dead one.

Test: peernetwork_test AnswersAPeerOverTheLinkThatItUsesNow, 10 s in vain before.

--- a/src/runtime/fleet/peernetwork.cpp
+++ b/src/runtime/fleet/peernetwork.cpp
@@ -277,16 +277,19 @@
     (isRequestTraffic(message) ? m_traffic.requestBytesReceived : m_traffic.controlBytesReceived) += bytes;
 }
 
+// The one that spoke last: a host that gave a dead link up has dialled anew, and the dead one
+// still looks open here.
 Inbound *PeerNetwork::State::readyInboundOf(const std::string &host)
 {
     const auto range = m_inboundByHost.equal_range(host);
+    Inbound *latest = nullptr;
     for (auto it = range.first; it != range.second; ++it) {
         Inbound &inbound = *m_inbound.at(it->second);
-        if (inbound.link->isOpen()) {
-            return &inbound;
+        if (inbound.link->isOpen() && (latest == nullptr || inbound.link->lastReceivedAt() > latest->link->lastReceivedAt())) {
+            latest = &inbound;
         }
     }
-    return nullptr;
+    return latest;
 }
 
 // --- Timers -----------------------------------------------------------------
--- a/tests/runtime/peernetwork_test.cpp
+++ b/tests/runtime/peernetwork_test.cpp
@@ -577,6 +577,27 @@
     pair.await("the end of the link", [&] { return pair.home.linkCount() == 0; });
 }
 
+// Guards against an answer that goes over the dead connection which its asker has given up.
+BOOST_AUTO_TEST_CASE(AnswersAPeerOverTheLinkThatItUsesNow)
+{
+    Pair pair;
+    const auto dialled = [&pair] {
+        tcp::socket socket(pair.context);
+        socket.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), pair.home.port()));
+        boost::asio::write(socket, boost::asio::buffer(helloFrame(hop::protocolVersion, "asker")));
+        return socket;
+    };
+    tcp::socket givenUp = dialled();
+    pair.await("the first hello", [&] { return givenUp.available() > 0; });
+    tcp::socket used = dialled();
+    pair.await("the second hello", [&] { return used.available() > 0; });
+    const std::size_t greeting = used.available();
+    boost::asio::write(used, boost::asio::buffer(hop::encodeFrame(hop::ConfigPull{}, Clock::now())));
+    pair.await("the question", [&] { return pair.homeMessages.size() == 1; });
+    pair.home.send("asker", "127.0.0.1:1", hop::ConfigOffer{3});
+    pair.await("the answer", [&] { return used.available() > greeting; });
+}
+
 // Guards against links that are closed although the other side answers.
 BOOST_AUTO_TEST_CASE(KeepsALinkThatCarriesOnlyMessagesWhileThePeerAnswers)
 {
