Tell other hosts of a removal that a list shows

What goes wrong: the store forgets its history while a registration is removed. Readers list, and drop the upstream; the revision that they tell others of rose only with objects that are there, so the others held on to an upstream that is gone until some other registration changed.

Test: discoveredconfiguration_test TellEachOtherOfARemovalThatAListShows, 15 s in vain before.

--- a/src/runtime/configuration/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -155,6 +155,10 @@
     const bool isFirst = !isKnown();
     const bool differs = isFirst || objects != m_objects;
     m_revision = page.revision;
+    if (std::ranges::any_of(m_objects, [&objects](const auto &known) { return !objects.contains(known.first); })) {
+        // A list does not say when an object was removed.
+        noteContent(m_revision);
+    }
     if (differs) {
         m_objects = std::move(objects);
         m_hooks.changed(m_objects);
--- a/tests/runtime/discoveredconfiguration_test.cpp
+++ b/tests/runtime/discoveredconfiguration_test.cpp
@@ -130,6 +130,21 @@
     BOOST_TEST(fleet.runUntil([&] { return fleet.allHave(2); }));
 }
 
+// Guards against hosts that keep an upstream which its readers know to be gone, as they found it missing in a list.
+BOOST_AUTO_TEST_CASE(TellEachOtherOfARemovalThatAListShows)
+{
+    StoreFleet fleet(6, 8);
+    fleet.store.put("registrations", "upstream-1", {{"term", 1}});
+    fleet.configure(1);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allKnowUpstreams(1); }));
+    fleet.store.setDown(true);
+    fleet.run(milliseconds{200});
+    fleet.store.remove("registrations", "upstream-1");
+    fleet.store.forgetHistory();
+    fleet.store.setDown(false);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.allKnowUpstreams(0); }, milliseconds{15000}));
+}
+
 // A host that starts while the store is down gets what the others hold.
 BOOST_AUTO_TEST_CASE(GiveItToNewcomers)
 {
--- a/tests/runtime/storefleet.h
+++ b/tests/runtime/storefleet.h
@@ -249,6 +249,15 @@
         return true;
     }
 
+    // Whether each host knows of that many upstreams.
+    bool allKnowUpstreams(std::size_t count) const
+    {
+        return std::ranges::all_of(m_hosts, [count](const auto &entry) {
+            const auto current = entry.second->source->current();
+            return current && current->databases.front().upstreams.size() == count;
+        });
+    }
+
     boost::asio::io_context context{1};
     SharedStore store{context};
     std::uint64_t newest = 0;
@@ -275,7 +284,7 @@
         hop::HopMessage message;
     };
 
-    static tl::expected<Configuration, Error> translate(const NamedObjects &intent, const RegisteredUpstreams &)
+    static tl::expected<Configuration, Error> translate(const NamedObjects &intent, const RegisteredUpstreams &upstreams)
     {
         const auto found = intent.find("main");
         if (found == intent.end()) {
@@ -283,6 +292,10 @@
         }
         Configuration configuration;
         configuration.version = found->second["version"].get<std::uint64_t>();
+        configuration.databases.emplace_back();
+        for (const auto &[name, registered] : upstreams) {
+            configuration.databases.back().upstreams.push_back(registered.upstream);
+        }
         return configuration;
     }
 
