Ask for a newer copy again without another word of it

Between the requests lie 1.6 and 1.8 s, not the 1 s that they are spaced by: a request is only repeated when another heartbeat brings the news, and with links dead on all sides few do.

Change: a host remembers the newest copy that it heard of and who holds it, and looks at that with its timer.

--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -138,6 +138,9 @@
     TimePoint m_pullBefore;
     // Since when this host has known of something newer than it has.
     std::optional<TimePoint> m_behindSince;
+    // The newest copy that was heard of, and a host that holds it.
+    CatalogVersion m_newest;
+    std::string m_newestAt;
     bool m_stopped = false;
     CollectionFollower m_intentFollower;
     CollectionFollower m_registrationFollower;
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -69,6 +69,10 @@
     if (const auto next = m_duty.handsOverTo(now)) {
         m_hooks.send(*next, hop::CatalogOffer{version(), false});
     }
+    // Words and answers are lost at times: who is behind does not wait for another word.
+    if (through().lacks(m_newest)) {
+        hearOf(m_newestAt, m_newest);
+    }
     lookAgain();
 }
 
@@ -161,6 +165,8 @@
         m_behindSince.reset();
         return;
     }
+    m_newest = told;
+    m_newestAt = host;
     if (m_current && host != m_zoneReader) {
         m_behindSince = m_behindSince.value_or(now);
         if (now < *m_behindSince + newsPatience) {
--- a/tests/runtime/discoveredconfiguration_test.cpp
+++ b/tests/runtime/discoveredconfiguration_test.cpp
@@ -145,6 +145,38 @@
     BOOST_TEST(fleet.runUntil([&] { return fleet.allKnowUpstreams(0); }, milliseconds{15000}));
 }
 
+// Guards against a host that stays behind because one answer was lost and no heartbeat comes.
+BOOST_AUTO_TEST_CASE(AskAgainWithoutAnotherWord)
+{
+    boost::asio::io_context context{1};
+    egrettide::test::SharedStore store{context};
+    store.put("intent", "main", {{"version", 1}});
+    int asked = 0;
+    ConfigurationKeeperHooks hooks;
+    hooks.accepted = [](const std::shared_ptr<const Configuration> &) {};
+    hooks.send = [&asked](const std::string &, const hop::HopMessage &message) {
+        asked += std::holds_alternative<hop::CatalogPull>(message) ? 1 : 0;
+    };
+    hooks.someHosts = [](std::size_t) { return std::vector<std::string>{}; };
+    hooks.zone = [] { return ZoneHosts{true, {"reader", "self"}, {"reader"}}; };
+    DiscoveryParts parts{
+        store.sourceFor("self", "intent"), store.sourceFor("self", "registrations"),
+        [](const std::string &, const nlohmann::json &) -> tl::expected<RegisteredUpstream, Error> {
+            return RegisteredUpstream{};
+        },
+        [](const NamedObjects &, const RegisteredUpstreams &) -> tl::expected<Configuration, Error> { return Configuration{}; }};
+    DiscoveredConfiguration source(context, "self", std::move(parts), std::move(hooks));
+    source.start();
+    context.run_until(Clock::now() + milliseconds{100});
+    BOOST_TEST_REQUIRE(source.current() != nullptr);
+    source.heardOf("other", CatalogVersion{100, 0}.packed());
+    for (const TimePoint end = Clock::now() + milliseconds{10000}; asked < 3 && Clock::now() < end;) {
+        context.run_for(std::chrono::milliseconds(10));
+    }
+    source.stop();
+    BOOST_TEST(asked == 3);
+}
+
 // A host that starts while the store is down gets what the others hold.
 BOOST_AUTO_TEST_CASE(GiveItToNewcomers)
 {
