Look at all links of a host when one of them is silent

Each link was found dead by losing a message first.

Test: peernetwork_test LooksAtItsOtherLinksWhenOneIsSilent, 10 s in vain before.

--- a/src/runtime/fleet/peernetwork.cpp
+++ b/src/runtime/fleet/peernetwork.cpp
@@ -232,10 +232,22 @@
         log::info("peer_link_silent",
                   {{"peer", peer}, {"silent_ms", std::chrono::duration_cast<milliseconds>(now - heardAt).count()}});
         link.close();
+        doubtAll(now);
         break;
     }
 }
 
+// Links often go silent together, and each of them would lose what is sent on it first.
+void PeerNetwork::State::doubtAll(TimePoint now)
+{
+    for (const auto &[host, to] : m_outbound) {
+        to->probe.onMessageSent(now);
+    }
+    for (const auto &[id, from] : m_inbound) {
+        from->probe.onMessageSent(now);
+    }
+}
+
 LinkProbeOptions PeerNetwork::State::probing() const
 {
     LinkProbeOptions options;
--- a/src/runtime/fleet/peernetworkstate.h
+++ b/src/runtime/fleet/peernetworkstate.h
@@ -187,6 +187,7 @@
     void keepOutbound(Outbound &to, TimePoint now);
     LinkProbeOptions probing() const;
     void sendMessage(PeerLink &link, LinkProbe &probe, const hop::HopMessage &message);
+    void doubtAll(TimePoint now);
     void probe(PeerLink &link, LinkProbe &probe, const std::string &peer, bool working, TimePoint now);
     void closeIdle(Outbound &to);
     void keepInbound(Inbound &from, TimePoint now);
--- a/tests/runtime/peernetwork_test.cpp
+++ b/tests/runtime/peernetwork_test.cpp
@@ -577,6 +577,22 @@
     pair.await("the end of the link", [&] { return pair.home.linkCount() == 0; });
 }
 
+// Guards against news that each link of a host loses in turn after all of them went silent together.
+BOOST_AUTO_TEST_CASE(LooksAtItsOtherLinksWhenOneIsSilent)
+{
+    Pair pair;
+    RawPeer idle(pair.context, helloFrame(hop::protocolVersion, "idle"));
+    pair.front.send("idle", idle.address(), hop::ConfigOffer{1});
+    pair.await("a link", [&] { return pair.front.linkCount() == 1; });
+    boost::asio::write(*idle.sockets.front(), boost::asio::buffer(hop::encodeFrame(hop::ConfigOffer{1}, Clock::now())));
+    const TimePoint quietEnd = Clock::now() + milliseconds{1500};
+    pair.await("some quiet time", [&] { return Clock::now() >= quietEnd; });
+    BOOST_TEST_REQUIRE(pair.front.linkCount() == 1U, "nothing was due on a link whose peer had spoken last");
+    RawPeer silent(pair.context, helloFrame(hop::protocolVersion, "silent"));
+    pair.front.send("silent", silent.address(), hop::ConfigOffer{2});
+    pair.await("the end of both links", [&] { return silent.sockets.size() == 1 && pair.front.linkCount() == 0; });
+}
+
 // Guards against an answer that goes over the dead connection which its asker has given up.
 BOOST_AUTO_TEST_CASE(AnswersAPeerOverTheLinkThatItUsesNow)
 {
