--- a/include/egrettide/core/linkprobe.h
+++ b/include/egrettide/core/linkprobe.h
@@ -32,19 +32,20 @@
 public:
     explicit LinkProbe(LinkProbeOptions options = {});
 
-    // A message was sent that the other side need not answer on this connection.
-    void onMessageSent(TimePoint now);
+    // A message was sent that the other side need not answer on this connection, or there is
+    // another reason to doubt that anything arrives.
+    void doubt(TimePoint now);
     // What is due. `heardAt` is when the last byte came; `working` says that somebody waits for
     // an answer over this connection. With Ping the caller sends one, which the other side answers.
     LinkProbeStep next(TimePoint heardAt, bool working, TimePoint now);
-    // Whether messages were sent since the last byte came.
+    // Whether nothing has come since the last doubt.
     bool isUnproven(TimePoint heardAt) const;
     // Whether a probe was answered by nothing so far.
     bool isSilent() const;
 
 private:
     const LinkProbeOptions m_options;
-    TimePoint m_messageAt;
+    TimePoint m_doubtedAt;
     TimePoint m_pingAt;
     int m_missed = 0;
 };
--- a/src/core/fleet/linkprobe.cpp
+++ b/src/core/fleet/linkprobe.cpp
@@ -12,14 +12,14 @@
 {
 }
 
-void LinkProbe::onMessageSent(TimePoint now)
+void LinkProbe::doubt(TimePoint now)
 {
-    m_messageAt = now;
+    m_doubtedAt = now;
 }
 
 bool LinkProbe::isUnproven(TimePoint heardAt) const
 {
-    return heardAt < m_messageAt;
+    return heardAt < m_doubtedAt;
 }
 
 bool LinkProbe::isSilent() const
--- a/src/runtime/fleet/peerinbound.cpp
+++ b/src/runtime/fleet/peerinbound.cpp
@@ -39,7 +39,7 @@
 void PeerNetwork::State::onAccepted(tcp::socket socket)
 {
     const std::uint64_t id = ++m_lastLinkId;
-    auto from = std::make_unique<Inbound>(probing());
+    auto from = std::make_unique<Inbound>(m_probing);
     from->peer.link = id;
     from->acceptedAt = Clock::now();
     from->link = std::make_shared<PeerLink>(std::move(socket), m_options.queueBytes);
@@ -184,7 +184,7 @@
     const bool working = !from.served.empty() || !from.transactions.empty();
     // One interval more than the dialler allows: the side that can tell its
     // caller what happened should notice first.
-    const Clock::duration workingSilence = m_options.pingInterval * (probing().mostMissed + 1);
+    const Clock::duration workingSilence = m_options.pingInterval * (m_probing.mostMissed + 1);
     const Clock::duration idleSilence = m_options.idleTimeout * silentIdleTimeouts;
     const Clock::duration silence = now - from.link->lastReceivedAt();
     const bool noHello = !from.ready && now - from.acceptedAt > m_options.connectTimeout;
--- a/src/runtime/fleet/peernetwork.cpp
+++ b/src/runtime/fleet/peernetwork.cpp
@@ -215,7 +215,7 @@
     writeMessage(link, message);
     // Membership notices by itself that a heartbeat is not answered, and sends several a second.
     if (!std::holds_alternative<hop::Gossip>(message)) {
-        probe.onMessageSent(Clock::now());
+        probe.doubt(Clock::now());
     }
 }
 
@@ -241,22 +241,13 @@
 void PeerNetwork::State::doubtAll(TimePoint now)
 {
     for (const auto &[host, to] : m_outbound) {
-        to->probe.onMessageSent(now);
+        to->probe.doubt(now);
     }
     for (const auto &[id, from] : m_inbound) {
-        from->probe.onMessageSent(now);
+        from->probe.doubt(now);
     }
 }
 
-LinkProbeOptions PeerNetwork::State::probing() const
-{
-    LinkProbeOptions options;
-    options.pingInterval = m_options.pingInterval;
-    options.quietInterval = m_options.quietInterval;
-    options.messageInterval = m_options.messageInterval;
-    return options;
-}
-
 void PeerNetwork::State::deliver(const PeerRef &from, hop::HopMessage message)
 {
     if (m_hooks.onMessage) {
@@ -306,16 +297,20 @@
 
 // --- Timers -----------------------------------------------------------------
 
-// Silence matters only while somebody waits for a peer, or news may have been lost.
+// Silence matters while somebody waits for a peer, and less so while news may have been lost.
 milliseconds PeerNetwork::State::housekeepingInterval() const
 {
     const auto isUnproven = [](const auto &entry) {
         const auto &side = *entry.second;
         return side.link && side.probe.isUnproven(side.link->lastReceivedAt());
     };
-    const bool isWaiting = std::ranges::any_of(m_outbound, [](const auto &entry) { return !entry.second->pending.empty(); })
-        || std::ranges::any_of(m_outbound, isUnproven) || std::ranges::any_of(m_inbound, isUnproven);
-    return std::min(isWaiting ? m_options.quietInterval : m_options.pingInterval, m_options.pingInterval) / 2;
+    milliseconds interval = m_options.pingInterval;
+    if (std::ranges::any_of(m_outbound, [](const auto &entry) { return !entry.second->pending.empty(); })) {
+        interval = std::min(interval, m_options.quietInterval);
+    } else if (std::ranges::any_of(m_outbound, isUnproven) || std::ranges::any_of(m_inbound, isUnproven)) {
+        interval = std::min(interval, m_options.messageInterval);
+    }
+    return interval / 2;
 }
 
 void PeerNetwork::State::scheduleHousekeeping()
@@ -336,7 +331,7 @@
     // After a pause of this process what peers sent meanwhile is still unread:
     // judging their silence now would cut links that are fine.
     if (now - m_keptHouseAt > m_options.pingInterval * 2) {
-        m_judgesSilenceFrom = now + m_options.pingInterval * probing().mostMissed;
+        m_judgesSilenceFrom = now + m_options.pingInterval * m_probing.mostMissed;
     }
     m_keptHouseAt = now;
     for (const auto &[host, to] : m_outbound) {
--- a/src/runtime/fleet/peernetworkstate.h
+++ b/src/runtime/fleet/peernetworkstate.h
@@ -105,6 +105,7 @@
     State(boost::asio::io_context &context, PeerNetworkOptions options, PeerNetworkHooks hooks)
         : m_context(context)
         , m_options(std::move(options))
+        , m_probing{m_options.pingInterval, m_options.quietInterval, m_options.messageInterval}
         , m_hooks(std::move(hooks))
         , m_acceptor(context)
         , m_housekeeping(context)
@@ -185,10 +186,9 @@
     milliseconds housekeepingInterval() const;
     void keepHouse();
     void keepOutbound(Outbound &to, TimePoint now);
-    LinkProbeOptions probing() const;
     void sendMessage(PeerLink &link, LinkProbe &probe, const hop::HopMessage &message);
-    void doubtAll(TimePoint now);
     void probe(PeerLink &link, LinkProbe &probe, const std::string &peer, bool working, TimePoint now);
+    void doubtAll(TimePoint now);
     void closeIdle(Outbound &to);
     void keepInbound(Inbound &from, TimePoint now);
     Deadlines::iterator armDeadline(TimePoint deadline, const DeadlineKey &key);
@@ -197,6 +197,7 @@
 
     boost::asio::io_context &m_context;
     const PeerNetworkOptions m_options;
+    const LinkProbeOptions m_probing;
     PeerNetworkHooks m_hooks;
     tcp::acceptor m_acceptor;
     Timer m_housekeeping;
--- a/src/runtime/fleet/peeroutbound.cpp
+++ b/src/runtime/fleet/peeroutbound.cpp
@@ -30,7 +30,7 @@
 {
     std::unique_ptr<Outbound> &entry = m_outbound[peer];
     if (!entry) {
-        entry = std::make_unique<Outbound>(probing());
+        entry = std::make_unique<Outbound>(m_probing);
         entry->host = peer;
         entry->address = address;
     }
@@ -41,7 +41,7 @@
         if (entry->link) {
             entry->link->abandon();
         }
-        entry = std::make_unique<Outbound>(probing());
+        entry = std::make_unique<Outbound>(m_probing);
         entry->host = peer;
         entry->address = address;
     }
--- a/tests/core/linkprobe_test.cpp
+++ b/tests/core/linkprobe_test.cpp
@@ -55,7 +55,7 @@
     Connection connection;
     connection.answers = false;
     connection.now += milliseconds{5000};
-    connection.probe.onMessageSent(connection.now);
+    connection.probe.doubt(connection.now);
     connection.run(milliseconds{1000});
     BOOST_TEST(connection.isLost);
 }
@@ -64,7 +64,7 @@
 {
     Connection connection;
     for (int i = 0; i < 100; ++i) {
-        connection.probe.onMessageSent(connection.now);
+        connection.probe.doubt(connection.now);
         connection.run(milliseconds{100});
     }
     BOOST_TEST(!connection.isLost);
@@ -75,7 +75,7 @@
 {
     Connection connection;
     for (int i = 0; i < 500; ++i) {
-        connection.probe.onMessageSent(connection.now);
+        connection.probe.doubt(connection.now);
         connection.run(milliseconds{20});
     }
     const int most = 10000 / static_cast<int>(LinkProbeOptions{}.pingInterval.count()) + 1;
