--- /dev/null
+++ b/src/core/configuration/storeepoch.cpp
@@ -0,0 +1,35 @@
+// Follows the epoch of a store.
+
+#include "egrettide/core/storeepoch.h"
+
+#include <charconv>
+
+namespace egrettide
+{
+
+EpochNews StoreEpochTracker::onAnswer(std::string_view text)
+{
+    if (text.empty()) {
+        return EpochNews::Current;
+    }
+    std::uint64_t epoch = 0;
+    const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), epoch);
+    if (failed != std::errc() || end != text.data() + text.size()) {
+        return EpochNews::Malformed;
+    }
+    if (epoch < m_current) {
+        return EpochNews::Fallen;
+    }
+    if (epoch == m_current) {
+        return EpochNews::Current;
+    }
+    m_current = epoch;
+    return EpochNews::Advanced;
+}
+
+std::uint64_t StoreEpochTracker::current() const
+{
+    return m_current;
+}
+
+} // namespace egrettide
--- a/src/runtime/configuration/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -145,6 +145,7 @@
 bool CollectionFollower::take(const CollectionPage &page)
 {
     if (page.revision <= m_revision) {
+        noteOlder(page.revision);
         return false;
     }
     std::map<std::string, nlohmann::json> objects;
@@ -166,6 +167,15 @@
     return differs && !isFirst;
 }
 
+// Once for each state that is known here: a store that lists it again and again is told of once.
+void CollectionFollower::noteOlder(std::uint64_t listed)
+{
+    if (listed < m_revision && m_olderNotedAt != m_revision) {
+        m_olderNotedAt = m_revision;
+        m_hooks.olderListed(listed, m_revision);
+    }
+}
+
 void CollectionFollower::pauseAfterChange()
 {
     m_listsNext = isBulky();
--- a/src/runtime/configuration/collection.h
+++ b/src/runtime/configuration/collection.h
@@ -69,6 +69,8 @@
     std::function<void(const std::map<std::string, nlohmann::json> &objects)> changed;
     // The store does not answer any more, or does again.
     std::function<void(bool reached)> reachability;
+    // The store listed an older state than is known here, and it was not taken.
+    std::function<void(std::uint64_t listed, std::uint64_t known)> olderListed = [](std::uint64_t, std::uint64_t) {};
     // How long an answer of that size should keep the next call waiting at least.
     std::function<milliseconds(std::size_t bytes)> pauseAfter = [](std::size_t) { return milliseconds{0}; };
 };
@@ -105,6 +107,7 @@
 private:
     void list();
     bool take(const CollectionPage &page);
+    void noteOlder(std::uint64_t listed);
     void pauseAfterChange();
     bool isBulky() const;
     TimePoint listDeadline() const;
@@ -125,6 +128,8 @@
     std::uint64_t m_revision = 0;
     // Invariant: m_contentRevision <= m_revision.
     std::uint64_t m_contentRevision = 0;
+    // The state that the last report of an older list was about.
+    std::uint64_t m_olderNotedAt = 0;
     bool m_waits = false;
     // True while changes are looked up by listing: what came in a row then comes once.
     bool m_listsNext = false;
--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -27,17 +27,24 @@
     , m_lookTimer(control)
     , m_pushTimer(control)
     , m_duty(std::move(self), m_hooks.reader)
-    , m_intentFollower(control, m_parts.intent,
-                       CollectionFollowerHooks{[this](const NamedObjects &) { onIntentChanged(); },
-                                               [this](bool reached) { onReachability("store_intent", reached); },
-                                               [this](std::size_t bytes) { return timeOfBulk(bytes); }})
+    , m_intentFollower(control, m_parts.intent, followerHooks("store_intent", [this] { onIntentChanged(); }))
     , m_registrationFollower(control, m_parts.registrations,
-                             CollectionFollowerHooks{[this](const NamedObjects &) { onRegistrationsChanged(); },
-                                                     [this](bool reached) { onReachability("store_registrations", reached); },
-                                                     [this](std::size_t bytes) { return timeOfBulk(bytes); }})
+                             followerHooks("store_registrations", [this] { onRegistrationsChanged(); }))
 {
 }
 
+CollectionFollowerHooks DiscoveredConfiguration::followerHooks(std::string_view collection, std::function<void()> changed)
+{
+    CollectionFollowerHooks hooks;
+    hooks.changed = [changed = std::move(changed)](const NamedObjects &) { changed(); };
+    hooks.reachability = [this, collection](bool reached) { onReachability(collection, reached); };
+    hooks.olderListed = [collection](std::uint64_t listed, std::uint64_t known) {
+        log::warning("store_list_older", {{"collection", std::string(collection)}, {"listed", listed}, {"known", known}});
+    };
+    hooks.pauseAfter = [this](std::size_t bytes) { return timeOfBulk(bytes); };
+    return hooks;
+}
+
 void DiscoveredConfiguration::start()
 {
     m_intentFollower.start();
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -81,6 +81,7 @@
     std::uint64_t refusedRegistrations() const;
 
 private:
+    CollectionFollowerHooks followerHooks(std::string_view collection, std::function<void()> changed);
     void onIntentChanged();
     void onRegistrationsChanged();
     void takeRegistrations(const NamedObjects &registrations);
--- a/src/runtime/store/httpclient.cpp
+++ b/src/runtime/store/httpclient.cpp
@@ -208,7 +208,7 @@
     if (response.keep_alive() && idle.size() < MaxIdleConnections) {
         idle.push_back(connection);
     }
-    handler(HttpAnswer{response.result(), std::move(response.body())});
+    handler(HttpAnswer{response.result(), std::move(response.body()), std::move(response.base())});
 }
 
 void HttpClient::State::fail(const ConnectionPtr &connection, bool mayHaveArrived, const std::string &step,
--- a/src/runtime/store/httpclient.h
+++ b/src/runtime/store/httpclient.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <tl/expected.hpp>
@@ -27,6 +28,7 @@
 struct HttpAnswer {
     boost::beast::http::status status = boost::beast::http::status::unknown;
     std::string body;
+    boost::beast::http::fields headers = {};
 };
 
 // Why there is no answer.
