Reproduce: hosts stay deaf to a store that was restored from a copy

The stand-in of the platform can take a copy of its kinds and go back to it: its revisions go back, a watch from one that it does not have gets 410, waiting watches are cut and the header of the epoch rises.

restoredstore_test IsFollowedFromWhereItGoesOn fails after its 60 s: three hosts serve the route that version 26 removed and refuse the one that it added, with store_list_older (listed 12, known 128) at each.

--- a/testing/platform/kindstore.cpp
+++ b/testing/platform/kindstore.cpp
@@ -112,7 +112,7 @@
 
 std::optional<KindAnswer> KindStore::changes(const std::string &kind, std::uint64_t since) const
 {
-    if (since < m_forgotten) {
+    if (since < m_forgotten || since > m_revision) {
         return KindAnswer{statusGone, json::object()};
     }
     json events = json::array();
--- a/testing/platform/platformstandin.cpp
+++ b/testing/platform/platformstandin.cpp
@@ -183,6 +183,9 @@
     int callsToRefuse = 0;
     int changesToDelay = 0;
     KindStore kinds;
+    KindStore copy;
+    // Named with every answer; empty for a store that names none.
+    std::string epoch;
     std::vector<std::function<void()>> lateChanges;
     std::function<bool(const PromotionOrder &)> promote;
     std::function<void(const json &)> members;
@@ -191,6 +194,7 @@
     std::map<std::string, std::uint64_t> fences;
 
     void wakeKindWatches();
+    void cutKindWatches();
     // Decides one call; Wait means that `finish` is run later.
     Outcome handle(const Request &request, const std::function<void(Outcome)> &finish);
     void setDown(bool isDown);
@@ -299,6 +303,9 @@
         }
         m_response = Response{outcome.status, m_request.version()};
         m_response.keep_alive(m_request.keep_alive());
+        if (!m_server.epoch.empty()) {
+            m_response.set("Store-Era", m_server.epoch);
+        }
         if (outcome.status != http::status::not_modified) {
             m_response.set(http::field::content_type, "application/json");
             m_response.body() = outcome.body.dump();
@@ -707,15 +714,20 @@
     }
 }
 
+void PlatformStandIn::Server::cutKindWatches()
+{
+    for (auto &[id, watch] : std::exchange(m_kindWatches, {})) {
+        watch.finish({Outcome::Kind::Close, {}, {}});
+    }
+}
+
 void PlatformStandIn::Server::setDown(bool isDown)
 {
     down = isDown;
     if (!down) {
         return;
     }
-    for (auto &[id, watch] : std::exchange(m_kindWatches, {})) {
-        watch.finish({Outcome::Kind::Close, {}, {}});
-    }
+    cutKindWatches();
     while (!m_watches.empty()) {
         finishWatch(m_watches.begin()->first, {Outcome::Kind::Close, {}, {}});
     }
@@ -820,6 +832,25 @@
     });
 }
 
+void PlatformStandIn::takeCopy()
+{
+    m_server->run([](Server &server) { server.copy = server.kinds; });
+}
+
+void PlatformStandIn::restoreCopy()
+{
+    m_server->run([](Server &server) {
+        server.kinds = server.copy;
+        server.epoch = std::to_string(server.epoch.empty() ? 1 : std::stoull(server.epoch) + 1);
+        server.cutKindWatches();
+    });
+}
+
+void PlatformStandIn::setEpoch(std::string epoch)
+{
+    m_server->run([&epoch](Server &server) { server.epoch = std::move(epoch); });
+}
+
 void PlatformStandIn::setPageSize(std::size_t objects)
 {
     m_server->run([objects](Server &server) { server.kinds.pageSize = objects; });
--- a/testing/platform/platformstandin.h
+++ b/testing/platform/platformstandin.h
@@ -93,6 +93,12 @@
     void refuseNextCalls(int count);
     // Watches from before are answered 410.
     void forgetHistory();
+    // Keeps a copy of all kinds; restoreCopy() goes back to it, cuts waiting watches and
+    // begins the next epoch. Promotions and their fences are not part of it.
+    void takeCopy();
+    void restoreCopy();
+    // What answers name as the store's epoch from now on; empty names none.
+    void setEpoch(std::string epoch);
     void setPageSize(std::size_t objects);
     // Carries promotions out; false stands for an upstream that is not running.
     void onPromotion(std::function<bool(const PromotionOrder &)> hook);
--- /dev/null
+++ b/tests/platform/restoredstore_test.cpp
@@ -0,0 +1,83 @@
+// Hosts whose store comes back from an older copy of itself.
+
+#define BOOST_TEST_MODULE RestoredStore
+#include <boost/test/unit_test.hpp>
+
+#include "platformsite.h"
+
+using namespace egrettide;
+using egrettide::test::eventually;
+using egrettide::test::LineClient;
+using egrettide::test::PlatformSite;
+
+namespace
+{
+
+// Changes of an upstream's registration that the copy lacks: what the store's counter loses.
+constexpr int lostChanges = 40;
+
+class Site : public PlatformSite
+{
+public:
+    Site() : PlatformSite(3)
+    {
+        platform.setEpoch("1");
+    }
+
+    // Whether every host lets callers of that route in.
+    bool allServe(const std::string &route) const
+    {
+        return std::ranges::all_of(addresses, [&route](const std::string &address) { return lets(address, route); });
+    }
+
+    bool noneServes(const std::string &route) const
+    {
+        return std::ranges::none_of(addresses, [&route](const std::string &address) { return lets(address, route); });
+    }
+
+    // Upstreams write their registrations.
+    void registerUpstreams(int sequence)
+    {
+        for (const char *member : {"m1", "m2", "m3"}) {
+            nlohmann::json registration = group.registration(member);
+            registration["sequence"] = sequence;
+            platform.putObject("servers", member, registration);
+        }
+    }
+
+    // Takes a copy, makes changes of which a route is the last, and goes back to the copy.
+    void restoreAfterLosing(int version, const std::string &route)
+    {
+        platform.takeCopy();
+        for (int i = 0; i < lostChanges; ++i) {
+            registerUpstreams(100 + i);
+        }
+        configure(version, {route});
+        BOOST_TEST_REQUIRE(eventually([&] { return allServe(route); }));
+        platform.restoreCopy();
+    }
+
+private:
+    static bool lets(const std::string &address, const std::string &route)
+    {
+        LineClient client(address);
+        return client.start(route).state == 'I';
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AStoreRestoredFromACopy, Site)
+
+// Guards against hosts that ignore the store until its revisions have passed what they know.
+BOOST_AUTO_TEST_CASE(IsFollowedFromWhereItGoesOn)
+{
+    restoreAfterLosing(22, "removed");
+    registerUpstreams(200);
+    configure(22, {"removed"});
+    configure(26, {"added"});
+    BOOST_TEST(eventually([this] { return noneServes("removed"); }), "a removed route is still served");
+    BOOST_TEST(allServe("added"), "an added route is refused");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
