Tell versions of catalogs whole in heartbeats

Hypothesis: heartbeats stop telling of news after 2^32 changes of the store.

Cause, found while planning to order revisions by epoch: a heartbeat carried one number, the intent's revision in its upper and the registrations' in its lower half. With 2,040 upstreams that write every 1.2 s the lower half is full after 29 days. The next number is lower, a host announces no lower number, and until the upper half changes, hosts that only heartbeats reach hear of no registration.

Change: heartbeats, records and version notes carry both numbers; they are ordered as a pair. A version note takes 24 bytes instead of 16.

The tests that set a configuration's version set the first number of the pair; their checks are the same.

--- a/bench/membership_scale.cpp
+++ b/bench/membership_scale.cpp
@@ -89,14 +89,14 @@
     bool all = true;
     for (const std::string &name : names) {
         Membership &host = fleet.host(name);
-        if (host.self().configurationVersion == version) {
+        if (host.self().catalogVersion.intent == version) {
             continue;
         }
         all = false;
-        const auto holder = host.holderOfHighestConfiguration();
-        if (holder && fleet.host(*holder).self().configurationVersion == version) {
+        const auto holder = host.holderOfHighestCatalog();
+        if (holder && fleet.host(*holder).self().catalogVersion.intent == version) {
             fleet.apply(name, [version](Membership &self, TimePoint) {
-                self.setConfigurationVersion(version);
+                self.setCatalogVersion({version, 0});
                 return std::vector<GossipSend>{};
             });
         }
@@ -115,11 +115,11 @@
     const Rate idle = measure(fleet, hosts, seconds{30});
 
     const auto names = fleet.names();
-    fleet.host("h3").setConfigurationVersion(1);
+    fleet.host("h3").setCatalogVersion({1, 0});
     const auto inForce = fleet.runUntil(seconds{60}, [&] { return pullOnce(fleet, names, 1); });
     fleet.runFor(seconds{100});
     // One change as often as 530 a day make it: every 163 s.
-    fleet.host("h3").setConfigurationVersion(2);
+    fleet.host("h3").setCatalogVersion({2, 0});
     fleet.runUntil(seconds{60}, [&] { return pullOnce(fleet, names, 2); });
     const Rate changing = measure(fleet, hosts, seconds{163});
 
--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include "egrettide/core/catalogversion.h"
 #include "egrettide/core/partitiondetector.h"
 #include "egrettide/core/placement.h"
 #include "egrettide/core/types.h"
@@ -42,8 +43,8 @@
     HostHealth health = HostHealth::Live;
     // Set by the host itself only, with a raised incarnation.
     bool leaving = false;
-    // The configuration in force there, as far as heard.
-    std::uint64_t configurationVersion = 0;
+    // Of the copy that the host has, as far as heard.
+    CatalogVersion catalogVersion = {};
 
     bool operator==(const HostRecord &) const = default;
 };
@@ -66,11 +67,11 @@
     bool operator==(const HealthNote &) const = default;
 };
 
-// The configuration version in force at one host, as a pair of numbers, since
-// after each change of configuration every host has one to tell.
+// The version of one host's copy, without names, since after each change of the catalog
+// every host has one to tell.
 struct VersionNote {
     std::uint64_t hostKey = 0;
-    std::uint64_t version = 0;
+    CatalogVersion version = {};
 
     bool operator==(const VersionNote &) const = default;
 };
@@ -99,8 +100,8 @@
     // Whom a ping is meant for, or whom a PingRequest or IndirectAck is about.
     std::string target;
     std::string targetAddress;
-    // The configuration version in force at the sender.
-    std::uint64_t configurationVersion = 0;
+    // Of the sender's copy.
+    CatalogVersion catalogVersion = {};
     // One number for the sender's whole view; equal views have equal digests.
     std::uint64_t digest = 0;
     // Sent only once the two views are known to differ.
@@ -203,11 +204,11 @@
     std::vector<GossipSend> leave(TimePoint now);
     // Announces that this host is gone. Call it last, when the drain is over.
     std::vector<GossipSend> depart(TimePoint now);
-    // Announces the configuration version now in force here.
-    void setConfigurationVersion(std::uint64_t version);
-    // The highest version heard of, and a host that has it in force.
-    std::uint64_t highestConfigurationVersion() const;
-    std::optional<std::string> holderOfHighestConfiguration() const;
+    // Announces the version of the copy that this host has now.
+    void setCatalogVersion(const CatalogVersion &version);
+    // The highest version heard of, and a host that has it.
+    CatalogVersion highestCatalogVersion() const;
+    std::optional<std::string> holderOfHighestCatalog() const;
 
     // The current view; the same pointer until something changes.
     std::shared_ptr<const MembershipView> view() const;
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -185,24 +185,24 @@
     return sends;
 }
 
-void Membership::State::setConfigurationVersion(std::uint64_t version)
+void Membership::State::setCatalogVersion(const CatalogVersion &version)
 {
-    if (version <= m_self.configurationVersion) {
+    if (version <= m_self.catalogVersion) {
         return;
     }
-    m_self.configurationVersion = version;
+    m_self.catalogVersion = version;
     m_table.applyVersion(m_table.find(m_self.name)->key, version, rumorCount());
     // The next heartbeat leaves at once.
     m_nextPeriodAt = m_lastTickAt;
 }
 
-std::pair<std::uint64_t, std::optional<std::string>> Membership::State::highestConfiguration() const
+std::pair<CatalogVersion, std::optional<std::string>> Membership::State::highestCatalog() const
 {
-    std::pair<std::uint64_t, std::optional<std::string>> highest{m_self.configurationVersion, std::nullopt};
+    std::pair<CatalogVersion, std::optional<std::string>> highest{m_self.catalogVersion, std::nullopt};
     for (const auto &[name, member] : m_table.members()) {
-        const bool higher = member.record.configurationVersion > highest.first;
+        const bool higher = member.record.catalogVersion > highest.first;
         if (higher && member.record.health != HostHealth::Dead) {
-            highest = {member.record.configurationVersion, name};
+            highest = {member.record.catalogVersion, name};
         }
     }
     return highest;
@@ -297,19 +297,19 @@
     return m_state->depart(now);
 }
 
-void Membership::setConfigurationVersion(std::uint64_t version)
+void Membership::setCatalogVersion(const CatalogVersion &version)
 {
-    m_state->setConfigurationVersion(version);
+    m_state->setCatalogVersion(version);
 }
 
-std::uint64_t Membership::highestConfigurationVersion() const
+CatalogVersion Membership::highestCatalogVersion() const
 {
-    return m_state->highestConfiguration().first;
+    return m_state->highestCatalog().first;
 }
 
-std::optional<std::string> Membership::holderOfHighestConfiguration() const
+std::optional<std::string> Membership::holderOfHighestCatalog() const
 {
-    return m_state->highestConfiguration().second;
+    return m_state->highestCatalog().second;
 }
 
 std::shared_ptr<const MembershipView> Membership::view() const
--- a/src/core/fleet/membershipnews.cpp
+++ b/src/core/fleet/membershipnews.cpp
@@ -36,7 +36,7 @@
     message.fromAddress = m_self.peerAddress;
     message.fromIncarnation = m_self.incarnation;
     message.sequence = sequence;
-    message.configurationVersion = m_self.configurationVersion;
+    message.catalogVersion = m_self.catalogVersion;
     message.digest = m_table.digest();
     return message;
 }
@@ -215,7 +215,7 @@
     const bool firstTime = member->heardAt == TimePoint{};
     member->heardAt = now;
     m_probes.erase(message.from);
-    m_table.applyVersion(member->key, message.configurationVersion, rumorCount());
+    m_table.applyVersion(member->key, message.catalogVersion, rumorCount());
     if (firstTime) {
         buryPredecessors(*member, now);
     }
--- a/src/core/fleet/membershipstate.h
+++ b/src/core/fleet/membershipstate.h
@@ -32,8 +32,8 @@
     std::vector<GossipSend> onLinkLost(const std::string &peer, TimePoint now);
     std::vector<GossipSend> leave(TimePoint now);
     std::vector<GossipSend> depart(TimePoint now);
-    void setConfigurationVersion(std::uint64_t version);
-    std::pair<std::uint64_t, std::optional<std::string>> highestConfiguration() const;
+    void setCatalogVersion(const CatalogVersion &version);
+    std::pair<CatalogVersion, std::optional<std::string>> highestCatalog() const;
     std::shared_ptr<const MembershipView> view() const;
 
     const HostRecord &self() const
--- a/src/core/fleet/membertable.cpp
+++ b/src/core/fleet/membertable.cpp
@@ -92,7 +92,7 @@
         return true;
     }
     if (record.incarnation == known.incarnation) {
-        applyVersion(member.key, record.configurationVersion, 0);
+        applyVersion(member.key, record.catalogVersion, 0);
     }
     return false;
 }
@@ -110,17 +110,17 @@
     return record;
 }
 
-bool MemberTable::applyVersion(std::uint64_t key, std::uint64_t version, int rumors)
+bool MemberTable::applyVersion(std::uint64_t key, const CatalogVersion &version, int rumors)
 {
     const auto name = m_names.find(key);
     if (name == m_names.end()) {
         return false;
     }
     Member &member = m_members.at(name->second);
-    if (version <= member.record.configurationVersion) {
+    if (version <= member.record.catalogVersion) {
         return false;
     }
-    member.record.configurationVersion = version;
+    member.record.catalogVersion = version;
     ++m_allChanges;
     if (rumors > 0) {
         if (member.versionRumors == 0) {
@@ -156,7 +156,7 @@
 {
     const bool wasLiving = isLiving(member);
     const bool wasLeaving = member.record.leaving;
-    const std::uint64_t version = member.record.configurationVersion;
+    const CatalogVersion version = member.record.catalogVersion;
     const bool described = sameDescription(member.record, record);
     const bool sameProcess = record.incarnation == member.record.incarnation;
     m_suspects -= isSuspect(member) ? 1 : 0;
@@ -170,7 +170,7 @@
         member.heardAt = TimePoint{};
     }
     member.record = record;
-    member.record.configurationVersion = std::max(version, record.configurationVersion);
+    member.record.catalogVersion = std::max(version, record.catalogVersion);
     if (isLiving(member)) {
         count(member);
     }
@@ -314,7 +314,7 @@
     std::vector<VersionNote> notes;
     takeTurns(m_versionQueue, limit, [&](const std::string &name) {
         Member &member = m_members.at(name);
-        notes.push_back(VersionNote{member.key, member.record.configurationVersion});
+        notes.push_back(VersionNote{member.key, member.record.catalogVersion});
         return --member.versionRumors > 0;
     });
     return notes;
--- a/src/core/fleet/membertable.h
+++ b/src/core/fleet/membertable.h
@@ -51,7 +51,7 @@
     // The record that a note describes; nothing when its host is not known.
     std::optional<HostRecord> recordOf(const HealthNote &note) const;
     // Takes a version if it is higher; true if it was.
-    bool applyVersion(std::uint64_t key, std::uint64_t version, int rumors);
+    bool applyVersion(std::uint64_t key, const CatalogVersion &version, int rumors);
     // Replaces the own record, which always wins here.
     void set(const HostRecord &record, TimePoint now, int rumors);
     // Changes the health of a known member at its present incarnation.
--- a/src/runtime/configuration/configurationkeeper.cpp
+++ b/src/runtime/configuration/configurationkeeper.cpp
@@ -162,13 +162,13 @@
     }
 }
 
-void ConfigurationKeeper::heardOf(const std::string &host, std::uint64_t version)
+void ConfigurationKeeper::heardOf(const std::string &host, const CatalogVersion &version)
 {
-    m_state.heardOf(version);
+    m_state.heardOf(version.intent);
     m_peerHeard = true;
     putInForce();
     const TimePoint now = Clock::now();
-    if (version <= m_state.version() || now < m_pullBefore) {
+    if (version.intent <= m_state.version() || now < m_pullBefore) {
         return;
     }
     m_pullBefore = now + pullPatience;
@@ -177,7 +177,7 @@
 
 void ConfigurationKeeper::onOffer(const std::string &from, const hop::ConfigOffer &offer)
 {
-    heardOf(from, offer.version);
+    heardOf(from, {offer.version, 0});
 }
 
 void ConfigurationKeeper::onPull(const std::string &from, const hop::ConfigPull &pull)
--- a/src/runtime/configuration/configurationsource.h
+++ b/src/runtime/configuration/configurationsource.h
@@ -69,15 +69,15 @@
     virtual void onCatalogPush(const std::string & /*from*/, const hop::CatalogPush & /*push*/)
     {
     }
-    // A heartbeat told that `host` announces `number`; see announced().
-    virtual void heardOf(const std::string &host, std::uint64_t number) = 0;
+    // A heartbeat told that `host` announces `version`; see announced().
+    virtual void heardOf(const std::string &host, const CatalogVersion &version) = 0;
 
     // The configuration in force; null while there is none.
     virtual std::shared_ptr<const Configuration> current() const = 0;
-    // What this host's heartbeats tell of it: a number that rises with every change.
-    virtual std::uint64_t announced() const
+    // What this host's heartbeats tell of it; rises with every change.
+    virtual CatalogVersion announced() const
     {
-        return current() ? current()->version : 0;
+        return {current() ? current()->version : 0, 0};
     }
 };
 
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -73,9 +73,9 @@
     void onCatalogOffer(const std::string &from, const hop::CatalogOffer &offer) override;
     void onCatalogPull(const std::string &from, const hop::CatalogPull &pull) override;
     void onCatalogPush(const std::string &from, const hop::CatalogPush &push) override;
-    void heardOf(const std::string &host, std::uint64_t number) override;
+    void heardOf(const std::string &host, const CatalogVersion &version) override;
     std::shared_ptr<const Configuration> current() const override;
-    std::uint64_t announced() const override;
+    CatalogVersion announced() const override;
 
     // Registrations that were refused since the start, each counted once for each fault.
     std::uint64_t refusedRegistrations() const;
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -104,9 +104,9 @@
     return {m_intentFollower.through(), m_registrationFollower.through()};
 }
 
-std::uint64_t DiscoveredConfiguration::announced() const
+CatalogVersion DiscoveredConfiguration::announced() const
 {
-    return version().packed();
+    return version();
 }
 
 std::string DiscoveredConfiguration::catalogText() const
@@ -144,9 +144,9 @@
     }
 }
 
-void DiscoveredConfiguration::heardOf(const std::string &host, std::uint64_t number)
+void DiscoveredConfiguration::heardOf(const std::string &host, const CatalogVersion &version)
 {
-    hearOf(host, CatalogVersion::unpacked(number));
+    hearOf(host, version);
 }
 
 void DiscoveredConfiguration::onCatalogOffer(const std::string &from, const hop::CatalogOffer &offer)
--- a/src/runtime/fleet/membershipdriver.cpp
+++ b/src/runtime/fleet/membershipdriver.cpp
@@ -141,8 +141,8 @@
 void MembershipDriver::onGossip(const GossipMessage &message)
 {
     deliver(m_membership.onMessage(message, Clock::now()));
-    if (const auto holder = m_membership.holderOfHighestConfiguration()) {
-        m_hooks.configurationHeard(*holder, m_membership.highestConfigurationVersion());
+    if (const auto holder = m_membership.holderOfHighestCatalog()) {
+        m_hooks.catalogHeard(*holder, m_membership.highestCatalogVersion());
     }
 }
 
@@ -151,9 +151,9 @@
     deliver(m_membership.onLinkLost(host, Clock::now()));
 }
 
-void MembershipDriver::setConfigurationVersion(std::uint64_t version)
+void MembershipDriver::setCatalogVersion(const CatalogVersion &version)
 {
-    m_membership.setConfigurationVersion(version);
+    m_membership.setCatalogVersion(version);
     scheduleTick();
 }
 
--- a/src/runtime/fleet/membershipdriver.h
+++ b/src/runtime/fleet/membershipdriver.h
@@ -24,7 +24,7 @@
     // Which other hosts answer has changed.
     std::function<void(const HostReach &reach)> reachChanged;
     // The highest configuration version heard of, and a host that has it.
-    std::function<void(const std::string &host, std::uint64_t version)> configurationHeard;
+    std::function<void(const std::string &host, const CatalogVersion &version)> catalogHeard;
     // True when this host reads the platform's list for its zone.
     std::function<bool()> isWatcher;
 };
@@ -42,7 +42,7 @@
     void stop();
     void onGossip(const GossipMessage &message);
     void onUnreachable(const std::string &host);
-    void setConfigurationVersion(std::uint64_t version);
+    void setCatalogVersion(const CatalogVersion &version);
     // Tells the others that this host takes nothing new from now on.
     void leave();
     // Tells the others that this host is gone.
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -298,13 +298,14 @@
     m_joinGate = std::make_unique<JoinGate>(m_settings.zone, joining, Clock::now());
     m_membership = std::make_unique<MembershipDriver>(
         m_control, *m_store, std::move(self), m_random(),
-        MembershipDriverHooks{[this](const std::string &host, const std::string &address, hop::HopMessage message) {
-                                  sendTo(host, address, std::move(message));
-                              },
-                              [this](const std::shared_ptr<const MembershipView> &view) { onView(view); },
-                              [this](const HostReach &reach) { m_partition->onReach(reach); },
-                              [this](const std::string &host, std::uint64_t version) { m_keeper->heardOf(host, version); },
-                              [this] { return isWatcher(); }});
+        MembershipDriverHooks{
+            [this](const std::string &host, const std::string &address, hop::HopMessage message) {
+                sendTo(host, address, std::move(message));
+            },
+            [this](const std::shared_ptr<const MembershipView> &view) { onView(view); },
+            [this](const HostReach &reach) { m_partition->onReach(reach); },
+            [this](const std::string &host, const CatalogVersion &version) { m_keeper->heardOf(host, version); },
+            [this] { return isWatcher(); }});
     ReaderDutyOptions reader;
     m_mechanisms.applyTo(reader);
     m_keeper = m_parts.makeConfiguration(
--- a/src/runtime/host/hostview.cpp
+++ b/src/runtime/host/hostview.cpp
@@ -38,7 +38,7 @@
 
 void HostDaemon::Impl::onConfiguration()
 {
-    m_membership->setConfigurationVersion(m_keeper->announced());
+    m_membership->setCatalogVersion(m_keeper->announced());
     if (const auto configuration = m_keeper->current()) {
         m_quotas->configure(*configuration);
     }
--- a/src/runtime/operators/hoststatus.cpp
+++ b/src/runtime/operators/hoststatus.cpp
@@ -51,7 +51,7 @@
                          {"zone", host.zone},
                          {"state", stateName(host)},
                          {"operatorAddress", host.operatorAddress},
-                         {"configurationVersion", host.configurationVersion}});
+                         {"configurationVersion", host.catalogVersion.intent}});
     }
     return hosts;
 }
--- a/src/wire/hop_generated.h
+++ b/src/wire/hop_generated.h
@@ -387,25 +387,31 @@
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) VersionNote FLATBUFFERS_FINAL_CLASS {
  private:
   uint64_t host_key_;
-  uint64_t version_;
+  uint64_t intent_;
+  uint64_t registrations_;
 
  public:
   VersionNote()
       : host_key_(0),
-        version_(0) {
+        intent_(0),
+        registrations_(0) {
   }
-  VersionNote(uint64_t _host_key, uint64_t _version)
+  VersionNote(uint64_t _host_key, uint64_t _intent, uint64_t _registrations)
       : host_key_(flatbuffers::EndianScalar(_host_key)),
-        version_(flatbuffers::EndianScalar(_version)) {
+        intent_(flatbuffers::EndianScalar(_intent)),
+        registrations_(flatbuffers::EndianScalar(_registrations)) {
   }
   uint64_t host_key() const {
     return flatbuffers::EndianScalar(host_key_);
   }
-  uint64_t version() const {
-    return flatbuffers::EndianScalar(version_);
+  uint64_t intent() const {
+    return flatbuffers::EndianScalar(intent_);
+  }
+  uint64_t registrations() const {
+    return flatbuffers::EndianScalar(registrations_);
   }
 };
-FLATBUFFERS_STRUCT_END(VersionNote, 16);
+FLATBUFFERS_STRUCT_END(VersionNote, 24);
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
@@ -1466,7 +1472,8 @@
     VT_INCARNATION = 14,
     VT_HEALTH = 16,
     VT_LEAVING = 18,
-    VT_CONFIGURATION_VERSION = 20
+    VT_INTENT_VERSION = 20,
+    VT_REGISTRATIONS_VERSION = 22
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -1492,8 +1499,11 @@
   bool leaving() const {
     return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
-  uint64_t configuration_version() const {
-    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
+  uint64_t intent_version() const {
+    return GetField<uint64_t>(VT_INTENT_VERSION, 0);
+  }
+  uint64_t registrations_version() const {
+    return GetField<uint64_t>(VT_REGISTRATIONS_VERSION, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -1510,7 +1520,8 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_HEALTH, 1) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
-           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INTENT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REGISTRATIONS_VERSION, 8) &&
            verifier.EndTable();
   }
 };
@@ -1543,8 +1554,11 @@
   void add_leaving(bool leaving) {
     fbb_.AddElement<uint8_t>(HostRecord::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
-  void add_configuration_version(uint64_t configuration_version) {
-    fbb_.AddElement<uint64_t>(HostRecord::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  void add_intent_version(uint64_t intent_version) {
+    fbb_.AddElement<uint64_t>(HostRecord::VT_INTENT_VERSION, intent_version, 0);
+  }
+  void add_registrations_version(uint64_t registrations_version) {
+    fbb_.AddElement<uint64_t>(HostRecord::VT_REGISTRATIONS_VERSION, registrations_version, 0);
   }
   explicit HostRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1567,9 +1581,11 @@
     uint64_t incarnation = 0,
     uint8_t health = 0,
     bool leaving = false,
-    uint64_t configuration_version = 0) {
+    uint64_t intent_version = 0,
+    uint64_t registrations_version = 0) {
   HostRecordBuilder builder_(_fbb);
-  builder_.add_configuration_version(configuration_version);
+  builder_.add_registrations_version(registrations_version);
+  builder_.add_intent_version(intent_version);
   builder_.add_incarnation(incarnation);
   builder_.add_operator_address(operator_address);
   builder_.add_caller_address(caller_address);
@@ -1591,7 +1607,8 @@
     uint64_t incarnation = 0,
     uint8_t health = 0,
     bool leaving = false,
-    uint64_t configuration_version = 0) {
+    uint64_t intent_version = 0,
+    uint64_t registrations_version = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto peer_address__ = peer_address ? _fbb.CreateString(peer_address) : 0;
@@ -1607,7 +1624,8 @@
       incarnation,
       health,
       leaving,
-      configuration_version);
+      intent_version,
+      registrations_version);
 }
 
 struct Gossip FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1620,13 +1638,14 @@
     VT_SEQUENCE = 12,
     VT_TARGET = 14,
     VT_TARGET_ADDRESS = 16,
-    VT_CONFIGURATION_VERSION = 18,
-    VT_DIGEST = 20,
-    VT_BUCKET_DIGESTS = 22,
-    VT_RECORDS = 24,
-    VT_HEALTH_NOTES = 26,
-    VT_VERSION_NOTES = 28,
-    VT_WANTED = 30
+    VT_INTENT_VERSION = 18,
+    VT_REGISTRATIONS_VERSION = 20,
+    VT_DIGEST = 22,
+    VT_BUCKET_DIGESTS = 24,
+    VT_RECORDS = 26,
+    VT_HEALTH_NOTES = 28,
+    VT_VERSION_NOTES = 30,
+    VT_WANTED = 32
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -1649,8 +1668,11 @@
   const flatbuffers::String *target_address() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET_ADDRESS);
   }
-  uint64_t configuration_version() const {
-    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
+  uint64_t intent_version() const {
+    return GetField<uint64_t>(VT_INTENT_VERSION, 0);
+  }
+  uint64_t registrations_version() const {
+    return GetField<uint64_t>(VT_REGISTRATIONS_VERSION, 0);
   }
   uint64_t digest() const {
     return GetField<uint64_t>(VT_DIGEST, 0);
@@ -1683,7 +1705,8 @@
            verifier.VerifyString(target()) &&
            VerifyOffset(verifier, VT_TARGET_ADDRESS) &&
            verifier.VerifyString(target_address()) &&
-           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INTENT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REGISTRATIONS_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyOffset(verifier, VT_BUCKET_DIGESTS) &&
            verifier.VerifyVector(bucket_digests()) &&
@@ -1725,8 +1748,11 @@
   void add_target_address(flatbuffers::Offset<flatbuffers::String> target_address) {
     fbb_.AddOffset(Gossip::VT_TARGET_ADDRESS, target_address);
   }
-  void add_configuration_version(uint64_t configuration_version) {
-    fbb_.AddElement<uint64_t>(Gossip::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  void add_intent_version(uint64_t intent_version) {
+    fbb_.AddElement<uint64_t>(Gossip::VT_INTENT_VERSION, intent_version, 0);
+  }
+  void add_registrations_version(uint64_t registrations_version) {
+    fbb_.AddElement<uint64_t>(Gossip::VT_REGISTRATIONS_VERSION, registrations_version, 0);
   }
   void add_digest(uint64_t digest) {
     fbb_.AddElement<uint64_t>(Gossip::VT_DIGEST, digest, 0);
@@ -1766,7 +1792,8 @@
     uint64_t sequence = 0,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     flatbuffers::Offset<flatbuffers::String> target_address = 0,
-    uint64_t configuration_version = 0,
+    uint64_t intent_version = 0,
+    uint64_t registrations_version = 0,
     uint64_t digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> bucket_digests = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::HostRecord>>> records = 0,
@@ -1775,7 +1802,8 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> wanted = 0) {
   GossipBuilder builder_(_fbb);
   builder_.add_digest(digest);
-  builder_.add_configuration_version(configuration_version);
+  builder_.add_registrations_version(registrations_version);
+  builder_.add_intent_version(intent_version);
   builder_.add_sequence(sequence);
   builder_.add_from_incarnation(from_incarnation);
   builder_.add_wanted(wanted);
@@ -1800,7 +1828,8 @@
     uint64_t sequence = 0,
     const char *target = nullptr,
     const char *target_address = nullptr,
-    uint64_t configuration_version = 0,
+    uint64_t intent_version = 0,
+    uint64_t registrations_version = 0,
     uint64_t digest = 0,
     const std::vector<uint32_t> *bucket_digests = nullptr,
     const std::vector<flatbuffers::Offset<egrettide::wire::HostRecord>> *records = nullptr,
@@ -1825,7 +1854,8 @@
       sequence,
       target__,
       target_address__,
-      configuration_version,
+      intent_version,
+      registrations_version,
       digest,
       bucket_digests__,
       records__,
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -399,7 +399,8 @@
     const auto callerAddress = m_builder.CreateString(record.callerAddress);
     const auto operatorAddress = m_builder.CreateString(record.operatorAddress);
     return wire::CreateHostRecord(m_builder, name, zone, peerAddress, callerAddress, operatorAddress, record.incarnation,
-                                  static_cast<std::uint8_t>(record.health), record.leaving, record.configurationVersion);
+                                  static_cast<std::uint8_t>(record.health), record.leaving, record.catalogVersion.intent,
+                                  record.catalogVersion.registrations);
 }
 
 PackedBody Packer::operator()(const Gossip &gossip) const
@@ -415,7 +416,7 @@
     }
     std::vector<wire::VersionNote> notes;
     for (const VersionNote &note : message.versionNotes) {
-        notes.emplace_back(note.hostKey, note.version);
+        notes.emplace_back(note.hostKey, note.version.intent, note.version.registrations);
     }
     // Empty parts are left out: most heartbeats carry no news, and they are what
     // a host's control traffic consists of.
@@ -434,8 +435,9 @@
 
     return body(wire::HopBody_Gossip,
                 wire::CreateGossip(m_builder, static_cast<std::uint8_t>(message.kind), from, fromAddress, message.fromIncarnation,
-                                   message.sequence, target, targetAddress, message.configurationVersion, message.digest, buckets,
-                                   packedRecords, packedHealth, packedNotes, wanted));
+                                   message.sequence, target, targetAddress, message.catalogVersion.intent,
+                                   message.catalogVersion.registrations, message.digest, buckets, packedRecords, packedHealth,
+                                   packedNotes, wanted));
 }
 
 using Decoded = tl::expected<HopMessage, Error>;
@@ -517,7 +519,7 @@
     record.incarnation = table.incarnation();
     record.health = static_cast<HostHealth>(table.health());
     record.leaving = table.leaving();
-    record.configurationVersion = table.configuration_version();
+    record.catalogVersion = {table.intent_version(), table.registrations_version()};
     return isText(record.name) && isText(record.zone) && isText(record.peerAddress) && isText(record.callerAddress)
         && isText(record.operatorAddress);
 }
@@ -571,7 +573,7 @@
     if (!isText(message.from) || !isText(message.fromAddress) || !isText(message.target) || !isText(message.targetAddress)) {
         return tl::unexpected(malformed("host name"));
     }
-    message.configurationVersion = table.configuration_version();
+    message.catalogVersion = {table.intent_version(), table.registrations_version()};
     message.digest = table.digest();
     if (table.bucket_digests() != nullptr) {
         message.bucketDigests.assign(table.bucket_digests()->begin(), table.bucket_digests()->end());
@@ -581,7 +583,7 @@
     }
     if (table.version_notes() != nullptr) {
         for (const wire::VersionNote *note : *table.version_notes()) {
-            message.versionNotes.push_back(VersionNote{note->host_key(), note->version()});
+            message.versionNotes.push_back(VersionNote{note->host_key(), {note->intent(), note->registrations()}});
         }
     }
     return Gossip{std::move(message)};
--- /dev/null
+++ b/tests/core/catalogversion_test.cpp
@@ -0,0 +1,33 @@
+// How copies of the catalog are ordered.
+
+#define BOOST_TEST_MODULE CatalogVersion
+#include <boost/test/unit_test.hpp>
+
+#include "egrettide/core/catalogversion.h"
+
+using namespace egrettide;
+
+BOOST_AUTO_TEST_SUITE(CatalogVersions)
+
+// Guards against hosts that stop hearing of news once the store has made 2^32 changes.
+BOOST_AUTO_TEST_CASE(KeepTheirOrderAtAnyRevision)
+{
+    constexpr std::uint64_t many = std::uint64_t{1} << 32;
+    const CatalogVersion before{many - 2, many - 1};
+    const CatalogVersion after{many - 2, many};
+    BOOST_TEST((after > before));
+    BOOST_TEST(before.lacks(after));
+    BOOST_TEST(!after.lacks(before));
+}
+
+BOOST_AUTO_TEST_CASE(ThatCoverNeitherEachOtherAreOrderedAllTheSame)
+{
+    const CatalogVersion intent{8, 3};
+    const CatalogVersion registrations{7, 9};
+    BOOST_TEST(intent.lacks(registrations));
+    BOOST_TEST(registrations.lacks(intent));
+    BOOST_TEST((intent > registrations));
+    BOOST_TEST((intent.joined(registrations) == CatalogVersion{8, 9}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/configurationfleet.h
+++ b/tests/core/configurationfleet.h
@@ -91,7 +91,7 @@
     {
         m_fleet.onReceive = [this](const std::string &to, const GossipMessage &message) {
             if (!m_faults.silentPeers) {
-                heardOf(to, message.from, message.configurationVersion);
+                heardOf(to, message.from, message.catalogVersion.intent);
             }
         };
         for (int i = 0; i < hostCount; ++i) {
@@ -245,7 +245,7 @@
             return;
         }
         serveIfKnown(name);
-        m_fleet.host(name).setConfigurationVersion(version);
+        m_fleet.host(name).setCatalogVersion({version, 0});
         spread(name);
     }
 
--- a/tests/core/hopcodec_test.cpp
+++ b/tests/core/hopcodec_test.cpp
@@ -120,7 +120,7 @@
     message.sequence = *rc::gen::arbitrary<std::uint64_t>();
     message.target = text();
     message.targetAddress = text();
-    message.configurationVersion = *rc::gen::arbitrary<std::uint64_t>();
+    message.catalogVersion = {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>()};
     message.digest = *rc::gen::arbitrary<std::uint64_t>();
     message.wanted = *rc::gen::arbitrary<std::vector<std::uint64_t>>();
     message.bucketDigests = *rc::gen::arbitrary<std::vector<std::uint32_t>>();
@@ -129,10 +129,11 @@
         record.incarnation = *rc::gen::arbitrary<std::uint64_t>();
         record.health = static_cast<HostHealth>(*rc::gen::inRange(0, 3));
         record.leaving = *rc::gen::arbitrary<bool>();
-        record.configurationVersion = *rc::gen::arbitrary<std::uint64_t>();
+        record.catalogVersion = {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>()};
         message.records.push_back(record);
-        message.healthNotes.push_back(HealthNote{record.configurationVersion, record.incarnation, record.health, record.leaving});
-        message.versionNotes.push_back(VersionNote{record.incarnation, record.configurationVersion});
+        message.healthNotes.push_back(
+            HealthNote{record.catalogVersion.intent, record.incarnation, record.health, record.leaving});
+        message.versionNotes.push_back(VersionNote{record.incarnation, record.catalogVersion});
     }
     return message;
 }
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -491,15 +491,16 @@
 BOOST_AUTO_TEST_CASE(SpreadsAConfigurationVersionAndWhoHasIt)
 {
     auto fleet = settledFleet(40, 4, 31);
-    fleet->host("h7").setConfigurationVersion(12);
+    fleet->host("h7").setCatalogVersion({12, 0});
     const auto heard = fleet->runUntil(seconds{6}, [&] {
         const auto names = fleet->names();
-        return std::all_of(names.begin(), names.end(),
-                           [&](const std::string &name) { return fleet->host(name).highestConfigurationVersion() == 12; });
+        return std::all_of(names.begin(), names.end(), [&](const std::string &name) {
+            return fleet->host(name).highestCatalogVersion() == CatalogVersion{12, 0};
+        });
     });
     BOOST_REQUIRE_MESSAGE(heard.has_value(), "a version has to be heard of everywhere within 6 s");
-    BOOST_TEST(*fleet->host("h0").holderOfHighestConfiguration() == "h7");
-    BOOST_TEST(!fleet->host("h7").holderOfHighestConfiguration().has_value(), "the holder needs to pull from nobody");
+    BOOST_TEST(*fleet->host("h0").holderOfHighestCatalog() == "h7");
+    BOOST_TEST(!fleet->host("h7").holderOfHighestCatalog().has_value(), "the holder needs to pull from nobody");
 }
 
 BOOST_AUTO_TEST_CASE(ComputesHomesAnewOnlyWhenTheyMayChange)
--- a/tests/runtime/membershipdriver_test.cpp
+++ b/tests/runtime/membershipdriver_test.cpp
@@ -99,7 +99,7 @@
     hooks.send = [](const std::string &, const std::string &, hop::HopMessage) {};
     hooks.changed = [&](const std::shared_ptr<const MembershipView> &) { hasMetZone = started->hasMetZone(); };
     hooks.reachChanged = [](const HostReach &) {};
-    hooks.configurationHeard = [](const std::string &, std::uint64_t) {};
+    hooks.catalogHeard = [](const std::string &, const CatalogVersion &) {};
     hooks.isWatcher = [] { return false; };
     MembershipDriver driver(context, store, hostIn("zone-a", "self"), 1, hooks);
     started = &driver;
