Order what a store says by its epoch before its revision

What callers saw: for 7 to 15 s after the store's return from a copy, confirmed changes were not in force at any host; removed routes were still served.

Cause: revisions were taken as rising for ever. A store that comes back from a copy gives out lower ones, so each list counted as old news and was dropped, each wait started at a revision that the store did not have and was refused, and the host listed again. All hosts were deaf until the store's counter had passed what they knew. The same class: a fencing token is the revision of a claim, so a claim after the return had a lower token than one before it, and the platform refuses its order; a write on condition of a revision may meet another state that got the same number; the new history may already hold the number that a wait starts from, and its changes then count as what follows.

Change: the adapter of the platform reads the epoch with every answer, in one place, and makes of (epoch, revision) one number of the same order. All that compares revisions stays as it is: followers, copies that hosts pass on, claims and tokens. Conditions and waits hold within their epoch: from an earlier one nothing is sent; an answer from a later one leaves a write's outcome unknown, and a wait is followed by a list. Pages of two epochs are no list. An answer that names an earlier epoch is refused, one that names no number counts as of the known one; both are errors in the log. Lists of hosts may be seconds old and say nothing of the epoch. A store that names no epoch has the numbers it had.

--- a/include/egrettide/core/storeepoch.h
+++ b/include/egrettide/core/storeepoch.h
@@ -3,12 +3,38 @@
 
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string_view>
 
 namespace egrettide
 {
 
+// A revision of a store within one of its epochs. A store that was restored gives out
+// revisions again, so they are compared by epoch first.
+struct StoreRevision {
+    static constexpr unsigned revisionBits = 40;
+    static constexpr std::uint64_t largestRevision = (std::uint64_t{1} << revisionBits) - 1;
+    static constexpr std::uint64_t largestEpoch = (std::uint64_t{1} << (64U - revisionBits)) - 1;
+
+    std::uint64_t epoch = 0;
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const StoreRevision &) const = default;
+
+    // One number of the same order, which no other revision of any epoch shares. Both parts
+    // must be at most their largest.
+    std::uint64_t ordered() const
+    {
+        return (epoch << revisionBits) | revision;
+    }
+
+    static StoreRevision fromOrdered(std::uint64_t number)
+    {
+        return {number >> revisionBits, number & largestRevision};
+    }
+};
+
 // What the epoch that came with an answer says.
 enum class EpochNews {
     // The epoch that is known, or none was named.
@@ -17,7 +43,7 @@
     Advanced,
     // An earlier one than is known.
     Fallen,
-    // No epoch at all.
+    // No epoch that a revision can be told with.
     Malformed,
 };
 
--- a/src/core/configuration/storeepoch.cpp
+++ b/src/core/configuration/storeepoch.cpp
@@ -14,7 +14,7 @@
     }
     std::uint64_t epoch = 0;
     const auto [end, failed] = std::from_chars(text.data(), text.data() + text.size(), epoch);
-    if (failed != std::errc() || end != text.data() + text.size()) {
+    if (failed != std::errc() || end != text.data() + text.size() || epoch > StoreRevision::largestEpoch) {
         return EpochNews::Malformed;
     }
     if (epoch < m_current) {
--- a/testing/platform/platformstandin.cpp
+++ b/testing/platform/platformstandin.cpp
@@ -186,6 +186,7 @@
     KindStore copy;
     // Named with every answer; empty for a store that names none.
     std::string epoch;
+    bool restoresBeforeNextPage = false;
     std::vector<std::function<void()>> lateChanges;
     std::function<bool(const PromotionOrder &)> promote;
     std::function<void(const json &)> members;
@@ -195,6 +196,7 @@
 
     void wakeKindWatches();
     void cutKindWatches();
+    void restoreCopy();
     // Decides one call; Wait means that `finish` is run later.
     Outcome handle(const Request &request, const std::function<void(Outcome)> &finish);
     void setDown(bool isDown);
@@ -499,6 +501,9 @@
             return handleKindWatch(kind, query, finish);
         }
         const auto after = query.find("after");
+        if (after != query.end() && std::exchange(restoresBeforeNextPage, false)) {
+            restoreCopy();
+        }
         return outcomeOf(name.empty() ? kinds.list(kind, after == query.end() ? std::string() : after->second)
                                       : kinds.read(kind, name));
     }
@@ -714,6 +719,13 @@
     }
 }
 
+void PlatformStandIn::Server::restoreCopy()
+{
+    kinds = copy;
+    epoch = std::to_string(epoch.empty() ? 1 : std::stoull(epoch) + 1);
+    cutKindWatches();
+}
+
 void PlatformStandIn::Server::cutKindWatches()
 {
     for (auto &[id, watch] : std::exchange(m_kindWatches, {})) {
@@ -839,11 +851,12 @@
 
 void PlatformStandIn::restoreCopy()
 {
-    m_server->run([](Server &server) {
-        server.kinds = server.copy;
-        server.epoch = std::to_string(server.epoch.empty() ? 1 : std::stoull(server.epoch) + 1);
-        server.cutKindWatches();
-    });
+    m_server->run([](Server &server) { server.restoreCopy(); });
+}
+
+void PlatformStandIn::restoreBeforeNextPage()
+{
+    m_server->run([](Server &server) { server.restoresBeforeNextPage = true; });
 }
 
 void PlatformStandIn::setEpoch(std::string epoch)
--- a/testing/platform/platformstandin.h
+++ b/testing/platform/platformstandin.h
@@ -97,6 +97,8 @@
     // begins the next epoch. Promotions and their fences are not part of it.
     void takeCopy();
     void restoreCopy();
+    // Does so between two pages of the next list.
+    void restoreBeforeNextPage();
     // What answers name as the store's epoch from now on; empty names none.
     void setEpoch(std::string epoch);
     void setPageSize(std::size_t objects);
--- a/tests/core/storeepoch_test.cpp
+++ b/tests/core/storeepoch_test.cpp
@@ -32,10 +32,21 @@
 {
     StoreEpochTracker tracker;
     tracker.onAnswer("3");
-    for (const char *text : {"x", "4x", "-4", "4.5", "99999999999999999999999"}) {
+    for (const char *text : {"x", "4x", "-4", "4.5", "16777216", "99999999999999999999999"}) {
         BOOST_TEST((tracker.onAnswer(text) == EpochNews::Malformed), text << " was taken");
     }
     BOOST_TEST(tracker.current() == 3U);
 }
 
+// Guards against revisions of a restored store that count as older than what was known before.
+BOOST_AUTO_TEST_CASE(OrderRevisionsBeforeTheirNumbers)
+{
+    const StoreRevision before{1, 500};
+    const StoreRevision after{2, 12};
+    BOOST_TEST((after > before));
+    BOOST_TEST(after.ordered() > before.ordered());
+    BOOST_TEST((StoreRevision::fromOrdered(after.ordered()) == after));
+    BOOST_TEST((StoreRevision{0, 7}.ordered()) == 7U, "a store without epochs keeps its numbers");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/objectstore_test.cpp
+++ b/tests/platform/objectstore_test.cpp
@@ -192,6 +192,94 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(RestoredFromACopy, Fixture)
+
+// Guards against two claims of different epochs that are promoted under one fencing token.
+BOOST_AUTO_TEST_CASE(ObjectsGetVersionsThatRoseBeforeAndAreNeverUsedTwice)
+{
+    platform.setEpoch("1");
+    const auto first = write("egrettide/groups/a", {{"claim", 1}}, 0);
+    BOOST_TEST_REQUIRE(first.has_value());
+    platform.takeCopy();
+    const auto lost = write("egrettide/groups/a", {{"claim", 2}}, first->version);
+    BOOST_TEST_REQUIRE(lost.has_value());
+    platform.restoreCopy();
+    const auto standing = read("egrettide/groups/a");
+    BOOST_TEST_REQUIRE(standing.has_value());
+    BOOST_TEST(standing->value == json({{"claim", 1}}));
+    const auto next = write("egrettide/groups/a", {{"claim", 3}}, standing->version);
+    BOOST_TEST_REQUIRE(next.has_value());
+    BOOST_TEST(next->version > lost->version, "a claim after the restore has no higher token than one before it");
+}
+
+// Guards against a condition that hits another state of the object that got the same revision.
+BOOST_AUTO_TEST_CASE(ObjectsAreNotWrittenOnAConditionFromBefore)
+{
+    platform.setEpoch("1");
+    platform.takeCopy();
+    const auto known = write("egrettide/groups/a", {{"claim", 1}}, 0);
+    BOOST_TEST_REQUIRE(known.has_value());
+    platform.restoreCopy();
+    platform.putObject("egrettide-groups", "a", {{"claim", "another host's"}});
+    // The restore is not known here yet: the answer tells.
+    BOOST_TEST((failureOf(write("egrettide/groups/a", {{"claim", 2}}, known->version)) == StoreFailure::OutcomeUnknown));
+    platform.putObject("egrettide-groups", "a", {{"claim", "another host's again"}});
+    BOOST_TEST((failureOf(write("egrettide/groups/a", {{"claim", 3}}, known->version)) == StoreFailure::Conflict));
+    BOOST_TEST(read("egrettide/groups/a")->value == json({{"claim", "another host's again"}}));
+}
+
+// Guards against changes of the new history that are taken for what follows on the old one.
+BOOST_AUTO_TEST_CASE(CollectionsAreListedAnewWhateverNumbersTheStoreHasReached)
+{
+    platform.setEpoch("1");
+    platform.takeCopy();
+    platform.putObject("servers", "lost", 1);
+    const auto before = list("servers");
+    BOOST_TEST_REQUIRE(before.has_value());
+    platform.restoreCopy();
+    for (const char *name : {"a", "b", "c"}) {
+        platform.putObject("servers", name, 1);
+    }
+    const auto changed = changes("servers", before->revision);
+    BOOST_TEST_REQUIRE(!changed.has_value(), "changes of another history were taken");
+    BOOST_TEST((changed.error() == CollectionFailure::HistoryGone));
+    const auto after = list("servers");
+    BOOST_TEST_REQUIRE(after.has_value());
+    BOOST_TEST(after->revision > before->revision);
+    BOOST_TEST(after->objects.size() == 3U);
+    BOOST_TEST(changes("servers", after->revision, 600ms).has_value());
+}
+
+// Guards against a list of which one half is from before a restore.
+BOOST_AUTO_TEST_CASE(PagesOfTwoEpochsAreNoList)
+{
+    platform.setEpoch("1");
+    platform.setPageSize(1);
+    platform.putObject("servers", "a", 1);
+    platform.putObject("servers", "b", 1);
+    platform.takeCopy();
+    platform.restoreBeforeNextPage();
+    const auto page = list("servers");
+    BOOST_TEST_REQUIRE(!page.has_value());
+    BOOST_TEST((page.error() == CollectionFailure::Unavailable));
+    BOOST_TEST(list("servers").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnswersThatNameAnEarlierEpochAreNotTaken)
+{
+    platform.setEpoch("3");
+    platform.putObject("servers", "a", 1);
+    BOOST_TEST_REQUIRE(list("servers").has_value());
+    platform.setEpoch("2");
+    BOOST_TEST(!list("servers").has_value());
+    BOOST_TEST((failureOf(write("egrettide/groups/a", 1, 0)) == StoreFailure::OutcomeUnknown));
+    platform.setEpoch("no number");
+    BOOST_TEST(list("servers").has_value());
+    BOOST_TEST(store.epoch() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Pages)
 
 // Symptom: no upstream is known any more, on any host.
--- a/tests/platform/restoredstore_test.cpp
+++ b/tests/platform/restoredstore_test.cpp
@@ -57,6 +57,19 @@
         platform.restoreCopy();
     }
 
+    // Loses the primary for as long as it takes until writes are served again.
+    void replacePrimary()
+    {
+        const std::string lost = group.primary();
+        group.setDark(lost, true);
+        LineClient client(addresses.front());
+        client.start("pay");
+        BOOST_TEST_REQUIRE(eventually([&client] { return client.run("WRITE after 1").succeeded(); }),
+                           "no write was served after " << lost << " was lost");
+        group.setDark(lost, false);
+        BOOST_TEST_REQUIRE(eventually([this] { return serves(addresses.front()); }));
+    }
+
 private:
     static bool lets(const std::string &address, const std::string &route)
     {
@@ -80,4 +93,19 @@
     BOOST_TEST(allServe("added"), "an added route is refused");
 }
 
+// Guards against a database that stays without a primary, since its fencing tokens went back with the store's revisions.
+BOOST_AUTO_TEST_CASE(GivesHigherFencingTokensThanBefore)
+{
+    platform.takeCopy();
+    for (int i = 0; i < lostChanges; ++i) {
+        registerUpstreams(100 + i);
+    }
+    replacePrimary();
+    const std::uint64_t before = platform.promotions().back().fencingToken;
+    platform.restoreCopy();
+    registerUpstreams(200);
+    replacePrimary();
+    BOOST_TEST(platform.promotions().back().fencingToken > before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
