Slow the lists of a store that refuses waits, and count it as reached

Hypothesis: a host whose waits are refused for want of history lists the store ten times a second and takes it for out of reach each time.

A refused wait was handled as an outage, and the list that followed ended the backoff.

--- a/src/runtime/configuration/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -33,7 +33,11 @@
 } // namespace
 
 CollectionFollower::CollectionFollower(boost::asio::io_context &control, CollectionSource source, CollectionFollowerHooks hooks)
-    : m_source(std::move(source)), m_hooks(std::move(hooks)), m_timer(control), m_backoff(firstBackoff)
+    : m_source(std::move(source))
+    , m_hooks(std::move(hooks))
+    , m_timer(control)
+    , m_backoff(firstBackoff)
+    , m_listBackoff(firstBackoff)
 {
 }
 
@@ -192,6 +196,7 @@
                          }
                          if (changes) {
                              setReached(true);
+                             m_listBackoff = firstBackoff;
                              apply(*changes);
                              if (changes->changes.empty()) {
                                  goOn(milliseconds{0});
@@ -201,11 +206,24 @@
                              }
                              return;
                          }
-                         m_listed = m_listed && changes.error() != CollectionFailure::HistoryGone;
-                         retry();
+                         if (changes.error() == CollectionFailure::HistoryGone) {
+                             listAgain();
+                         } else {
+                             retry();
+                         }
                      });
 }
 
+// The store answers, so it counts as reached. Its lists do not show that the next wait is
+// taken, so they come less and less often until one is.
+void CollectionFollower::listAgain()
+{
+    m_listed = false;
+    const milliseconds pause = m_listBackoff;
+    m_listBackoff = std::min(m_listBackoff * 2, lastBackoff);
+    callAfter(pause);
+}
+
 // Waits for the next change after the pause, or leaves it to other hosts to tell.
 void CollectionFollower::goOn(milliseconds pause)
 {
--- a/src/runtime/configuration/collection.h
+++ b/src/runtime/configuration/collection.h
@@ -116,6 +116,7 @@
     void callAfter(milliseconds pause);
     void callNext();
     void retry();
+    void listAgain();
     void apply(const CollectionChanges &changes);
     void setReached(bool reached);
     void noteContent(std::uint64_t revision);
@@ -140,6 +141,8 @@
     bool m_listed = false;
     bool m_reached = false;
     milliseconds m_backoff;
+    // Before the next list after a wait that the store refused for want of history.
+    milliseconds m_listBackoff;
     bool m_stopped = false;
 };
 
--- a/tests/runtime/collection_test.cpp
+++ b/tests/runtime/collection_test.cpp
@@ -140,4 +140,28 @@
     BOOST_TEST(waitedFrom.front() == 9U, "it waited from " << waitedFrom.front());
 }
 
+// Guards against a host that lists a store ten times a second, and takes it for out of reach, because its waits are refused.
+BOOST_AUTO_TEST_CASE(ListsLessAndLessOftenWhileItsWaitsAreRefused)
+{
+    boost::asio::io_context context;
+    int lists = 0;
+    int lost = 0;
+    CollectionSource source;
+    source.list = [&](TimePoint, const auto &handler) {
+        ++lists;
+        boost::asio::post(context, [handler] { handler(CollectionPage{{}, 1}); });
+    };
+    source.changes = [&](std::uint64_t, TimePoint, const auto &handler) {
+        boost::asio::post(context, [handler] { handler(tl::unexpected(CollectionFailure::HistoryGone)); });
+    };
+    CollectionFollower follower(context, source,
+                                CollectionFollowerHooks{[](const auto &) {}, [&lost](bool reached) { lost += reached ? 0 : 1; }});
+    follower.setWaiting(true);
+    follower.start();
+    context.run_until(Clock::now() + std::chrono::seconds{3});
+    BOOST_TEST(lists <= 7, "it listed " << lists << " times in 3 s");
+    BOOST_TEST(lists >= 3, "it listed " << lists << " times in 3 s");
+    BOOST_TEST(lost == 0, "a store that answers counted as out of reach " << lost << " times");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
