Order the operators' intent by the version that operators gave it

Hypothesis: while a restored store holds an older configuration than hosts have, hosts take up no registrations, and a process that starts then stays with the older configuration.

Cause: the intent was ordered by the store's revision, like the registrations. After a restore the older configuration has the higher revision, so it was told to others; each host refused to put it in force, and with it everything else that had changed. What hosts held was told to nobody. The operators' version rises whatever becomes of the store, so it decides now: a host keeps the newest intent that it accepted beside what the store holds, heartbeats tell its version, and copies that are passed on hold it. What the store says at the same version counts, as operators write again what they had written. A damaged intent is no longer passed on.

CatalogVersion::joined moved to the revisions that were read, its check too.

--- a/include/egrettide/core/catalogversion.h
+++ b/include/egrettide/core/catalogversion.h
@@ -10,8 +10,8 @@
 namespace egrettide
 {
 
-// The revisions of the store at which the operators' intent and the upstreams'
-// registrations last changed, as far as a copy shows.
+// What a copy holds: the version that operators gave their intent, which only rises, whatever
+// becomes of the store; and the store's revision at which the registrations last changed.
 //
 // The order is for heartbeats, which say whom to ask. Of two copies neither of which covers
 // the other, one is greater; whoever lacks something of it asks for it, and is greater then:
@@ -27,8 +27,16 @@
     {
         return other.intent > intent || other.registrations > registrations;
     }
+};
+
+// The revisions of the store up to which the two collections of a copy were read.
+struct CatalogRevisions {
+    std::uint64_t intent = 0;
+    std::uint64_t registrations = 0;
+
+    bool operator==(const CatalogRevisions &) const = default;
 
-    CatalogVersion joined(const CatalogVersion &other) const
+    CatalogRevisions joined(const CatalogRevisions &other) const
     {
         return {std::max(intent, other.intent), std::max(registrations, other.registrations)};
     }
--- a/src/runtime/configuration/catalogtexts.cpp
+++ b/src/runtime/configuration/catalogtexts.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-void CatalogTexts::set(std::string text, const CatalogVersion &version, const CatalogVersion &through)
+void CatalogTexts::set(std::string text, const CatalogVersion &version, const CatalogRevisions &through)
 {
     m_version = version;
     m_through = through;
@@ -34,7 +34,7 @@
     }
 }
 
-void CatalogTexts::setThrough(const CatalogVersion &through)
+void CatalogTexts::setThrough(const CatalogRevisions &through)
 {
     m_through = m_through.joined(through);
 }
--- a/src/runtime/configuration/catalogtexts.h
+++ b/src/runtime/configuration/catalogtexts.h
@@ -18,9 +18,9 @@
 {
 public:
     // Takes what is passed on from now on.
-    void set(std::string text, const CatalogVersion &version, const CatalogVersion &through);
+    void set(std::string text, const CatalogVersion &version, const CatalogRevisions &through);
     // Notes how far the present text is complete by now.
-    void setThrough(const CatalogVersion &through);
+    void setThrough(const CatalogRevisions &through);
 
     bool isEmpty() const;
     // 0 while there is none.
@@ -44,7 +44,7 @@
     // The present one first.
     std::deque<Entry> m_entries;
     CatalogVersion m_version;
-    CatalogVersion m_through;
+    CatalogRevisions m_through;
 };
 
 } // namespace egrettide
--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -69,9 +69,28 @@
 
 void DiscoveredConfiguration::onIntentChanged()
 {
-    m_intentSource = storeSource;
-    rebuild();
-    tellZone();
+    if (takeIntent(m_intentFollower.objects(), storeSource)) {
+        rebuild();
+        tellZone();
+    }
+}
+
+// False when it is damaged, or older than the one in force.
+bool DiscoveredConfiguration::takeIntent(const NamedObjects &objects, const std::string &source)
+{
+    const auto translated = m_parts.translate(objects, m_upstreams);
+    if (!translated) {
+        log::error("configuration_refused", {{"fault", translated.error().message}});
+        return false;
+    }
+    if (m_intentVersion && translated->version < *m_intentVersion) {
+        log::warning("configuration_older", {{"version", translated->version}, {"in_force", *m_intentVersion}});
+        return false;
+    }
+    m_intent = objects;
+    m_intentVersion = translated->version;
+    m_intentSource = source;
+    return true;
 }
 
 void DiscoveredConfiguration::onRegistrationsChanged()
@@ -165,18 +184,14 @@
 
 void DiscoveredConfiguration::rebuild()
 {
-    if (!m_intentFollower.isKnown() || !m_registrationFollower.isKnown()) {
+    if (!m_intentVersion || !m_registrationFollower.isKnown()) {
         return;
     }
-    auto next = m_parts.translate(m_intentFollower.objects(), m_upstreams);
+    auto next = m_parts.translate(m_intent, m_upstreams);
     if (!next) {
         log::error("configuration_refused", {{"fault", next.error().message}});
         return;
     }
-    if (m_current && next->version < m_current->version) {
-        log::warning("configuration_older", {{"version", next->version}, {"in_force", m_current->version}});
-        return;
-    }
     if (!m_current || next->version > m_current->version) {
         log::info("configuration_accepted",
                   {{"version", next->version}, {"routes", static_cast<int>(next->routes.size())}, {"source", m_intentSource}});
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -83,6 +83,7 @@
 private:
     CollectionFollowerHooks followerHooks(std::string_view collection, std::function<void()> changed);
     void onIntentChanged();
+    bool takeIntent(const NamedObjects &objects, const std::string &source);
     void onRegistrationsChanged();
     void takeRegistrations(const NamedObjects &registrations);
     RegisteredUpstreams parse(const NamedObjects &registrations);
@@ -96,7 +97,8 @@
     void lookAgain();
     void onReachability(std::string_view collection, bool reached);
     CatalogVersion version() const;
-    CatalogVersion through() const;
+    CatalogRevisions through() const;
+    bool lacks(const CatalogVersion &told) const;
     std::string catalogText() const;
     void tellZone();
     void offerToSome();
@@ -125,6 +127,11 @@
     std::uint64_t m_refusedPushes = 0;
     // What the registrations say that can be read, and those that lapse.
     RegisteredUpstreams m_upstreams;
+    // The newest intent that was accepted, by the operators' version. The store may hold an
+    // older one after a restore, until operators have written again.
+    NamedObjects m_intent;
+    // Nothing until one was accepted.
+    std::optional<std::uint64_t> m_intentVersion;
     // Registrations that are gone from the store, or damaged there, and still count until
     // then. Invariant: each is in m_upstreams.
     std::map<std::string, TimePoint> m_lapsing;
@@ -147,4 +154,7 @@
     CollectionFollower m_registrationFollower;
 };
 
+    // False until this host has heard of a copy that holds no more than its own: a process that
+    // has just started asks at once, since the store may hold less than others know.
+    bool m_hasCaughtUp = false;
 } // namespace egrettide
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -70,7 +70,7 @@
         m_hooks.send(*next, hop::CatalogOffer{version(), false});
     }
     // Words and answers are lost at times: who is behind does not wait for another word.
-    if (through().lacks(m_newest)) {
+    if (lacks(m_newest)) {
         hearOf(m_newestAt, m_newest);
     }
     lookAgain();
@@ -96,14 +96,19 @@
 
 CatalogVersion DiscoveredConfiguration::version() const
 {
-    return {m_intentFollower.contentRevision(), m_registrationFollower.contentRevision()};
+    return {m_intentVersion.value_or(0), m_registrationFollower.contentRevision()};
 }
 
-CatalogVersion DiscoveredConfiguration::through() const
+CatalogRevisions DiscoveredConfiguration::through() const
 {
     return {m_intentFollower.through(), m_registrationFollower.through()};
 }
 
+bool DiscoveredConfiguration::lacks(const CatalogVersion &told) const
+{
+    return told.intent > m_intentVersion.value_or(0) || told.registrations > m_registrationFollower.through();
+}
+
 CatalogVersion DiscoveredConfiguration::announced() const
 {
     return version();
@@ -111,7 +116,7 @@
 
 std::string DiscoveredConfiguration::catalogText() const
 {
-    return json{{intentPart, m_intentFollower.objects()}, {registrationsPart, m_registrationFollower.objects()}}.dump();
+    return json{{intentPart, m_intent}, {registrationsPart, m_registrationFollower.objects()}}.dump();
 }
 
 // News of the store. All hosts read it once at their start; only readers pass on what
@@ -161,13 +166,14 @@
 void DiscoveredConfiguration::hearOf(const std::string &host, const CatalogVersion &told)
 {
     const TimePoint now = Clock::now();
-    if (!through().lacks(told)) {
+    if (!lacks(told)) {
         m_behindSince.reset();
+        m_hasCaughtUp = true;
         return;
     }
     m_newest = told;
     m_newestAt = host;
-    if (m_current && host != m_zoneReader) {
+    if (m_hasCaughtUp && host != m_zoneReader) {
         m_behindSince = m_behindSince.value_or(now);
         if (now < *m_behindSince + newsPatience) {
             return;
@@ -182,7 +188,7 @@
 void DiscoveredConfiguration::pullFrom(const std::string &host, std::uint64_t heldDigest)
 {
     m_pullBefore = Clock::now() + pullSpacing;
-    log::info("catalog_asked", {{"peer", host}, {"intent_revision", version().intent}});
+    log::info("catalog_asked", {{"peer", host}, {"version", version().intent}});
     m_hooks.send(host, hop::CatalogPull{version(), heldDigest});
 }
 
@@ -229,7 +235,7 @@
 void DiscoveredConfiguration::onCatalogPush(const std::string &from, const hop::CatalogPush &push)
 {
     m_pullBefore = TimePoint{};
-    if (!through().lacks(push.version)) {
+    if (!lacks(push.version)) {
         return;
     }
     auto text = m_texts.read(push);
@@ -249,16 +255,14 @@
 {
     const json catalog = json::parse(text, nullptr, false);
     if (!holdsBothParts(catalog)) {
-        log::warning("catalog_malformed", {{"peer", from}, {"revision", push.version.intent}});
+        log::warning("catalog_malformed", {{"peer", from}, {"version", push.version.intent}});
         return;
     }
-    const bool intent =
-        m_intentFollower.adopt(catalog[intentPart].get<NamedObjects>(), push.version.intent, push.through.intent, text.size());
+    const auto intentObjects = catalog[intentPart].get<NamedObjects>();
+    m_intentFollower.adopt(intentObjects, push.through.intent, push.through.intent, text.size());
+    const bool intent = push.version.intent > m_intentVersion.value_or(0) && takeIntent(intentObjects, from);
     const bool registrations = m_registrationFollower.adopt(catalog[registrationsPart].get<NamedObjects>(),
                                                             push.version.registrations, push.through.registrations, 0);
-    if (intent) {
-        m_intentSource = from;
-    }
     if (registrations) {
         takeRegistrations(m_registrationFollower.objects());
     }
--- a/src/wire/hopcodec.h
+++ b/src/wire/hopcodec.h
@@ -169,9 +169,7 @@
 
 struct CatalogPush {
     CatalogVersion version;
-    // The revisions up to which the two collections are known to be complete; never below
-    // `version`.
-    CatalogVersion through;
+    CatalogRevisions through;
     // Of the text from which `difference` is taken; 0 when it is the whole.
     std::uint64_t baseDigest = 0;
     // Of the text that it gives.
--- a/tests/core/catalogversion_test.cpp
+++ b/tests/core/catalogversion_test.cpp
@@ -27,7 +27,11 @@
     BOOST_TEST(intent.lacks(registrations));
     BOOST_TEST(registrations.lacks(intent));
     BOOST_TEST((intent > registrations));
-    BOOST_TEST((intent.joined(registrations) == CatalogVersion{8, 9}));
+}
+
+BOOST_AUTO_TEST_CASE(ComeWithTheRevisionsThatWereReadTogether)
+{
+    BOOST_TEST((CatalogRevisions{8, 3}.joined({7, 9}) == CatalogRevisions{8, 9}));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/hopcodec_test.cpp
+++ b/tests/core/hopcodec_test.cpp
@@ -324,7 +324,7 @@
         const auto pull = std::get<CatalogPull>(roundTrip(CatalogPull{version, number}));
         RC_ASSERT(pull.version == version && pull.digest == number);
         const auto catalog = std::get<CatalogPush>(roundTrip(CatalogPush{version, {number, number}, number, number + 2, one}));
-        RC_ASSERT(catalog.version == version && catalog.through == (CatalogVersion{number, number}));
+        RC_ASSERT(catalog.version == version && catalog.through == (CatalogRevisions{number, number}));
         RC_ASSERT(catalog.baseDigest == number && catalog.digest == number + 2 && catalog.difference == one);
         const auto ask = std::get<QuotaAsk>(roundTrip(QuotaAsk{number, one}));
         RC_ASSERT(ask.id == number && ask.workspace == one);
--- a/tests/runtime/discoveredconfiguration_test.cpp
+++ b/tests/runtime/discoveredconfiguration_test.cpp
@@ -208,6 +208,97 @@
     BOOST_TEST(fleet.regressions == 0);
 }
 
+// Guards against hosts that take up nothing new while the store holds an older configuration than they have.
+BOOST_AUTO_TEST_CASE(FollowRegistrationsWhileOperatorsHaveNotWrittenAgain)
+{
+    StoreFleet fleet(6, 9);
+    fleet.configure(1);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(1); }));
+    fleet.store.takeCopy();
+    fleet.configure(5);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(5); }));
+    fleet.store.restoreCopy();
+    fleet.run(milliseconds{500});
+    fleet.store.put("registrations", "upstream-1", {{"term", 1}});
+    BOOST_TEST(fleet.runUntil([&] { return fleet.allKnowUpstreams(1); }));
+    BOOST_TEST(fleet.allHave(5));
+    fleet.configure(5);
+    fleet.configure(6);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.allHave(6); }));
+    BOOST_TEST(fleet.regressions == 0);
+}
+
+// Guards against a host that starts before operators have written again, and stays with what the store has.
+BOOST_AUTO_TEST_CASE(GiveNewcomersTheConfigurationThatTheStoreHasLost)
+{
+    StoreFleet fleet(6, 10);
+    fleet.configure(1);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(1); }));
+    fleet.store.takeCopy();
+    fleet.configure(5);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(5); }));
+    fleet.store.restoreCopy();
+    fleet.run(milliseconds{300});
+    fleet.restart("host-0");
+    fleet.restart("host-3");
+    BOOST_TEST(fleet.runUntil([&] { return fleet.allHave(5); }));
+    BOOST_TEST(fleet.regressions == 0);
+}
+
+// Guards against a host that is cut off from the store and keeps what it knew before the return.
+BOOST_AUTO_TEST_CASE(TellThoseThatCannotReachItOfItsReturn)
+{
+    StoreFleet fleet(6, 11);
+    fleet.configure(1);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(1); }));
+    fleet.store.takeCopy();
+    for (int term = 1; term <= 20; ++term) {
+        fleet.store.put("registrations", "lost", {{"term", term}});
+    }
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allKnowUpstreams(1); }));
+    for (const char *host : {"host-0", "host-4", "host-5"}) {
+        fleet.store.cutOff(host, true);
+    }
+    fleet.store.restoreCopy();
+    fleet.configure(2);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.allHave(2) && fleet.allKnowUpstreams(0); }));
+    BOOST_TEST(fleet.regressions == 0);
+}
+
+// Any schedule of restores, lost and late messages, restarts, cuts and outages ends with what operators and
+// upstreams wrote last at every host, and none goes back.
+BOOST_AUTO_TEST_CASE(EndWithWhatWasWrittenLastUnderAnyScheduleOfRestores)
+{
+    constexpr std::size_t hosts = 7;
+    for (std::uint64_t seed = 21; seed <= 26; ++seed) {
+        StoreFleet fleet(hosts, seed);
+        fleet.lossPercent = 20;
+        fleet.delayPercent = 30;
+        std::mt19937_64 random(seed);
+        for (std::uint64_t version = 1; version <= 12; ++version) {
+            if (random() % 3 == 0) {
+                fleet.store.takeCopy();
+            }
+            fleet.configure(version * 10, 20);
+            disturb(fleet, random, hosts);
+            fleet.run(milliseconds{static_cast<int>(random() % 250)});
+            if (version % 3 == 0) {
+                fleet.store.restoreCopy();
+                fleet.run(milliseconds{static_cast<int>(random() % 400)});
+                fleet.configure(fleet.newest, 20);
+            }
+        }
+        heal(fleet, hosts);
+        std::size_t registered = 0;
+        for (int i = 0; i < 5; ++i) {
+            registered += fleet.store.holds("registrations", "upstream-" + std::to_string(i)) ? 1 : 0;
+        }
+        BOOST_TEST(fleet.runUntil([&] { return fleet.allHave(fleet.newest) && fleet.allKnowUpstreams(registered); }),
+                   "seed " << seed << ": not all hosts have what was written last");
+        BOOST_TEST(fleet.regressions == 0, "seed " << seed << ": a host went back");
+    }
+}
+
 // Any schedule of lost, late and reordered messages, restarts, frozen hosts and outages of
 // the store ends with the version that was accepted last at every host, and none goes back.
 BOOST_AUTO_TEST_CASE(EndWithTheNewestVersionUnderAnySchedule)
--- a/tests/runtime/storefleet.h
+++ b/tests/runtime/storefleet.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "egrettide/core/storeepoch.h"
 #include "runtime/configuration/discoveredconfiguration.h"
 
 #include <boost/asio/io_context.hpp>
@@ -20,7 +21,8 @@
 namespace egrettide::test
 {
 
-// A store of two collections with watches, which can be down, lose answers and forget.
+// A store of two collections with watches, which can be down, lose answers, forget, and come
+// back from a copy.
 class SharedStore
 {
 public:
@@ -30,12 +32,12 @@
 
     void put(const std::string &kind, const std::string &name, nlohmann::json value)
     {
-        change(kind, CollectionChange{{name, std::move(value), m_revision + 1}, false});
+        change(kind, CollectionChange{{name, std::move(value), m_content.revision + 1}, false});
     }
 
     void remove(const std::string &kind, const std::string &name)
     {
-        change(kind, CollectionChange{{name, {}, m_revision + 1}, true});
+        change(kind, CollectionChange{{name, {}, m_content.revision + 1}, true});
     }
 
     CollectionSource sourceFor(const std::string &host, const std::string &kind)
@@ -84,8 +86,26 @@
 
     void forgetHistory()
     {
-        m_history.clear();
-        m_forgotten = m_revision;
+        m_content.history.clear();
+        m_content.forgotten = m_content.revision;
+    }
+
+    void takeCopy()
+    {
+        m_copy = m_content;
+    }
+
+    void restoreCopy()
+    {
+        m_content = m_copy;
+        ++m_epoch;
+        boost::asio::post(m_context, [this] { look(); });
+    }
+
+    bool holds(const std::string &kind, const std::string &name) const
+    {
+        const auto objects = m_content.objects.find(kind);
+        return objects != m_content.objects.end() && objects->second.contains(name);
     }
 
     std::map<std::string, int> calls() const
@@ -112,13 +132,13 @@
 
     void change(const std::string &kind, CollectionChange change)
     {
-        ++m_revision;
+        ++m_content.revision;
         if (change.removed) {
-            m_objects[kind].erase(change.object.name);
+            m_content.objects[kind].erase(change.object.name);
         } else {
-            m_objects[kind][change.object.name] = change.object;
+            m_content.objects[kind][change.object.name] = change.object;
         }
-        m_history.emplace_back(kind, std::move(change));
+        m_content.history.emplace_back(kind, std::move(change));
         boost::asio::post(m_context, [this] { look(); });
     }
 
@@ -129,24 +149,26 @@
             return;
         }
         CollectionPage page;
-        page.revision = m_revision;
-        for (const auto &[name, object] : m_objects[kind]) {
-            page.objects.push_back(object);
+        page.revision = ordered(m_content.revision);
+        for (const auto &[name, object] : m_content.objects[kind]) {
+            page.objects.push_back({name, object.value, ordered(object.revision)});
         }
         handler(std::move(page));
     }
 
     bool answer(const Watch &watch)
     {
-        if (watch.since < m_forgotten) {
+        const StoreRevision since = StoreRevision::fromOrdered(watch.since);
+        if (since.epoch != m_epoch || since.revision < m_content.forgotten) {
             watch.handler(tl::unexpected(CollectionFailure::HistoryGone));
             return true;
         }
         CollectionChanges changes;
-        changes.revision = m_revision;
-        for (const auto &[kind, change] : m_history) {
-            if (kind == watch.kind && change.object.revision > watch.since) {
-                changes.changes.push_back(change);
+        changes.revision = ordered(m_content.revision);
+        for (const auto &[kind, change] : m_content.history) {
+            if (kind == watch.kind && change.object.revision > since.revision) {
+                const CollectedObject &object = change.object;
+                changes.changes.push_back({{object.name, object.value, ordered(object.revision)}, change.removed});
             }
         }
         if (changes.changes.empty() && Clock::now() < watch.deadline) {
@@ -156,14 +178,26 @@
         return true;
     }
 
+    // Revisions within one epoch.
+    struct Content {
+        std::map<std::string, std::map<std::string, CollectedObject>> objects;
+        std::vector<std::pair<std::string, CollectionChange>> history;
+        std::uint64_t revision = 1;
+        std::uint64_t forgotten = 0;
+    };
+
+    std::uint64_t ordered(std::uint64_t revision) const
+    {
+        return StoreRevision{m_epoch, revision}.ordered();
+    }
+
     boost::asio::io_context &m_context;
-    std::map<std::string, std::map<std::string, CollectedObject>> m_objects;
-    std::vector<std::pair<std::string, CollectionChange>> m_history;
+    Content m_content;
+    Content m_copy;
+    std::uint64_t m_epoch = 0;
     std::vector<Watch> m_waiting;
     std::map<std::string, int> m_calls;
     std::set<std::string> m_cut;
-    std::uint64_t m_revision = 1;
-    std::uint64_t m_forgotten = 0;
     bool m_down = false;
 };
 
