Put hosts on the list again after the store was restored

Hypothesis: a host that registered after the copy was taken is missing from the platform's list from then on; hosts that start find it by gossip only, and one whose zone mates are all missing takes itself for alone.

Cause: a host registers once, at its start.

Change: a copy of a later epoch counts as news even when it holds the same, so every host hears of it, those that cannot reach the store by heartbeats. Each says so in its log (store_restored: who told it, and for how long it was behind; the metric store_epoch is that of the host's own copy now) and registers again, after a random part of the time in which the whole fleet writes 100 entries a second: 0.1 s for 10 hosts, 3 s for 300. An entry that stands as it should costs one call, since the refusal shows it.

--- a/src/runtime/configuration/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/configuration/collection.h"
 
+#include "egrettide/core/storeepoch.h"
+
 #include <algorithm>
 
 namespace egrettide
@@ -158,8 +160,13 @@
         noteContent(object.revision);
     }
     const bool isFirst = !isKnown();
-    const bool differs = isFirst || objects != m_objects;
+    const bool isRestored = StoreRevision::fromOrdered(page.revision).epoch > StoreRevision::fromOrdered(m_revision).epoch;
+    const bool differs = isFirst || isRestored || objects != m_objects;
     m_revision = page.revision;
+    if (isRestored) {
+        // Others have to hear of the restore, whatever it changed.
+        noteContent(m_revision);
+    }
     if (std::ranges::any_of(m_objects, [&objects](const auto &known) { return !objects.contains(known.first); })) {
         // A list does not say when an object was removed.
         noteContent(m_revision);
--- a/src/runtime/configuration/configurationsource.h
+++ b/src/runtime/configuration/configurationsource.h
@@ -35,6 +35,8 @@
     // True when this host holds its zone's watch on the store.
     std::function<bool()> isWatcher;
     std::function<ZoneHosts()> zone{};
+    // The store came back from an older copy; what this host wrote there may be gone.
+    std::function<void()> storeRestored = [] {};
     // Not hooks: how the hosts of a zone share the reading of the store, and the bytes a
     // second that bulk may take of this host's link, 0 for no bound.
     ReaderDutyOptions reader{};
@@ -74,6 +76,11 @@
 
     // The configuration in force; null while there is none.
     virtual std::shared_ptr<const Configuration> current() const = 0;
+    // The epoch of the store that this host's copy is from; 0 for a store without epochs.
+    virtual std::uint64_t storeEpoch() const
+    {
+        return 0;
+    }
     // What this host's heartbeats tell of it; rises with every change.
     virtual CatalogVersion announced() const
     {
--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/configuration/discoveredconfiguration.h"
 
+#include "egrettide/core/storeepoch.h"
 #include "runtime/host/log.h"
 
 #include <algorithm>
@@ -17,6 +18,11 @@
 constexpr milliseconds lapsePatience{2500};
 constexpr const char *storeSource = "store";
 
+std::uint64_t epochOf(std::uint64_t revision)
+{
+    return StoreRevision::fromOrdered(revision).epoch;
+}
+
 } // namespace
 
 DiscoveredConfiguration::DiscoveredConfiguration(boost::asio::io_context &control, std::string self, DiscoveryParts parts,
@@ -95,6 +101,7 @@
 
 void DiscoveredConfiguration::onRegistrationsChanged()
 {
+    noteEpoch(storeSource);
     takeRegistrations(m_registrationFollower.objects());
     rebuild();
     tellZone();
@@ -117,6 +124,27 @@
     armLapse();
 }
 
+// Call it when another copy of the registrations has come.
+void DiscoveredConfiguration::noteEpoch(const std::string &source)
+{
+    const std::uint64_t epoch = epochOf(m_registrationFollower.through());
+    if (!m_epoch || epoch <= *m_epoch) {
+        m_epoch = m_epoch.value_or(epoch);
+        return;
+    }
+    const TimePoint now = Clock::now();
+    const auto behind = std::chrono::duration_cast<milliseconds>(now - m_epochHeardAt.value_or(now));
+    log::info("store_restored", {{"epoch", epoch}, {"known", *m_epoch}, {"source", source}, {"behind_ms", behind.count()}});
+    m_epoch = epoch;
+    m_epochHeardAt.reset();
+    m_hooks.storeRestored();
+}
+
+std::uint64_t DiscoveredConfiguration::storeEpoch() const
+{
+    return m_epoch.value_or(0);
+}
+
 // What goes wrong otherwise: another writer leaves an entry among the registrations. With
 // an unknown state it would count as ready, without an address it would be an upstream
 // that nothing reaches, and a type that nobody expects would end the process.
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -76,6 +76,7 @@
     void heardOf(const std::string &host, const CatalogVersion &version) override;
     std::shared_ptr<const Configuration> current() const override;
     CatalogVersion announced() const override;
+    std::uint64_t storeEpoch() const override;
 
     // Registrations that were refused since the start, each counted once for each fault.
     std::uint64_t refusedRegistrations() const;
@@ -88,6 +89,7 @@
     void takeRegistrations(const NamedObjects &registrations);
     RegisteredUpstreams parse(const NamedObjects &registrations);
     void noteRefused(const std::string &name, const Error &fault);
+    void noteEpoch(const std::string &source);
     void forgetLapsed();
     void armLapse();
     void rebuild();
@@ -125,16 +127,20 @@
     std::string m_zoneReader;
     // Differences of peers that could not be used, since the start.
     std::uint64_t m_refusedPushes = 0;
-    // What the registrations say that can be read, and those that lapse.
-    RegisteredUpstreams m_upstreams;
     // The newest intent that was accepted, by the operators' version. The store may hold an
     // older one after a restore, until operators have written again.
     NamedObjects m_intent;
     // Nothing until one was accepted.
     std::optional<std::uint64_t> m_intentVersion;
+    // What the registrations say that can be read, and those that lapse.
+    RegisteredUpstreams m_upstreams;
     // Registrations that are gone from the store, or damaged there, and still count until
     // then. Invariant: each is in m_upstreams.
     std::map<std::string, TimePoint> m_lapsing;
+    // The store's epoch that the registrations are from; nothing until there was a copy.
+    std::optional<std::uint64_t> m_epoch;
+    // Since when this host has heard of a later one.
+    std::optional<TimePoint> m_epochHeardAt;
     // What was last said of each registration that can't be used.
     std::map<std::string, std::string> m_refused;
     std::uint64_t m_refusals = 0;
@@ -146,6 +152,9 @@
     TimePoint m_pullBefore;
     // Since when this host has known of something newer than it has.
     std::optional<TimePoint> m_behindSince;
+    // False until this host has heard of a copy that holds no more than its own: a process that
+    // has just started asks at once, since the store may hold less than others know.
+    bool m_hasCaughtUp = false;
     // The newest copy that was heard of, and a host that holds it.
     CatalogVersion m_newest;
     std::string m_newestAt;
@@ -154,7 +163,4 @@
     CollectionFollower m_registrationFollower;
 };
 
-    // False until this host has heard of a copy that holds no more than its own: a process that
-    // has just started asks at once, since the store may hold less than others know.
-    bool m_hasCaughtUp = false;
 } // namespace egrettide
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/configuration/discoveredconfiguration.h"
 
+#include "egrettide/core/storeepoch.h"
 #include "runtime/host/log.h"
 
 #include <nlohmann/json.hpp>
@@ -173,6 +174,9 @@
     }
     m_newest = told;
     m_newestAt = host;
+    if (StoreRevision::fromOrdered(told.registrations).epoch > storeEpoch()) {
+        m_epochHeardAt = m_epochHeardAt.value_or(now);
+    }
     if (m_hasCaughtUp && host != m_zoneReader) {
         m_behindSince = m_behindSince.value_or(now);
         if (now < *m_behindSince + newsPatience) {
@@ -264,6 +268,7 @@
     const bool registrations = m_registrationFollower.adopt(catalog[registrationsPart].get<NamedObjects>(),
                                                             push.version.registrations, push.through.registrations, 0);
     if (registrations) {
+        noteEpoch(from);
         takeRegistrations(m_registrationFollower.objects());
     }
     if (intent || registrations) {
--- a/src/runtime/fleet/membershipdriver.cpp
+++ b/src/runtime/fleet/membershipdriver.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/fleet/membershipdriver.h"
 
+#include "egrettide/core/rewritedelay.h"
 #include "runtime/host/log.h"
 
 namespace egrettide
@@ -24,6 +25,7 @@
     , m_tickTimer(control)
     , m_listTimer(control)
     , m_registerTimer(control)
+    , m_random(seed)
 {
 }
 
@@ -44,12 +46,7 @@
         }
         if (!registered) {
             log::warning("host_not_registered", {{"error", registered.error().error.message}});
-            m_registerTimer.expires_after(listInterval);
-            m_registerTimer.async_wait([this](const boost::system::error_code &cancelled) {
-                if (!cancelled && !m_stopped) {
-                    registerSelf();
-                }
-            });
+            registerSelfIn(listInterval);
         }
         if (!m_reads) {
             m_reads = true;
@@ -93,6 +90,23 @@
     });
 }
 
+void MembershipDriver::registerSelfIn(milliseconds delay)
+{
+    m_registerTimer.expires_after(delay);
+    m_registerTimer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled && !m_stopped && !m_departed) {
+            registerSelf();
+        }
+    });
+}
+
+void MembershipDriver::registerAgain()
+{
+    const milliseconds delay = rewriteDelay(m_membership.liveCount(), m_random);
+    log::info("host_registers_again", {{"delay_ms", delay.count()}});
+    registerSelfIn(delay);
+}
+
 void MembershipDriver::readHostList()
 {
     // One reader for each zone keeps the platform's load independent of the fleet;
@@ -164,6 +178,7 @@
 
 void MembershipDriver::depart()
 {
+    m_departed = true;
     deliver(m_membership.depart(Clock::now()));
     m_store.removeHost(m_self.name, Clock::now() + listTimeout, [](const tl::expected<void, StoreError> &) {});
 }
--- a/src/runtime/fleet/membershipdriver.h
+++ b/src/runtime/fleet/membershipdriver.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace egrettide
@@ -43,6 +44,9 @@
     void onGossip(const GossipMessage &message);
     void onUnreachable(const std::string &host);
     void setCatalogVersion(const CatalogVersion &version);
+    // Puts this host on the platform's list once more, within the time that all hosts take for
+    // it: the store came back from a copy that may be older than its entry.
+    void registerAgain();
     // Tells the others that this host takes nothing new from now on.
     void leave();
     // Tells the others that this host is gone.
@@ -55,6 +59,7 @@
 private:
     void scheduleTick();
     void registerSelf();
+    void registerSelfIn(milliseconds delay);
     void readHostList();
     void readHostListLater();
     void fetchHostList();
@@ -76,7 +81,10 @@
     HostReach m_publishedReach;
     // True once the list is read at its interval.
     bool m_reads = false;
+    // True once this host has taken itself off the list.
+    bool m_departed = false;
     bool m_stopped = false;
+    std::mt19937_64 m_random;
 };
 
 } // namespace egrettide
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -313,7 +313,8 @@
         ConfigurationKeeperHooks{[this](const std::shared_ptr<const Configuration> &) { onConfiguration(); },
                                  [this](const std::string &host, hop::HopMessage message) { send(host, std::move(message)); },
                                  [this](std::size_t count) { return someHosts(count); }, [this] { return isWatcher(); },
-                                 [this] { return zoneHosts(); }, reader, bulkBytesPerSecond(m_settings.linkMbps)});
+                                 [this] { return zoneHosts(); }, [this] { m_membership->registerAgain(); }, reader,
+                                 bulkBytesPerSecond(m_settings.linkMbps)});
     rebuildRoutes();
     startThreads();
     return addresses;
--- a/src/runtime/host/hostoperations.cpp
+++ b/src/runtime/host/hostoperations.cpp
@@ -46,7 +46,7 @@
         const auto now = routes();
         MetricsRegistry gauges;
         addStoreMetrics(gauges, m_store->callCounts());
-        gauges.set("store_epoch", {}, static_cast<double>(m_store->epoch()));
+        gauges.set("store_epoch", {}, static_cast<double>(m_keeper->storeEpoch()));
         addLogMetrics(gauges);
         addHomeMetrics(gauges, homes);
         gauges.set("callers", {}, static_cast<double>(m_front->openConnections()));
--- a/src/runtime/store/store.h
+++ b/src/runtime/store/store.h
@@ -121,12 +121,6 @@
     virtual void moveTo(const boost::asio::ip::tcp::endpoint &address) = 0;
 
     virtual const StoreCallCounts &callCounts() const = 0;
-
-    // The newest epoch that the store has named; 0 for a store that names none.
-    virtual std::uint64_t epoch() const
-    {
-        return 0;
-    }
 };
 
 } // namespace egrettide
--- a/tests/platform/objectstore_test.cpp
+++ b/tests/platform/objectstore_test.cpp
@@ -274,8 +274,9 @@
     BOOST_TEST(!list("servers").has_value());
     BOOST_TEST((failureOf(write("egrettide/groups/a", 1, 0)) == StoreFailure::OutcomeUnknown));
     platform.setEpoch("no number");
-    BOOST_TEST(list("servers").has_value());
-    BOOST_TEST(store.epoch() == 3U);
+    const auto page = list("servers");
+    BOOST_TEST_REQUIRE(page.has_value());
+    BOOST_TEST(StoreRevision::fromOrdered(page->revision).epoch == 3U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/restoredstore_test.cpp
+++ b/tests/platform/restoredstore_test.cpp
@@ -93,6 +93,18 @@
     BOOST_TEST(allServe("added"), "an added route is refused");
 }
 
+// Guards against hosts that others don't find, since the copy is from before they registered.
+BOOST_AUTO_TEST_CASE(GetsTheEntriesOfItsHostsBack)
+{
+    platform.removeObject("egrettide-hosts", "h2");
+    platform.takeCopy();
+    registerUpstreams(100);
+    configure(2, {"added"});
+    BOOST_TEST_REQUIRE(eventually([this] { return allServe("added"); }));
+    platform.restoreCopy();
+    BOOST_TEST(eventually([this] { return platform.objectOfKind("egrettide-hosts", "h2").has_value(); }));
+}
+
 // Guards against a database that stays without a primary, since its fencing tokens went back with the store's revisions.
 BOOST_AUTO_TEST_CASE(GivesHigherFencingTokensThanBefore)
 {
--- a/tests/runtime/membershipdriver_test.cpp
+++ b/tests/runtime/membershipdriver_test.cpp
@@ -114,4 +114,32 @@
     driver.stop();
 }
 
+// Guards against a host that others don't find, since the store came back from a copy without its entry.
+BOOST_AUTO_TEST_CASE(GetsAHostAgainAfterARestore)
+{
+    boost::asio::io_context context;
+    ListStore store(context);
+    MembershipDriverHooks hooks;
+    hooks.send = [](const std::string &, const std::string &, hop::HopMessage) {};
+    hooks.changed = [](const std::shared_ptr<const MembershipView> &) {};
+    hooks.reachChanged = [](const HostReach &) {};
+    hooks.catalogHeard = [](const std::string &, const CatalogVersion &) {};
+    hooks.isWatcher = [] { return false; };
+    MembershipDriver driver(context, store, hostIn("zone-a", "self"), 1, hooks);
+    driver.start();
+    BOOST_TEST_REQUIRE(static_cast<bool>(store.registered));
+    store.registered({});
+    store.registered = {};
+    driver.registerAgain();
+    context.run_until(Clock::now() + milliseconds{500});
+    BOOST_TEST_REQUIRE(static_cast<bool>(store.registered), "the host did not register again");
+    store.registered = {};
+    driver.registerAgain();
+    driver.depart();
+    context.restart();
+    context.run_until(Clock::now() + milliseconds{500});
+    BOOST_TEST(!store.registered, "a host that has gone put itself on the list again");
+    driver.stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
