Keep the newer word of an upstream until it had the time to write again

Hypothesis: an upstream that has said that it leaves gets new work after a restore, since the copy holds its entry from before.

Cause: the registrations of the store replaced what was known without a look at which of two words of one upstream is the later one. Entries that are missing from the copy are covered by the delay of lapses; entries that are older were not.

--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -23,13 +23,22 @@
     return StoreRevision::fromOrdered(revision).epoch;
 }
 
+// Whether `known` was written after `listed`, by the same process or by a later one.
+bool isNewerWord(const UpstreamSpec &known, const UpstreamSpec &listed)
+{
+    if (known.startedAt != listed.startedAt) {
+        return known.startedAt && listed.startedAt && *known.startedAt > *listed.startedAt;
+    }
+    return known.heartbeats > listed.heartbeats;
+}
+
 } // namespace
 
 DiscoveredConfiguration::DiscoveredConfiguration(boost::asio::io_context &control, std::string self, DiscoveryParts parts,
                                                  ConfigurationKeeperHooks hooks)
     : m_parts(std::move(parts))
     , m_hooks(std::move(hooks))
-    , m_lapseTimer(control)
+    , m_settleTimer(control)
     , m_lookTimer(control)
     , m_pushTimer(control)
     , m_duty(std::move(self), m_hooks.reader)
@@ -61,7 +70,7 @@
 void DiscoveredConfiguration::stop()
 {
     m_stopped = true;
-    m_lapseTimer.cancel();
+    m_settleTimer.cancel();
     m_lookTimer.cancel();
     m_pushTimer.cancel();
     m_intentFollower.stop();
@@ -115,13 +124,14 @@
     const TimePoint lapsesAt = Clock::now() + lapsePatience;
     RegisteredUpstreams next = parse(registrations);
     std::erase_if(m_lapsing, [&next](const auto &entry) { return next.contains(entry.first); });
+    m_keepsNewerWords = Clock::now() < m_rewrittenBy && keepNewerWords(next);
     for (const auto &[name, upstream] : m_upstreams) {
         if (next.emplace(name, upstream).second) {
             m_lapsing.emplace(name, lapsesAt);
         }
     }
     m_upstreams = std::move(next);
-    armLapse();
+    armSettling();
 }
 
 // Call it when another copy of the registrations has come.
@@ -137,6 +147,7 @@
     log::info("store_restored", {{"epoch", epoch}, {"known", *m_epoch}, {"source", source}, {"behind_ms", behind.count()}});
     m_epoch = epoch;
     m_epochHeardAt.reset();
+    m_rewrittenBy = now + lapsePatience;
     m_hooks.storeRestored();
 }
 
@@ -145,6 +156,21 @@
     return m_epoch.value_or(0);
 }
 
+// What goes wrong without: an upstream that leaves is ready again in a restored store, and
+// gets work until it has written itself there anew. True when something was kept.
+bool DiscoveredConfiguration::keepNewerWords(RegisteredUpstreams &next) const
+{
+    bool kept = false;
+    for (auto &[name, listed] : next) {
+        const auto known = m_upstreams.find(name);
+        if (known != m_upstreams.end() && isNewerWord(known->second.upstream, listed.upstream)) {
+            listed = known->second;
+            kept = true;
+        }
+    }
+    return kept;
+}
+
 // What goes wrong otherwise: another writer leaves an entry among the registrations. With
 // an unknown state it would count as ready, without an address it would be an upstream
 // that nothing reaches, and a type that nobody expects would end the process.
@@ -181,21 +207,25 @@
     return m_refusals;
 }
 
-void DiscoveredConfiguration::armLapse()
+void DiscoveredConfiguration::armSettling()
 {
-    if (m_lapsing.empty()) {
+    if (m_lapsing.empty() && !m_keepsNewerWords) {
         return;
     }
-    const auto next = std::ranges::min_element(m_lapsing, {}, [](const auto &entry) { return entry.second; });
-    m_lapseTimer.expires_at(next->second);
-    m_lapseTimer.async_wait([this](const boost::system::error_code &cancelled) {
+    TimePoint next = m_keepsNewerWords ? m_rewrittenBy : TimePoint::max();
+    for (const auto &[name, lapsesAt] : m_lapsing) {
+        next = std::min(next, lapsesAt);
+    }
+    m_settleTimer.expires_at(next);
+    m_settleTimer.async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled && !m_stopped) {
-            forgetLapsed();
+            settleRegistrations();
         }
     });
 }
 
-void DiscoveredConfiguration::forgetLapsed()
+// Takes the store's word for what it did not say again in time.
+void DiscoveredConfiguration::settleRegistrations()
 {
     const TimePoint now = Clock::now();
     std::erase_if(m_lapsing, [this, now](const auto &entry) {
@@ -206,7 +236,11 @@
         }
         return lapsed;
     });
-    armLapse();
+    if (m_keepsNewerWords && now >= m_rewrittenBy) {
+        takeRegistrations(m_registrationFollower.objects());
+    } else {
+        armSettling();
+    }
     rebuild();
 }
 
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -90,8 +90,9 @@
     RegisteredUpstreams parse(const NamedObjects &registrations);
     void noteRefused(const std::string &name, const Error &fault);
     void noteEpoch(const std::string &source);
-    void forgetLapsed();
-    void armLapse();
+    bool keepNewerWords(RegisteredUpstreams &next) const;
+    void settleRegistrations();
+    void armSettling();
     void rebuild();
 
     // Reading for the zone, and telling others.
@@ -112,7 +113,7 @@
 
     DiscoveryParts m_parts;
     ConfigurationKeeperHooks m_hooks;
-    Timer m_lapseTimer;
+    Timer m_settleTimer;
     Timer m_lookTimer;
     Timer m_pushTimer;
     ReaderDuty m_duty;
@@ -141,6 +142,10 @@
     std::optional<std::uint64_t> m_epoch;
     // Since when this host has heard of a later one.
     std::optional<TimePoint> m_epochHeardAt;
+    // Until then a restored store may hold older words of upstreams than were heard here.
+    TimePoint m_rewrittenBy;
+    // True while an older word of the store does not count yet.
+    bool m_keepsNewerWords = false;
     // What was last said of each registration that can't be used.
     std::map<std::string, std::string> m_refused;
     std::uint64_t m_refusals = 0;
--- a/tests/runtime/discoveredconfiguration_test.cpp
+++ b/tests/runtime/discoveredconfiguration_test.cpp
@@ -265,6 +265,45 @@
     BOOST_TEST(fleet.regressions == 0);
 }
 
+// Guards against an upstream that leaves and gets work again, since the copy has its older word.
+BOOST_AUTO_TEST_CASE(KeepTheNewerWordOfAnUpstreamUntilItHadTheTimeToWriteAgain)
+{
+    constexpr std::size_t hosts = 4;
+    StoreFleet fleet(hosts, 12);
+    fleet.store.put("registrations", "upstream-1", {{"heartbeats", 5}});
+    fleet.configure(1);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(1) && fleet.allKnowUpstreams(1); }));
+    fleet.store.takeCopy();
+    fleet.store.put("registrations", "upstream-1", {{"heartbeats", 6}, {"leaving", true}});
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.knowAsLeaving("upstream-1") == hosts; }));
+    fleet.store.restoreCopy();
+    fleet.configure(2);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(2); }));
+    fleet.run(milliseconds{500});
+    BOOST_TEST(fleet.knowAsLeaving("upstream-1") == hosts, "an older word was taken");
+    // Whoever does not write again has nothing newer to say.
+    BOOST_TEST(fleet.runUntil([&] { return fleet.knowAsLeaving("upstream-1") == 0; }), "the older word never counted");
+}
+
+// Guards against upstreams that count as gone while they write themselves into the store again.
+BOOST_AUTO_TEST_CASE(KeepUpstreamsThatTheStoreHasLostUntilTheyHadTheTimeToWriteAgain)
+{
+    StoreFleet fleet(4, 13);
+    fleet.configure(1);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(1); }));
+    fleet.store.takeCopy();
+    fleet.store.put("registrations", "returns", {{"heartbeats", 1}});
+    fleet.store.put("registrations", "gone", {{"heartbeats", 1}});
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allKnowUpstreams(2); }));
+    fleet.store.restoreCopy();
+    fleet.configure(2);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(2); }));
+    fleet.run(milliseconds{500});
+    BOOST_TEST(fleet.allKnowUpstreams(2), "an upstream was taken for gone at once");
+    fleet.store.put("registrations", "returns", {{"heartbeats", 2}});
+    BOOST_TEST(fleet.runUntil([&] { return fleet.allKnowUpstreams(1); }));
+}
+
 // Any schedule of restores, lost and late messages, restarts, cuts and outages ends with what operators and
 // upstreams wrote last at every host, and none goes back.
 BOOST_AUTO_TEST_CASE(EndWithWhatWasWrittenLastUnderAnyScheduleOfRestores)
--- a/tests/runtime/storefleet.h
+++ b/tests/runtime/storefleet.h
@@ -292,6 +292,17 @@
         });
     }
 
+    // How many hosts know an upstream of that name as one that leaves.
+    std::size_t knowAsLeaving(const std::string &upstream) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_hosts, [&upstream](const auto &entry) {
+            const auto current = entry.second->source->current();
+            return current && std::ranges::any_of(current->databases.front().upstreams, [&upstream](const UpstreamSpec &spec) {
+                       return spec.name == upstream && spec.leaving;
+                   });
+        }));
+    }
+
     boost::asio::io_context context{1};
     SharedStore store{context};
     std::uint64_t newest = 0;
@@ -318,6 +329,16 @@
         hop::HopMessage message;
     };
 
+    static tl::expected<RegisteredUpstream, Error> parseRegistration(const std::string &name, const nlohmann::json &value)
+    {
+        RegisteredUpstream registered;
+        registered.upstream.name = name;
+        registered.upstream.address = name;
+        registered.upstream.leaving = value.value("leaving", false);
+        registered.upstream.heartbeats = value.value("heartbeats", std::uint64_t{0});
+        return registered;
+    }
+
     static tl::expected<Configuration, Error> translate(const NamedObjects &intent, const RegisteredUpstreams &upstreams)
     {
         const auto found = intent.find("main");
@@ -346,10 +367,7 @@
         hooks.someHosts = [this, name](std::size_t count) { return some(name, count); };
         hooks.isWatcher = [] { return false; };
         hooks.zone = [this, name] { return zoneOf(name); };
-        DiscoveryParts parts{store.sourceFor(name, "intent"), store.sourceFor(name, "registrations"),
-                             [](const std::string &, const nlohmann::json &) -> tl::expected<RegisteredUpstream, Error> {
-                                 return RegisteredUpstream{};
-                             },
+        DiscoveryParts parts{store.sourceFor(name, "intent"), store.sourceFor(name, "registrations"), parseRegistration,
                              translate};
         host->source = std::make_unique<DiscoveredConfiguration>(context, name, std::move(parts), std::move(hooks));
         m_hosts[name] = std::move(host);
