--- a/src/wire/hopcodec.h
+++ b/src/wire/hopcodec.h
@@ -24,7 +24,7 @@
 
 // Raised when an older host would misread a newer frame; a link between hosts
 // of different versions is refused in Hello.
-constexpr std::uint32_t protocolVersion = 1;
+constexpr std::uint32_t protocolVersion = 2;
 
 // Larger frames are refused on both sides. Above the largest PostgreSQL message
 // so that a batch of one message always fits.
--- a/tests/platform/restoredstore_test.cpp
+++ b/tests/platform/restoredstore_test.cpp
@@ -120,4 +120,46 @@
     BOOST_TEST(platform.promotions().back().fencingToken > before);
 }
 
+// Guards against a host that starts with what a restored store still has, and against hosts that go back to it.
+BOOST_AUTO_TEST_CASE(IsNotBelievedOverHostsThatKnowANewerConfiguration)
+{
+    configure(5, {"older"});
+    BOOST_TEST_REQUIRE(eventually([this] { return allServe("older"); }));
+    platform.takeCopy();
+    configure(9, {"newer"});
+    BOOST_TEST_REQUIRE(eventually([this] { return allServe("newer") && noneServes("older"); }));
+    platform.setDown(true);
+    platform.restoreCopy();
+    platform.setDown(false);
+    startHost("h4", "a");
+    BOOST_TEST(eventually([this] { return allServe("newer") && noneServes("older"); }));
+    platform.restoreCopy();
+    std::this_thread::sleep_for(milliseconds(500));
+    BOOST_TEST((allServe("newer") && noneServes("older")), "a host went back to what the store has");
+    configure(9, {"newer"});
+    configure(12, {"newest"});
+    BOOST_TEST(eventually([this] { return allServe("newest") && noneServes("newer"); }));
+}
+
+// Guards against two promotions under one token, or none at all, when the claim is lost with the restore.
+BOOST_AUTO_TEST_CASE(LosesAClaimAndStillOneHostPromotes)
+{
+    platform.takeCopy();
+    for (int i = 0; i < lostChanges; ++i) {
+        registerUpstreams(100 + i);
+    }
+    group.setDark("m1", true);
+    BOOST_TEST_REQUIRE(eventually([this] { return platform.objectOfKind("egrettide-groups", "service").has_value(); }));
+    platform.restoreCopy();
+    registerUpstreams(200);
+    LineClient client(addresses.front());
+    client.start("pay");
+    BOOST_TEST(eventually([&client] { return client.run("WRITE after 1").succeeded(); }));
+    const auto orders = platform.promotions();
+    for (std::size_t i = 1; i < orders.size(); ++i) {
+        BOOST_TEST((orders[i].fencingToken > orders[i - 1].fencingToken || orders[i].holder == orders[i - 1].holder),
+                   "two holders used one fencing token");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
