Do not tell a host's first list as news

Hypothesis: with a store that names epochs, hosts ask each other for what they have after every start.

Cause, found by reading the change before: a host that has just started knows no epoch, so its first list counted as one after a restore, and it announced the revision of its list instead of that of the last change. Every host that had listed or waited earlier then lacked something and asked for it.

Change: only a host that has a copy can see a restore, and it announces the start of the epoch, which is the same for all that list it.

collection_test IsAsNewAsWhatItHoldsAndNotAsItsList failed before: content at (1, 90) and (2, 70) instead of (1, 40) and (2, 40).

--- a/src/runtime/configuration/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -160,12 +160,13 @@
         noteContent(object.revision);
     }
     const bool isFirst = !isKnown();
-    const bool isRestored = StoreRevision::fromOrdered(page.revision).epoch > StoreRevision::fromOrdered(m_revision).epoch;
+    const std::uint64_t epoch = StoreRevision::fromOrdered(page.revision).epoch;
+    const bool isRestored = !isFirst && epoch > StoreRevision::fromOrdered(m_revision).epoch;
     const bool differs = isFirst || isRestored || objects != m_objects;
     m_revision = page.revision;
     if (isRestored) {
-        // Others have to hear of the restore, whatever it changed.
-        noteContent(m_revision);
+        // Others have to hear of the restore, also when nothing is left.
+        noteContent(StoreRevision{epoch, 0}.ordered());
     }
     if (std::ranges::any_of(m_objects, [&objects](const auto &known) { return !objects.contains(known.first); })) {
         // A list does not say when an object was removed.
--- a/tests/runtime/collection_test.cpp
+++ b/tests/runtime/collection_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE Collection
 #include <boost/test/unit_test.hpp>
 
+#include "egrettide/core/storeepoch.h"
 #include "runtime/configuration/collection.h"
 
 #include <boost/asio/post.hpp>
@@ -164,4 +165,36 @@
     BOOST_TEST(lost == 0, "a store that answers counted as out of reach " << lost << " times");
 }
 
+// Guards against hosts that ask each other for what they have, since each tells the revision of its own list.
+BOOST_AUTO_TEST_CASE(IsAsNewAsWhatItHoldsAndNotAsItsList)
+{
+    boost::asio::io_context context;
+    const auto in = [](std::uint64_t epoch, std::uint64_t revision) { return StoreRevision{epoch, revision}.ordered(); };
+    std::uint64_t listed = in(1, 90);
+    std::uint64_t changed = in(1, 40);
+    CollectionSource source;
+    source.list = [&](TimePoint, const auto &handler) {
+        const CollectionPage page{{{"main", 1, changed}}, listed};
+        boost::asio::post(context, [handler, page] { handler(page); });
+    };
+    source.changes = [&](std::uint64_t since, TimePoint, const auto &handler) {
+        if (since == in(1, 90)) {
+            listed = in(2, 70);
+            changed = in(2, 40);
+            boost::asio::post(context, [handler] { handler(tl::unexpected(CollectionFailure::HistoryGone)); });
+        }
+    };
+    int told = 0;
+    CollectionFollower follower(context, source, CollectionFollowerHooks{[&told](const auto &) { ++told; }, [](bool) {}});
+    follower.start();
+    context.run_until(Clock::now() + milliseconds{100});
+    BOOST_TEST(follower.contentRevision() == in(1, 40));
+    follower.setWaiting(true);
+    context.restart();
+    context.run_until(Clock::now() + milliseconds{500});
+    BOOST_TEST(follower.through() == in(2, 70));
+    BOOST_TEST(follower.contentRevision() == in(2, 40));
+    BOOST_TEST(told == 2, "a restore that changed nothing has to be told all the same");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
