Leave a host without a configuration no patience for its zone's reader

Found by reading the diff: a host that had heard an empty host announce nothing counted as caught up, and would then leave its reader 0.7 s to tell it the first configuration. And what it heard of an epoch before its first list counted into behind_ms of the next restore.

--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -138,8 +138,11 @@
 void DiscoveredConfiguration::noteEpoch(const std::string &source)
 {
     const std::uint64_t epoch = epochOf(m_registrationFollower.through());
-    if (!m_epoch || epoch <= *m_epoch) {
-        m_epoch = m_epoch.value_or(epoch);
+    if (!m_epoch) {
+        m_epoch = epoch;
+        m_epochHeardAt.reset();
+    }
+    if (epoch <= *m_epoch) {
         return;
     }
     const TimePoint now = Clock::now();
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -169,7 +169,7 @@
     const TimePoint now = Clock::now();
     if (!lacks(told)) {
         m_behindSince.reset();
-        m_hasCaughtUp = true;
+        m_hasCaughtUp = m_current != nullptr;
         return;
     }
     m_newest = told;
