Translate a configuration once when it is accepted

Accepting an intent and putting it in force translated it twice since the intent is ordered by its own version. No behaviour changes; discoveredconfiguration_test, collection_test and restoredstore_test pass.

--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -84,28 +84,28 @@
 
 void DiscoveredConfiguration::onIntentChanged()
 {
-    if (takeIntent(m_intentFollower.objects(), storeSource)) {
-        rebuild();
+    if (auto accepted = acceptIntent(m_intentFollower.objects(), storeSource)) {
+        putInForce(std::move(*accepted));
         tellZone();
     }
 }
 
-// False when it is damaged, or older than the one in force.
-bool DiscoveredConfiguration::takeIntent(const NamedObjects &objects, const std::string &source)
+// The configuration that it gives; nothing when it is damaged, or older than the one in force.
+std::optional<Configuration> DiscoveredConfiguration::acceptIntent(const NamedObjects &objects, const std::string &source)
 {
-    const auto translated = m_parts.translate(objects, m_upstreams);
-    if (!translated) {
-        log::error("configuration_refused", {{"fault", translated.error().message}});
-        return false;
+    auto configuration = m_parts.translate(objects, m_upstreams);
+    if (!configuration) {
+        log::error("configuration_refused", {{"fault", configuration.error().message}});
+        return std::nullopt;
     }
-    if (m_intentVersion && translated->version < *m_intentVersion) {
-        log::warning("configuration_older", {{"version", translated->version}, {"in_force", *m_intentVersion}});
-        return false;
+    if (m_intentVersion && configuration->version < *m_intentVersion) {
+        log::warning("configuration_older", {{"version", configuration->version}, {"in_force", *m_intentVersion}});
+        return std::nullopt;
     }
     m_intent = objects;
-    m_intentVersion = translated->version;
+    m_intentVersion = configuration->version;
     m_intentSource = source;
-    return true;
+    return std::move(*configuration);
 }
 
 void DiscoveredConfiguration::onRegistrationsChanged()
@@ -249,7 +249,7 @@
 
 void DiscoveredConfiguration::rebuild()
 {
-    if (!m_intentVersion || !m_registrationFollower.isKnown()) {
+    if (!m_intentVersion) {
         return;
     }
     auto next = m_parts.translate(m_intent, m_upstreams);
@@ -257,14 +257,22 @@
         log::error("configuration_refused", {{"fault", next.error().message}});
         return;
     }
-    if (!m_current || next->version > m_current->version) {
+    putInForce(std::move(*next));
+}
+
+void DiscoveredConfiguration::putInForce(Configuration next)
+{
+    if (!m_registrationFollower.isKnown()) {
+        return;
+    }
+    if (!m_current || next.version > m_current->version) {
         log::info("configuration_accepted",
-                  {{"version", next->version}, {"routes", static_cast<int>(next->routes.size())}, {"source", m_intentSource}});
+                  {{"version", next.version}, {"routes", static_cast<int>(next.routes.size())}, {"source", m_intentSource}});
     }
-    for (const SupersededUpstream &old : m_succession.settle(*next)) {
+    for (const SupersededUpstream &old : m_succession.settle(next)) {
         log::info("upstream_superseded", {{"upstream", old.name}, {"address", old.address}, {"by", old.successor}});
     }
-    m_current = std::make_shared<const Configuration>(std::move(*next));
+    m_current = std::make_shared<const Configuration>(std::move(next));
     m_hooks.accepted(m_current);
 }
 
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -84,7 +84,7 @@
 private:
     CollectionFollowerHooks followerHooks(std::string_view collection, std::function<void()> changed);
     void onIntentChanged();
-    bool takeIntent(const NamedObjects &objects, const std::string &source);
+    std::optional<Configuration> acceptIntent(const NamedObjects &objects, const std::string &source);
     void onRegistrationsChanged();
     void takeRegistrations(const NamedObjects &registrations);
     RegisteredUpstreams parse(const NamedObjects &registrations);
@@ -94,6 +94,7 @@
     void settleRegistrations();
     void armSettling();
     void rebuild();
+    void putInForce(Configuration next);
 
     // Reading for the zone, and telling others.
     void look();
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -264,18 +264,26 @@
     }
     const auto intentObjects = catalog[intentPart].get<NamedObjects>();
     m_intentFollower.adopt(intentObjects, push.through.intent, push.through.intent, text.size());
-    const bool intent = push.version.intent > m_intentVersion.value_or(0) && takeIntent(intentObjects, from);
     const bool registrations = m_registrationFollower.adopt(catalog[registrationsPart].get<NamedObjects>(),
                                                             push.version.registrations, push.through.registrations, 0);
     if (registrations) {
         noteEpoch(from);
         takeRegistrations(m_registrationFollower.objects());
     }
-    if (intent || registrations) {
-        m_texts.set(intent && registrations ? std::move(text) : catalogText(), version(), through());
+    std::optional<Configuration> accepted;
+    if (push.version.intent > m_intentVersion.value_or(0)) {
+        accepted = acceptIntent(intentObjects, from);
+    }
+    if (!accepted && !registrations) {
+        return;
+    }
+    m_texts.set(accepted && registrations ? std::move(text) : catalogText(), version(), through());
+    if (accepted) {
+        putInForce(std::move(*accepted));
+    } else {
         rebuild();
-        offerToSome();
     }
+    offerToSome();
 }
 
 } // namespace egrettide
