--- a/include/egrettide/core/catalogversion.h
+++ b/include/egrettide/core/catalogversion.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace egrettide
 {
@@ -20,7 +20,12 @@
     std::uint64_t intent = 0;
     std::uint64_t registrations = 0;
 
-    auto operator<=>(const CatalogVersion &) const = default;
+    bool operator==(const CatalogVersion &) const = default;
+
+    bool operator<(const CatalogVersion &other) const
+    {
+        return std::tie(intent, registrations) < std::tie(other.intent, other.registrations);
+    }
 
     // True when `other` is newer in either collection.
     bool lacks(const CatalogVersion &other) const
--- a/include/egrettide/core/storeepoch.h
+++ b/include/egrettide/core/storeepoch.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string_view>
 
@@ -20,7 +19,12 @@
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
 
-    auto operator<=>(const StoreRevision &) const = default;
+    bool operator==(const StoreRevision &) const = default;
+
+    bool operator<(const StoreRevision &other) const
+    {
+        return ordered() < other.ordered();
+    }
 
     // One number of the same order, which no other revision of any epoch shares. Both parts
     // must be at most their largest.
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -187,7 +187,7 @@
 
 void Membership::State::setCatalogVersion(const CatalogVersion &version)
 {
-    if (version <= m_self.catalogVersion) {
+    if (!(m_self.catalogVersion < version)) {
         return;
     }
     m_self.catalogVersion = version;
@@ -200,7 +200,7 @@
 {
     std::pair<CatalogVersion, std::optional<std::string>> highest{m_self.catalogVersion, std::nullopt};
     for (const auto &[name, member] : m_table.members()) {
-        const bool higher = member.record.catalogVersion > highest.first;
+        const bool higher = highest.first < member.record.catalogVersion;
         if (higher && member.record.health != HostHealth::Dead) {
             highest = {member.record.catalogVersion, name};
         }
--- a/src/core/fleet/membertable.cpp
+++ b/src/core/fleet/membertable.cpp
@@ -117,7 +117,7 @@
         return false;
     }
     Member &member = m_members.at(name->second);
-    if (version <= member.record.catalogVersion) {
+    if (!(member.record.catalogVersion < version)) {
         return false;
     }
     member.record.catalogVersion = version;
--- a/tests/core/catalogversion_test.cpp
+++ b/tests/core/catalogversion_test.cpp
@@ -15,7 +15,7 @@
     constexpr std::uint64_t many = std::uint64_t{1} << 32;
     const CatalogVersion before{many - 2, many - 1};
     const CatalogVersion after{many - 2, many};
-    BOOST_TEST((after > before));
+    BOOST_TEST((before < after));
     BOOST_TEST(before.lacks(after));
     BOOST_TEST(!after.lacks(before));
 }
@@ -26,7 +26,7 @@
     const CatalogVersion registrations{7, 9};
     BOOST_TEST(intent.lacks(registrations));
     BOOST_TEST(registrations.lacks(intent));
-    BOOST_TEST((intent > registrations));
+    BOOST_TEST((registrations < intent));
 }
 
 BOOST_AUTO_TEST_CASE(ComeWithTheRevisionsThatWereReadTogether)
--- a/tests/core/storeepoch_test.cpp
+++ b/tests/core/storeepoch_test.cpp
@@ -43,7 +43,7 @@
 {
     const StoreRevision before{1, 500};
     const StoreRevision after{2, 12};
-    BOOST_TEST((after > before));
+    BOOST_TEST((before < after));
     BOOST_TEST(after.ordered() > before.ordered());
     BOOST_TEST((StoreRevision::fromOrdered(after.ordered()) == after));
     BOOST_TEST((StoreRevision{0, 7}.ordered()) == 7U, "a store without epochs keeps its numbers");
