--- a/tests/runtime/storefleet.h
+++ b/tests/runtime/storefleet.h
@@ -311,6 +311,8 @@
     int delayPercent = 0;
     // Times a host went back to an older version within one process.
     int regressions = 0;
+    // The shortest time after a restore at which a host forgot an upstream, or that one leaves.
+    milliseconds earliestLoss = milliseconds::max();
     std::size_t bytesSent = 0;
     // What happens to each message on its way; for tests that damage them.
     std::function<void(hop::HopMessage &)> onTheWay = [](hop::HopMessage &) {};
@@ -320,8 +322,29 @@
         std::unique_ptr<DiscoveredConfiguration> source;
         std::uint64_t highest = 0;
         bool frozen = false;
+        // The epoch of its copy, and since when it has that.
+        std::uint64_t epoch = 0;
+        TimePoint epochSince;
+        std::size_t upstreams = 0;
+        std::size_t leaving = 0;
     };
 
+    void noteLosses(Host &host, const Configuration &configuration)
+    {
+        const TimePoint now = Clock::now();
+        if (host.source->storeEpoch() > host.epoch) {
+            host.epoch = host.source->storeEpoch();
+            host.epochSince = now;
+        }
+        const auto &upstreams = configuration.databases.front().upstreams;
+        const auto leaving = static_cast<std::size_t>(std::ranges::count(upstreams, true, &UpstreamSpec::leaving));
+        if (host.epoch > 0 && (upstreams.size() < host.upstreams || leaving < host.leaving)) {
+            earliestLoss = std::min(earliestLoss, std::chrono::duration_cast<milliseconds>(now - host.epochSince));
+        }
+        host.upstreams = upstreams.size();
+        host.leaving = leaving;
+    }
+
     struct Held {
         TimePoint at;
         std::string from;
@@ -362,6 +385,7 @@
         hooks.accepted = [this, raw](const std::shared_ptr<const Configuration> &configuration) {
             regressions += configuration->version < raw->highest ? 1 : 0;
             raw->highest = std::max(raw->highest, configuration->version);
+            noteLosses(*raw, *configuration);
         };
         hooks.send = [this, name](const std::string &to, hop::HopMessage message) { send(name, to, std::move(message)); };
         hooks.someHosts = [this, name](std::size_t count) { return some(name, count); };
