Pace the rebuilding of routes, and look up a host's own homes once

Cause: each change of the membership view or of the configuration rebuilds the whole placement on each host: hosts of a zone times its upstreams. At the start of 984 hosts, and when many fail, there are hundreds of changes within seconds, so the work grows with the square of the fleet and more. Every heartbeat searched all upstreams for the homes of this host, and copied all hosts' names; every view posted a drop for each host that is dead, however long it has been.

Own homes are kept with the routes, and links to a host are dropped once per process that died.

--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -45,6 +45,13 @@
     // Version of the host's copy of the catalog, as far as known.
     CatalogVersion catalogVersion = {};
 
+    // A suspect may: moving homes on a suspicion that is refuted a moment later would abort
+    // transactions needlessly.
+    bool mayBeHome() const
+    {
+        return health != HostHealth::Dead;
+    }
+
     bool operator==(const HostRecord &) const = default;
 };
 
@@ -173,8 +180,7 @@
     std::vector<HostRecord> hosts;
 
     const HostRecord *host(std::string_view name) const;
-    // Hosts that may be homes, for Placement. A suspect stays included: moving homes on a suspicion
-    // that is refuted a moment later would abort transactions needlessly.
+    // Hosts that may be homes, for Placement.
     std::vector<PlacementHost> placementHosts() const;
 };
 
--- a/include/egrettide/core/placement.h
+++ b/include/egrettide/core/placement.h
@@ -50,11 +50,14 @@
     // The home of the upstream, nullopt when there is no host. Upstreams that are not listed are
     // placed by rendezvous hashing without a bound.
     std::optional<std::string> homeOf(std::string_view upstreamName, std::string_view zone) const;
+    bool isHomeOf(std::string_view hostName, std::string_view upstreamName, std::string_view zone) const;
     // Listed upstreams whose home is this host, sorted by name.
     std::vector<std::string> upstreamsOf(std::string_view hostName) const;
 
 private:
     void assign(const std::vector<PlacementUpstream> &upstreams, const PlacementOptions &options);
+    // Index into m_hosts; there must be a host.
+    std::size_t indexOfHome(std::string_view upstreamName, std::string_view zone) const;
     std::vector<std::size_t> candidatesFor(std::string_view zone) const;
     std::size_t choose(const std::vector<std::size_t> &candidates, std::uint64_t upstreamKey,
                        const std::vector<std::size_t> &loads, std::size_t bound) const;
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -238,7 +238,7 @@
 {
     std::vector<PlacementHost> living;
     for (const HostRecord &record : hosts) {
-        if (record.health != HostHealth::Dead) {
+        if (record.mayBeHome()) {
             living.push_back(PlacementHost{record.name, record.zone, record.leaving});
         }
     }
--- a/src/core/fleet/placement.cpp
+++ b/src/core/fleet/placement.cpp
@@ -152,16 +152,20 @@
     }
 }
 
-std::optional<std::string> Placement::homeOf(std::string_view upstreamName, std::string_view zone) const
+std::size_t Placement::indexOfHome(std::string_view upstreamName, std::string_view zone) const
 {
     const auto found = m_homes.find(absl::string_view(upstreamName.data(), upstreamName.size()));
-    if (found != m_homes.end()) {
-        return m_hosts[found->second].name;
-    }
-    if (m_hosts.empty()) {
-        return std::nullopt;
-    }
-    return m_hosts[choose(candidatesFor(zone), placementKey(upstreamName), {}, 0)].name;
+    return found != m_homes.end() ? found->second : choose(candidatesFor(zone), placementKey(upstreamName), {}, 0);
+}
+
+std::optional<std::string> Placement::homeOf(std::string_view upstreamName, std::string_view zone) const
+{
+    return m_hosts.empty() ? std::nullopt : std::optional(m_hosts[indexOfHome(upstreamName, zone)].name);
+}
+
+bool Placement::isHomeOf(std::string_view hostName, std::string_view upstreamName, std::string_view zone) const
+{
+    return !m_hosts.empty() && m_hosts[indexOfHome(upstreamName, zone)].name == hostName;
 }
 
 std::vector<std::string> Placement::upstreamsOf(std::string_view hostName) const
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -80,6 +80,7 @@
     }
     m_drainTimer = std::make_unique<Timer>(m_control);
     m_joinTimer = std::make_unique<Timer>(m_control);
+    m_routesTask = std::make_unique<PacedTask>(m_control, [this] { rebuildRoutes(); });
     m_recordTimer = std::make_unique<Timer>(m_control);
 }
 
@@ -356,7 +357,7 @@
     m_joinTimer->async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled) {
             m_joined = true;
-            rebuildRoutes();
+            m_routesTask->runNow();
         }
     });
 }
--- a/src/runtime/host/hostdaemonimpl.h
+++ b/src/runtime/host/hostdaemonimpl.h
@@ -21,6 +21,7 @@
 #include "runtime/group/switchoverservice.h"
 #include "runtime/host/address.h"
 #include "runtime/host/log.h"
+#include "runtime/host/pacedtask.h"
 #include "runtime/host/timer.h"
 #include "runtime/operators/hostmetrics.h"
 #include "runtime/operators/hoststatus.h"
@@ -64,6 +65,8 @@
     std::shared_ptr<const MembershipView> view;
     std::unique_ptr<const Placement> placement;
     QuotaKeepers quotaKeepers;
+    // The upstreams whose home is this host, each with its database.
+    std::vector<std::pair<std::string, std::string>> ownHomes;
 
     std::optional<std::string> homeOf(const UpstreamSpec &upstream) const
     {
@@ -128,6 +131,7 @@
     // On the control thread.
     void onConfiguration();
     void onView(const std::shared_ptr<const MembershipView> &view);
+    void dropLinksToDead(const MembershipView &view);
     void rebuildRoutes();
     void updateKeptQuotas();
     void joinWhenDue();
@@ -191,11 +195,15 @@
     std::unique_ptr<OperatorServer> m_ready;
     std::unique_ptr<Timer> m_drainTimer;
     std::unique_ptr<Timer> m_joinTimer;
+    // Rebuilds the routes; control thread only.
+    std::unique_ptr<PacedTask> m_routesTask;
     // False until this host may be home of upstreams. Control thread only.
     bool m_joined = false;
     // Decides when this host may become home of upstreams; used until it has joined.
     std::unique_ptr<JoinGate> m_joinGate;
 
+    // The incarnation in which each dead host was last dropped; control thread only.
+    absl::flat_hash_map<std::string, std::uint64_t> m_droppedIncarnations;
     // When a message of each host was last received; control thread only.
     absl::flat_hash_map<std::string, TimePoint> m_lastReceivedAt;
 
--- a/src/runtime/host/hostview.cpp
+++ b/src/runtime/host/hostview.cpp
@@ -42,27 +42,37 @@
     if (const auto configuration = m_configurationSource->current()) {
         m_quotas->configure(*configuration);
     }
-    rebuildRoutes();
+    m_routesTask->request();
 }
 
 void HostDaemon::Impl::onView(const std::shared_ptr<const MembershipView> &view)
 {
-    for (const HostRecord &host : view->hosts) {
-        if (host.health == HostHealth::Dead && host.name != m_settings.host) {
-            asio::post(m_link, [this, name = host.name] { m_network->drop(name); });
-        }
-    }
+    dropLinksToDead(*view);
     m_joinGate->onView(*view, m_membership->hasDiscoveredZone(), Clock::now());
     joinWhenDue();
     // After a suspension of the process the view may be out of date. The previous routes stay in
     // force until a peer has answered; homes that moved in the meantime answer Moved.
     if (view->trusted || !routes()->configuration) {
-        rebuildRoutes();
+        m_routesTask->request();
     } else {
         updateKeptQuotas();
     }
 }
 
+// Each process that died once only: dead hosts stay in the view for long.
+void HostDaemon::Impl::dropLinksToDead(const MembershipView &view)
+{
+    for (const HostRecord &host : view.hosts) {
+        if (host.health != HostHealth::Dead || host.name == m_settings.host) {
+            continue;
+        }
+        std::uint64_t &dropped = m_droppedIncarnations[host.name];
+        if (std::exchange(dropped, host.incarnation) != host.incarnation) {
+            asio::post(m_link, [this, name = host.name] { m_network->drop(name); });
+        }
+    }
+}
+
 // A host with an untrusted view keeps no slots until a peer has answered. Otherwise, after a
 // suspension of the process, it would continue with outdated counts while another host counts.
 void HostDaemon::Impl::updateKeptQuotas()
@@ -83,11 +93,20 @@
     next->view = m_membership->view();
     next->placement = detail::placementFor(next->configuration.get(), *next->view);
     next->quotaKeepers = quotaKeepersIn(*next->view);
+    if (next->configuration) {
+        for (const DatabaseSpec &database : next->configuration->databases) {
+            for (const UpstreamSpec &upstream : database.upstreams) {
+                if (next->placement->isHomeOf(m_settings.host, upstream.name, upstream.zone)) {
+                    next->ownHomes.emplace_back(database.name, upstream.name);
+                }
+            }
+        }
+    }
     std::atomic_store(&m_routes, std::shared_ptr<const detail::Routes>(next));
     updateKeptQuotas();
     if (next->configuration) {
         m_homes->update(next->configuration, [this, next](const DatabaseSpec &, const UpstreamSpec &upstream) {
-            return m_joined && next->homeOf(upstream) == m_settings.host;
+            return m_joined && next->placement->isHomeOf(m_settings.host, upstream.name, upstream.zone);
         });
     }
 }
@@ -102,8 +121,9 @@
     ZoneHosts zone;
     zone.known = m_joined;
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
-    for (const PlacementHost &host : routes()->view->placementHosts()) {
-        if (host.zone != m_settings.zone) {
+    const auto now = routes();
+    for (const HostRecord &host : now->view->hosts) {
+        if (!host.mayBeHome() || host.zone != m_settings.zone) {
             continue;
         }
         if (!host.leaving) {
@@ -123,8 +143,9 @@
 std::vector<std::string> HostDaemon::Impl::otherHosts() const
 {
     std::vector<std::string> names;
-    for (const PlacementHost &host : routes()->view->placementHosts()) {
-        if (host.name != m_settings.host) {
+    const auto now = routes();
+    for (const HostRecord &host : now->view->hosts) {
+        if (host.mayBeHome() && host.name != m_settings.host) {
             names.push_back(host.name);
         }
     }
@@ -173,12 +194,8 @@
     if (!confirmedAt || !now->configuration) {
         return;
     }
-    for (const DatabaseSpec &database : now->configuration->databases) {
-        for (const UpstreamSpec &upstream : database.upstreams) {
-            if (now->homeOf(upstream) == m_settings.host) {
-                m_homes->onHomeConfirmed(database.name, upstream.name, *confirmedAt);
-            }
-        }
+    for (const auto &[database, upstream] : now->ownHomes) {
+        m_homes->onHomeConfirmed(database, upstream, *confirmedAt);
     }
 }
 
@@ -189,8 +206,8 @@
     }
     std::vector<TimePoint> receivedTimes{now};
     std::size_t zoneHosts = 0;
-    for (const PlacementHost &host : view.placementHosts()) {
-        if (host.zone != m_settings.zone) {
+    for (const HostRecord &host : view.hosts) {
+        if (!host.mayBeHome() || host.zone != m_settings.zone) {
             continue;
         }
         ++zoneHosts;
