Spread the newest catalog version instead of every host's

Cause: after each change of a registration every host announces the version of its copy, and each announcement was spread to every other host as a version note: hosts times hosts. Each note also counted as a change of the view, so that nearly every heartbeat copied the records of all hosts.

Change: a version is spread when it is higher than any known one, or when the operators' version changed, which operators are shown of each host. Views are copied when they are passed on, at the pace of other recomputations. A host without a copy asks who announced one to it, and of several holders of the newest copy each host chooses another one; before, all chose the first by name.

Measured, membership_test SpreadsAVersionThatAllTakeOverWithTheSameNumberOfNotesWhateverTheirNumber: one change takes at most 8 notes a host more than twice those of 16 hosts when there are 128. Not run on the code before; by calculation 128 notes for each bit of the fleet's size there.

--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -168,7 +168,8 @@
 
 // The fleet as one host sees it. Immutable and shared between threads.
 struct MembershipView {
-    // Increases with every visible change except of catalog versions alone.
+    // Increases with every visible change except of catalog versions alone. The versions in `hosts`
+    // may lag, but for their part of the intent.
     std::uint64_t version = 0;
     // Increases only when placementHosts() changes, so that a mere suspicion does not cause homes
     // to be recomputed.
@@ -219,6 +220,9 @@
 
     // The current view; the same pointer until the view changes.
     std::shared_ptr<const MembershipView> view() const;
+    // The fields of view() of these names; they cost no copy of it.
+    std::uint64_t placementVersion() const;
+    bool isTrusted() const;
     const HostRecord &self() const;
     // Number of hosts that are not dead, including this one.
     std::size_t liveCount() const;
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -199,10 +199,21 @@
 std::pair<CatalogVersion, std::optional<std::string>> Membership::State::highestCatalog() const
 {
     std::pair<CatalogVersion, std::optional<std::string>> highest{m_self.catalogVersion, std::nullopt};
+    if (!(m_self.catalogVersion < m_table.newestVersion())) {
+        return highest;
+    }
+    const std::uint64_t selfKey = m_table.find(m_self.name)->key;
+    std::uint64_t best = 0;
     for (const auto &[name, member] : m_table.members()) {
-        const bool higher = highest.first < member.record.catalogVersion;
-        if (higher && member.record.health != HostHealth::Dead) {
-            highest = {member.record.catalogVersion, name};
+        const CatalogVersion &version = member.record.catalogVersion;
+        if (member.record.health == HostHealth::Dead || name == m_self.name || version < highest.first) {
+            continue;
+        }
+        // Of several holders, each host chooses another one.
+        const std::uint64_t score = rendezvousScore(selfKey, member.key);
+        if (highest.first < version || (highest.second && score > best)) {
+            highest = {version, name};
+            best = score;
         }
     }
     return highest;
@@ -210,7 +221,7 @@
 
 std::shared_ptr<const MembershipView> Membership::State::view() const
 {
-    if (m_view && m_viewAtChange == m_table.allChanges() && m_viewTrusted == m_trusted) {
+    if (m_view && m_viewAtChange == m_table.viewChanges() && m_viewTrusted == m_trusted) {
         return m_view;
     }
     auto view = std::make_shared<MembershipView>();
@@ -222,7 +233,7 @@
         view->hosts.push_back(member.record);
     }
     m_view = std::move(view);
-    m_viewAtChange = m_table.allChanges();
+    m_viewAtChange = m_table.viewChanges();
     m_viewTrusted = m_trusted;
     return m_view;
 }
@@ -317,6 +328,16 @@
     return m_state->view();
 }
 
+std::uint64_t Membership::placementVersion() const
+{
+    return m_state->placementVersion();
+}
+
+bool Membership::isTrusted() const
+{
+    return m_state->isTrusted();
+}
+
 const HostRecord &Membership::self() const
 {
     return m_state->self();
--- a/src/core/fleet/membershipstate.h
+++ b/src/core/fleet/membershipstate.h
@@ -46,6 +46,16 @@
         return m_table.livingCount();
     }
 
+    std::uint64_t placementVersion() const
+    {
+        return m_table.placementChanges();
+    }
+
+    bool isTrusted() const
+    {
+        return m_trusted;
+    }
+
     HostReach reach(TimePoint now) const;
     bool hasDiscoveredZone() const;
 
--- a/src/core/fleet/membertable.cpp
+++ b/src/core/fleet/membertable.cpp
@@ -120,9 +120,12 @@
     if (!(member.record.catalogVersion < version)) {
         return false;
     }
+    const bool changesIntent = version.intent != member.record.catalogVersion.intent;
+    const bool isNewest = m_newestVersion < version;
     member.record.catalogVersion = version;
-    ++m_allChanges;
-    if (retransmits > 0) {
+    m_newestVersion = std::max(m_newestVersion, version);
+    m_viewChanges += changesIntent ? 1 : 0;
+    if (retransmits > 0 && (changesIntent || isNewest)) {
         if (member.versionRetransmits == 0) {
             m_versionQueue.push_back(member.record.name);
         }
@@ -139,13 +142,14 @@
         member.key = placementKey(record.name);
         m_names.emplace(member.key, record.name);
         member.record = record;
+        m_newestVersion = std::max(m_newestVersion, record.catalogVersion);
         member.healthSince = now;
         toggleDigest(member);
         m_living += isLiving(member) ? 1 : 0;
         m_suspects += isSuspect(member) ? 1 : 0;
         ++m_changes;
         ++m_placementChanges;
-        ++m_allChanges;
+        ++m_viewChanges;
         queueRecord(member, retransmits);
         return;
     }
@@ -171,6 +175,7 @@
     }
     member.record = record;
     member.record.catalogVersion = std::max(version, record.catalogVersion);
+    m_newestVersion = std::max(m_newestVersion, record.catalogVersion);
     if (isLiving(member)) {
         toggleDigest(member);
     }
@@ -181,7 +186,7 @@
         ++m_placementChanges;
     }
     ++m_changes;
-    ++m_allChanges;
+    ++m_viewChanges;
     if (described) {
         queueNote(member, retransmits);
     } else {
@@ -214,7 +219,7 @@
     m_names.erase(found->second.key);
     m_members.erase(found);
     ++m_changes;
-    ++m_allChanges;
+    ++m_viewChanges;
 }
 
 // Adds a member that is not dead to its bucket's digest, or removes it.
@@ -384,9 +389,14 @@
     return m_placementChanges;
 }
 
-std::uint64_t MemberTable::allChanges() const
+std::uint64_t MemberTable::viewChanges() const
 {
-    return m_allChanges;
+    return m_viewChanges;
+}
+
+const CatalogVersion &MemberTable::newestVersion() const
+{
+    return m_newestVersion;
 }
 
 } // namespace egrettide
--- a/src/core/fleet/membertable.h
+++ b/src/core/fleet/membertable.h
@@ -50,7 +50,10 @@
     bool apply(const HostRecord &record, TimePoint now, int retransmits);
     // The record that a note describes; nullopt when its host is not known.
     std::optional<HostRecord> recordOf(const HealthNote &note) const;
-    // Applies a version if it is higher; returns whether it was.
+    // Applies a version if it is higher; returns whether it was. It is queued for `retransmits`
+    // messages when it is higher than that of any host before, or when the intent changed: what
+    // every host announces after each change of a registration would otherwise be spread to every
+    // other one.
     bool applyVersion(std::uint64_t key, const CatalogVersion &version, int retransmits);
     // Replaces a record unconditionally; used for this host's own record.
     void set(const HostRecord &record, TimePoint now, int retransmits);
@@ -88,8 +91,11 @@
     std::uint64_t changes() const;
     // Increases when a member becomes dead or live, or starts to leave.
     std::uint64_t placementChanges() const;
-    // Increases with every change.
-    std::uint64_t allChanges() const;
+    // Increases with every change that a view shows: those of records, and new versions of the
+    // intent.
+    std::uint64_t viewChanges() const;
+    // The highest version that any host, dead ones included, was known to have.
+    const CatalogVersion &newestVersion() const;
 
 private:
     void replace(Member &member, const HostRecord &record, TimePoint now, int retransmits);
@@ -111,7 +117,8 @@
     std::size_t m_suspects = 0;
     std::uint64_t m_changes = 0;
     std::uint64_t m_placementChanges = 0;
-    std::uint64_t m_allChanges = 0;
+    std::uint64_t m_viewChanges = 0;
+    CatalogVersion m_newestVersion;
 };
 
 } // namespace egrettide
--- a/src/runtime/fleet/membershipdriver.cpp
+++ b/src/runtime/fleet/membershipdriver.cpp
@@ -25,6 +25,7 @@
     , m_tickTimer(control)
     , m_listTimer(control)
     , m_registerTimer(control)
+    , m_publication(control, [this] { publishView(); })
     , m_random(seed)
 {
 }
@@ -61,6 +62,7 @@
     m_tickTimer.cancel();
     m_listTimer.cancel();
     m_registerTimer.cancel();
+    m_publication.cancel();
 }
 
 std::shared_ptr<const MembershipView> MembershipDriver::view() const
@@ -70,7 +72,7 @@
 
 bool MembershipDriver::hasDiscoveredZone() const
 {
-    return m_membership.hasDiscoveredZone();
+    return m_zoneDiscovered;
 }
 
 // Also called after an event that may have moved the next tick to an earlier time; a change
@@ -155,6 +157,11 @@
 void MembershipDriver::onGossip(const GossipMessage &message)
 {
     deliver(m_membership.onMessage(message, Clock::now()));
+    // The sender first: if all hosts without a copy asked the host with the newest one, that host
+    // would have to serve all of them.
+    if (m_membership.self().catalogVersion < message.catalogVersion) {
+        m_hooks.catalogAdvertised(message.from, message.catalogVersion);
+    }
     if (const auto holder = m_membership.holderOfHighestCatalog()) {
         m_hooks.catalogAdvertised(*holder, m_membership.highestCatalogVersion());
     }
@@ -199,16 +206,27 @@
         m_publishedReach = reach;
         m_hooks.reachChanged(reach);
     }
-    const auto view = m_membership.view();
-    const bool zoneDiscovered = m_membership.hasDiscoveredZone();
-    const bool isChanged = view->placementVersion != m_publishedPlacement || view->trusted != m_publishedTrusted
-        || zoneDiscovered != m_publishedZoneDiscovered;
+    // Once the zone is discovered, hosts that fail later do not matter for joining it.
+    m_zoneDiscovered = m_zoneDiscovered || m_membership.hasDiscoveredZone();
+    const bool isChanged = m_membership.placementVersion() != m_publishedPlacement
+        || m_membership.isTrusted() != m_publishedTrusted || m_zoneDiscovered != m_publishedZoneDiscovered;
     if (!isChanged) {
         return;
     }
+    // An untrusted view must not be acted on for another moment.
+    if (m_membership.isTrusted() != m_publishedTrusted) {
+        m_publication.runNow();
+    } else {
+        m_publication.request();
+    }
+}
+
+void MembershipDriver::publishView()
+{
+    const auto view = m_membership.view();
     m_publishedPlacement = view->placementVersion;
     m_publishedTrusted = view->trusted;
-    m_publishedZoneDiscovered = zoneDiscovered;
+    m_publishedZoneDiscovered = m_zoneDiscovered;
     log::info("membership_changed", {{"view", view->version}, {"live", m_membership.liveCount()}, {"trusted", view->trusted}});
     m_hooks.changed(view);
 }
--- a/src/runtime/fleet/membershipdriver.h
+++ b/src/runtime/fleet/membershipdriver.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "egrettide/core/membership.h"
+#include "runtime/host/pacedtask.h"
 #include "runtime/host/timer.h"
 #include "runtime/store/store.h"
 #include "wire/hopcodec.h"
@@ -53,7 +54,8 @@
     void depart();
 
     std::shared_ptr<const MembershipView> view() const;
-    // See Membership::hasDiscoveredZone().
+    // Whether this host has known all listed hosts of its zone at one moment; see
+    // Membership::hasDiscoveredZone().
     bool hasDiscoveredZone() const;
 
 private:
@@ -65,6 +67,7 @@
     void fetchHostList();
     void deliver(const std::vector<GossipSend> &sends);
     void publish();
+    void publishView();
 
     Store &m_store;
     MembershipDriverHooks m_hooks;
@@ -73,10 +76,15 @@
     Timer m_tickTimer;
     Timer m_listTimer;
     Timer m_registerTimer;
+    // Passes the view to `changed`.
+    PacedTask m_publication;
+    bool m_zoneDiscovered = false;
     // The placement version that was last passed to `changed`.
     std::uint64_t m_publishedPlacement = 0;
     bool m_publishedTrusted = false;
     bool m_publishedZoneDiscovered = false;
+    // The length of the last host list.
+    std::size_t m_listedHosts = 0;
     // The value that was last passed to `reachChanged`.
     HostReach m_publishedReach;
     // True once the periodic reading of the host list has started.
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -494,6 +494,45 @@
     BOOST_TEST(!fleet->host("h7").holderOfHighestCatalog().has_value(), "the holder needs to pull from no other host");
 }
 
+// Guards against heartbeats that are filled with the versions of all hosts after every change of a
+// registration: each host announces a version, and each announcement used to go to every other one.
+BOOST_AUTO_TEST_CASE(SpreadsAVersionThatAllTakeOverWithTheSameNumberOfNotesWhateverTheirNumber)
+{
+    const auto notesPerHost = [](int hosts) {
+        auto fleet = settledFleet(hosts, 4, 43);
+        std::size_t notes = 0;
+        fleet->onSend = [&notes](const std::string &, const GossipSend &sent) { notes += sent.message.versionNotes.size(); };
+        fleet->host("h3").setCatalogVersion({12, 100});
+        const auto adoptAll = [&] {
+            bool all = true;
+            for (const std::string &name : fleet->names()) {
+                const CatalogVersion newest = fleet->host(name).highestCatalogVersion();
+                fleet->host(name).setCatalogVersion(newest);
+                all = all && newest == CatalogVersion{12, 100};
+            }
+            return all;
+        };
+        BOOST_REQUIRE(fleet->runUntil(seconds{20}, adoptAll).has_value());
+        // New versions of the intent are spread of each host.
+        fleet->runFor(seconds{60});
+        fleet->host("h5").setCatalogVersion({12, 101});
+        notes = 0;
+        const auto adoptNext = [&] {
+            adoptAll();
+            return std::ranges::all_of(fleet->names(), [&](const std::string &name) {
+                return fleet->host(name).self().catalogVersion == CatalogVersion{12, 101};
+            });
+        };
+        BOOST_REQUIRE(fleet->runUntil(seconds{20}, adoptNext).has_value());
+        fleet->runFor(seconds{10});
+        return static_cast<double>(notes) / hosts;
+    };
+    const double few = notesPerHost(16);
+    const double many = notesPerHost(128);
+    // An update is sent once per bit of the fleet's size, and a host may hear of it from two others.
+    BOOST_TEST(many <= 2 * few + 8, "a host sent " << few << " notes among 16 and " << many << " among 128");
+}
+
 BOOST_AUTO_TEST_CASE(ComputesHomesAnewOnlyWhenTheyMayChange)
 {
     auto fleet = settledFleet(9, 4, 37);
