Keep the names at each address in a vector

Cause: by address, UpstreamSuccession kept a deque, which takes over 600 bytes for one name: 2 MB of a host for 3,000 upstreams. Each new configuration compared all addresses in ordered maps.

Change: vectors in hash maps, and the removal is left out when there is nothing to remove. The tests of upstreamsuccession pass unchanged.

--- a/include/egrettide/core/upstreamsuccession.h
+++ b/include/egrettide/core/upstreamsuccession.h
@@ -5,9 +5,9 @@
 
 #include "egrettide/core/configuration.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstdint>
-#include <deque>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -41,7 +41,7 @@
 
 private:
     // Names of upstreams, in the order in which they were first seen.
-    using Names = std::deque<std::string>;
+    using Names = std::vector<std::string>;
 
     void recordFirstSeen(const UpstreamSpec &upstream);
     bool isLater(const UpstreamSpec &one, const UpstreamSpec &other) const;
@@ -49,9 +49,9 @@
     void removeIdleAddresses(const Configuration &configuration);
 
     // Keyed by address.
-    std::map<std::string, Names> m_namesByAddress;
+    absl::flat_hash_map<std::string, Names> m_namesByAddress;
     // The upstreams that the last call removed, with their successors.
-    std::map<std::string, std::string> m_superseded;
+    absl::flat_hash_map<std::string, std::string> m_superseded;
 };
 
 } // namespace egrettide
--- a/src/core/configuration/upstreamsuccession.cpp
+++ b/src/core/configuration/upstreamsuccession.cpp
@@ -2,8 +2,10 @@
 
 #include "egrettide/core/upstreamsuccession.h"
 
+#include <absl/container/flat_hash_set.h>
+
 #include <algorithm>
-#include <set>
+#include <string_view>
 
 namespace egrettide
 {
@@ -29,7 +31,8 @@
         }
     }
     std::ranges::stable_sort(all, std::greater<>(), &UpstreamSpec::heartbeats);
-    std::map<std::string, const UpstreamSpec *> latest;
+    absl::flat_hash_map<std::string_view, const UpstreamSpec *> latest;
+    latest.reserve(all.size());
     for (const UpstreamSpec *const upstream : all) {
         recordFirstSeen(*upstream);
         const UpstreamSpec *&known = latest[upstream->address];
@@ -37,7 +40,7 @@
             known = upstream;
         }
     }
-    std::map<std::string, std::string> successors;
+    absl::flat_hash_map<std::string, std::string> successors;
     for (const UpstreamSpec *const upstream : all) {
         const UpstreamSpec *const current = latest.at(upstream->address);
         if (current != upstream) {
@@ -45,6 +48,11 @@
         }
     }
     std::vector<SupersededUpstream> removed;
+    if (successors.empty()) {
+        m_superseded.clear();
+        removeIdleAddresses(configuration);
+        return removed;
+    }
     for (DatabaseSpec &database : configuration.databases) {
         std::erase_if(database.upstreams, [&](const UpstreamSpec &upstream) {
             const auto successor = successors.find(upstream.name);
@@ -70,7 +78,7 @@
     }
     names.push_back(upstream.name);
     if (names.size() > maxNamesPerAddress) {
-        names.pop_front();
+        names.erase(names.begin());
     }
 }
 
@@ -90,15 +98,20 @@
 
 void UpstreamSuccession::removeIdleAddresses(const Configuration &configuration)
 {
-    std::set<std::string> used;
+    std::size_t upstreams = 0;
+    for (const DatabaseSpec &database : configuration.databases) {
+        upstreams += database.upstreams.size();
+    }
+    if (m_namesByAddress.size() <= upstreams + maxIdleAddresses) {
+        return;
+    }
+    absl::flat_hash_set<std::string_view> used;
     for (const DatabaseSpec &database : configuration.databases) {
         for (const UpstreamSpec &upstream : database.upstreams) {
             used.insert(upstream.address);
         }
     }
-    if (m_namesByAddress.size() > used.size() + maxIdleAddresses) {
-        std::erase_if(m_namesByAddress, [&used](const auto &entry) { return !used.contains(entry.first); });
-    }
+    absl::erase_if(m_namesByAddress, [&used](const auto &entry) { return !used.contains(entry.first); });
 }
 
 } // namespace egrettide
