--- a/src/runtime/configuration/catalogtexts.cpp
+++ b/src/runtime/configuration/catalogtexts.cpp
@@ -19,10 +19,8 @@
 
 } // namespace
 
-void CatalogTexts::set(std::string text, const CatalogVersion &version, const CatalogRevisions &through)
+void CatalogTexts::set(std::string text)
 {
-    m_version = version;
-    m_through = through;
     const std::uint64_t digest = digestOf(text);
     if (digest == this->digest()) {
         return;
@@ -34,11 +32,6 @@
     }
 }
 
-void CatalogTexts::setThrough(const CatalogRevisions &through)
-{
-    m_through = m_through.joined(through);
-}
-
 bool CatalogTexts::isEmpty() const
 {
     return m_entries.empty();
@@ -49,27 +42,17 @@
     return m_entries.empty() ? 0 : m_entries.front().digest;
 }
 
-std::uint64_t CatalogTexts::digestBefore() const
-{
-    return m_entries.size() < 2 ? 0 : m_entries[1].digest;
-}
-
 const std::string *CatalogTexts::textOf(std::uint64_t digest) const
 {
     const auto found = std::ranges::find(m_entries, digest, &Entry::digest);
     return found == m_entries.end() ? nullptr : &found->text;
 }
 
-hop::CatalogPush CatalogTexts::pushFor(std::uint64_t heldDigest) const
+void CatalogTexts::addTo(hop::CatalogPush &push, std::uint64_t heldDigest) const
 {
-    hop::CatalogPush push;
-    push.version = m_version;
-    push.through = m_through;
-    push.digest = digest();
     const std::string *base = textOf(heldDigest);
     push.baseDigest = base != nullptr ? heldDigest : 0;
     push.difference = makeDifference(base != nullptr ? *base : std::string_view(), m_entries.front().text);
-    return push;
 }
 
 tl::expected<std::string, Error> CatalogTexts::read(const hop::CatalogPush &push) const
--- a/src/runtime/configuration/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -5,6 +5,8 @@
 #include "egrettide/core/storeepoch.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace egrettide
 {
@@ -21,16 +23,34 @@
 // one cause 24 calls from each of 73 hosts. The pause counts toward the 3 s within which a
 // configuration must be in force.
 constexpr milliseconds changesSpacing{500};
-// Answers that occupy the link for longer than this are followed by a list. A waiting call
-// returns every change whole, including superseded ones: twelve changes of a 250 KB object over a
-// 2 Mbit/s link delayed a reader and its heartbeats by twelve seconds.
-constexpr milliseconds bulkyAnswer{50};
+// While single objects occupy the link for longer than this, changes are read by listing. A
+// waiting call returns every change whole, including superseded ones: twelve changes of a 250 KB
+// object over a 2 Mbit/s link delayed a reader and its heartbeats by twelve seconds. For many small
+// objects a list is the larger answer, however many there are.
+constexpr milliseconds bulkyObject{50};
 // Pauses between attempts while the store does not answer; every attempt counts as a call.
 constexpr milliseconds firstBackoff{100};
 constexpr milliseconds lastBackoff{800};
 
+std::vector<StoredEntry> entriesOf(CollectionPage page)
+{
+    std::vector<StoredEntry> entries;
+    entries.reserve(page.objects.size());
+    for (CollectedObject &object : page.objects) {
+        entries.push_back({std::move(object.name), object.revision, std::move(object.text)});
+    }
+    return entries;
+}
+
 } // namespace
 
+CollectedObject::CollectedObject(std::string objectName, const nlohmann::json &value, std::uint64_t objectRevision)
+    : name(std::move(objectName))
+    , text(value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace))
+    , revision(objectRevision)
+{
+}
+
 CollectionFollower::CollectionFollower(boost::asio::io_context &control, CollectionSource source, CollectionFollowerHooks hooks)
     : m_source(std::move(source))
     , m_hooks(std::move(hooks))
@@ -58,22 +78,22 @@
 
 bool CollectionFollower::isKnown() const
 {
-    return m_revision != 0;
+    return m_copy.isKnown();
 }
 
-const std::map<std::string, nlohmann::json> &CollectionFollower::objects() const
+const CollectionCopy &CollectionFollower::copy() const
 {
-    return m_objects;
+    return m_copy;
 }
 
 std::uint64_t CollectionFollower::contentRevision() const
 {
-    return m_contentRevision;
+    return m_copy.contentRevision();
 }
 
 std::uint64_t CollectionFollower::through() const
 {
-    return m_revision;
+    return m_copy.through();
 }
 
 void CollectionFollower::setWaiting(bool waits)
@@ -82,6 +102,10 @@
         return;
     }
     m_waits = waits;
+    if (m_waits && !m_listed && m_parts.more && m_timer.cancel() != 0) {
+        listMore();
+        return;
+    }
     if (m_waits && m_listed && !m_busy) {
         // The copy came from other hosts until now and may be some changes behind.
         m_listsNext = isBulky();
@@ -89,24 +113,27 @@
     }
 }
 
-bool CollectionFollower::adopt(std::map<std::string, nlohmann::json> objects, std::uint64_t contentRevision,
-                               std::uint64_t through, std::size_t bytes)
+std::optional<TouchedNames> CollectionFollower::adopt(CollectionDelta delta, std::size_t bytes)
 {
-    if (through <= m_revision) {
-        noteContent(std::min(contentRevision, m_revision));
-        return false;
+    if (!m_copy.accepts(delta)) {
+        m_copy.noteContent(delta.contentRevision);
+        return std::nullopt;
     }
-    m_objects = std::move(objects);
-    m_revision = through;
+    TouchedNames touched = m_copy.apply(std::move(delta));
     m_listed = true;
+    noteSize(bytes);
+    return touched;
+}
+
+void CollectionFollower::noteSize(std::size_t bytes)
+{
     m_bytes = bytes;
-    noteContent(contentRevision);
-    return true;
+    m_objectBytes = bytes / std::max<std::size_t>(1, m_copy.size());
 }
 
 bool CollectionFollower::isBulky() const
 {
-    return m_hooks.pauseAfter(m_bytes) >= bulkyAnswer;
+    return m_hooks.pauseAfter(m_objectBytes) >= bulkyObject;
 }
 
 // The time for a transfer is added because a large answer would otherwise miss its deadline and
@@ -116,62 +143,77 @@
     return Clock::now() + listTimeout + 2 * m_hooks.pauseAfter(m_bytes);
 }
 
-void CollectionFollower::noteContent(std::uint64_t revision)
+void CollectionFollower::list()
 {
-    m_contentRevision = std::max(m_contentRevision, revision);
+    m_busy = true;
+    m_parts = CollectionPage{};
+    m_source.list(listDeadline(), [this](tl::expected<CollectionPage, CollectionFailure> page) { onPage(std::move(page)); });
 }
 
-void CollectionFollower::list()
+void CollectionFollower::onPage(tl::expected<CollectionPage, CollectionFailure> page)
 {
-    m_busy = true;
-    m_source.list(listDeadline(), [this](const tl::expected<CollectionPage, CollectionFailure> &page) {
-        if (m_stopped) {
-            return;
-        }
-        if (!page) {
-            retry();
-            return;
-        }
-        setReached(true);
-        m_listed = true;
-        m_bytes = page->bytes;
-        if (applyPage(*page)) {
-            pauseAfterChange();
+    if (m_stopped) {
+        return;
+    }
+    if (!page) {
+        m_parts = CollectionPage{};
+        retry();
+        return;
+    }
+    setReached(true);
+    m_parts.objects.insert(m_parts.objects.end(), std::make_move_iterator(page->objects.begin()),
+                           std::make_move_iterator(page->objects.end()));
+    m_parts.bytes += page->bytes;
+    m_parts.revision = page->revision;
+    const bool isFirstPart = !m_parts.more;
+    m_parts.more = std::move(page->more);
+    if (m_parts.more) {
+        const milliseconds wait = isFirstPart && !isKnown() && !m_waits ? m_hooks.peerWait() : milliseconds{0};
+        if (wait == milliseconds{0}) {
+            listMore();
         } else {
-            m_listsNext = false;
-            goOn(milliseconds{0});
+            callAfter(wait);
         }
-    });
+        return;
+    }
+    m_listed = true;
+    const std::size_t bytes = m_parts.bytes;
+    const bool changed = applyListed();
+    noteSize(bytes);
+    if (changed) {
+        pauseAfterChange(bytes);
+    } else {
+        m_listsNext = false;
+        goOn(milliseconds{0});
+    }
+}
+
+void CollectionFollower::listMore()
+{
+    m_busy = true;
+    m_parts.more(listDeadline(), [this](tl::expected<CollectionPage, CollectionFailure> page) { onPage(std::move(page)); });
 }
 
-// Returns false when the page holds nothing new.
-bool CollectionFollower::applyPage(const CollectionPage &page)
+// Returns false when the list holds nothing new.
+bool CollectionFollower::applyListed()
 {
-    if (page.revision <= m_revision) {
+    CollectionPage page = std::exchange(m_parts, CollectionPage{});
+    if (page.revision <= through()) {
         noteOlder(page.revision);
         return false;
     }
-    std::map<std::string, nlohmann::json> objects;
-    for (const CollectedObject &object : page.objects) {
-        objects[object.name] = object.value;
-        noteContent(object.revision);
-    }
     const bool isFirst = !isKnown();
     const std::uint64_t epoch = StoreRevision::fromOrdered(page.revision).epoch;
-    const bool isRestored = !isFirst && epoch > StoreRevision::fromOrdered(m_revision).epoch;
-    const bool differs = isFirst || isRestored || objects != m_objects;
-    m_revision = page.revision;
+    const bool isRestored = !isFirst && epoch > StoreRevision::fromOrdered(through()).epoch;
+    const std::uint64_t revision = page.revision;
+    const TouchedNames touched = m_copy.replace(entriesOf(std::move(page)), revision);
     if (isRestored) {
         // Other hosts must be informed of the restore, even when the collection is empty.
-        noteContent(StoreRevision{epoch, 0}.ordered());
-    }
-    if (std::ranges::any_of(m_objects, [&objects](const auto &known) { return !objects.contains(known.first); })) {
-        // A list does not contain the revision of a removal.
-        noteContent(m_revision);
+        m_copy.noteContent(StoreRevision{epoch, 0}.ordered());
     }
+    const bool differs = isFirst || isRestored || !touched.empty();
     if (differs) {
-        m_objects = std::move(objects);
-        m_hooks.changed(m_objects);
+        m_hooks.changed(m_copy, touched);
     }
     return differs && !isFirst;
 }
@@ -179,35 +221,38 @@
 // Reports each known state once, however often the store lists an older one.
 void CollectionFollower::noteOlder(std::uint64_t listed)
 {
-    if (listed < m_revision && m_olderNotedAt != m_revision) {
-        m_olderNotedAt = m_revision;
-        m_hooks.olderListed(listed, m_revision);
+    if (listed < through() && m_olderNotedAt != through()) {
+        m_olderNotedAt = through();
+        m_hooks.olderListed(listed, through());
     }
 }
 
-void CollectionFollower::pauseAfterChange()
+void CollectionFollower::pauseAfterChange(std::size_t bytes)
 {
     m_listsNext = isBulky();
-    goOn(std::max(changesSpacing, m_hooks.pauseAfter(m_bytes)));
+    goOn(std::max(changesSpacing, m_hooks.pauseAfter(bytes)));
 }
 
 void CollectionFollower::wait()
 {
     m_busy = true;
-    m_source.changes(m_revision, Clock::now() + changesTimeout,
-                     [this](const tl::expected<CollectionChanges, CollectionFailure> &changes) {
+    m_source.changes(through(), Clock::now() + changesTimeout,
+                     [this](tl::expected<CollectionChanges, CollectionFailure> changes) {
                          if (m_stopped) {
                              return;
                          }
                          if (changes) {
                              setReached(true);
                              m_listBackoff = firstBackoff;
-                             apply(*changes);
-                             if (changes->changes.empty()) {
+                             const std::size_t count = changes->changes.size();
+                             const std::size_t bytes = changes->bytes;
+                             apply(std::move(*changes));
+                             if (count == 0) {
                                  goOn(milliseconds{0});
                              } else {
-                                 m_bytes = std::max(m_bytes, changes->bytes / changes->changes.size());
-                                 pauseAfterChange();
+                                 m_objectBytes = std::max(m_objectBytes, bytes / count);
+                                 m_bytes = std::max(m_bytes, m_objectBytes);
+                                 pauseAfterChange(bytes);
                              }
                              return;
                          }
@@ -252,7 +297,13 @@
             return;
         }
         m_busy = false;
-        if (!m_listed || m_waits) {
+        if (m_listed && m_parts.more) {
+            // Another host has provided the collection meanwhile.
+            m_parts = CollectionPage{};
+        }
+        if (m_parts.more) {
+            listMore();
+        } else if (!m_listed || m_waits) {
             callNext();
         }
     });
@@ -269,24 +320,20 @@
 
 // Another host's copy may have been adopted during the call: changes that end before it are
 // already known, and later ones hold whole objects.
-void CollectionFollower::apply(const CollectionChanges &changes)
+void CollectionFollower::apply(CollectionChanges changes)
 {
-    if (changes.revision <= m_revision) {
+    if (changes.revision <= through()) {
         return;
     }
-    m_revision = changes.revision;
-    for (const CollectionChange &change : changes.changes) {
-        if (change.removed) {
-            m_objects.erase(change.object.name);
-            // Only this answer contains the revision of a removal.
-            noteContent(changes.revision);
-        } else {
-            m_objects[change.object.name] = change.object.value;
-            noteContent(std::min(change.object.revision, m_revision));
-        }
+    std::vector<StoredEntry> entries;
+    entries.reserve(changes.changes.size());
+    for (CollectionChange &change : changes.changes) {
+        entries.push_back({std::move(change.object.name), change.object.revision,
+                           change.removed ? std::string() : std::move(change.object.text)});
     }
-    if (!changes.changes.empty()) {
-        m_hooks.changed(m_objects);
+    const TouchedNames touched = m_copy.extend(std::move(entries), changes.revision);
+    if (!touched.empty()) {
+        m_hooks.changed(m_copy, touched);
     }
 }
 
--- a/src/runtime/configuration/collection.h
+++ b/src/runtime/configuration/collection.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "egrettide/core/collectioncopy.h"
 #include "egrettide/core/types.h"
 #include "runtime/host/timer.h"
 
@@ -12,7 +13,7 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,18 +21,35 @@
 {
 
 struct CollectedObject {
+    CollectedObject(std::string name, const nlohmann::json &value, std::uint64_t revision = 0);
+
     std::string name;
-    nlohmann::json value;
+    // The object as compact JSON. Kept as text, since the answer to one call may hold hundreds of
+    // objects.
+    std::string text;
     // The store's revision of the object's last change.
     std::uint64_t revision = 0;
 };
 
-// A whole collection at one revision of the store.
+enum class CollectionFailure {
+    // The store no longer has the changes since that revision; the collection must be listed
+    // again.
+    HistoryGone,
+    // No answer, or a temporary refusal.
+    Unavailable,
+};
+
+// A collection at one revision of the store, or the next part of a long one.
 struct CollectionPage {
+    using Handler = std::function<void(tl::expected<CollectionPage, CollectionFailure>)>;
+
     std::vector<CollectedObject> objects;
+    // The same for all parts. Later parts may hold later changes as well.
     std::uint64_t revision = 0;
     // The size of the answer on the link.
     std::size_t bytes = 0;
+    // Reads the next part; empty after the last one.
+    std::function<void(TimePoint deadline, Handler handler)> more{};
 };
 
 struct CollectionChange {
@@ -47,18 +65,11 @@
     std::size_t bytes = 0;
 };
 
-enum class CollectionFailure {
-    // The store no longer has the changes since that revision; the collection must be listed
-    // again.
-    HistoryGone,
-    // No answer, or a temporary refusal.
-    Unavailable,
-};
 
 // Access to one collection; used from one thread only. Every handler runs exactly once, no later
 // than the deadline.
 struct CollectionSource {
-    std::function<void(TimePoint deadline, std::function<void(tl::expected<CollectionPage, CollectionFailure>)>)> list;
+    std::function<void(TimePoint deadline, CollectionPage::Handler)> list;
     // Answers as soon as something changed, no later than the deadline.
     std::function<void(std::uint64_t since, TimePoint deadline,
                        std::function<void(tl::expected<CollectionChanges, CollectionFailure>)>)>
@@ -66,14 +77,18 @@
 };
 
 struct CollectionFollowerHooks {
-    // Receives all current objects; called on every change and after each new list.
-    std::function<void(const std::map<std::string, nlohmann::json> &objects)> changed;
+    // Receives the copy and the names of the objects that changed, which are none when only the
+    // store's epoch changed; called on every change and after the first list.
+    std::function<void(const CollectionCopy &copy, const TouchedNames &touched)> changed;
     // Called when the store stops answering, and when it answers again.
     std::function<void(bool reached)> reachability;
     // Called when the store listed an older state than the known one; the list was discarded.
     std::function<void(std::uint64_t listed, std::uint64_t known)> olderListed = [](std::uint64_t, std::uint64_t) {};
     // The minimum pause before the next call after an answer of that size.
     std::function<milliseconds(std::size_t bytes)> pauseAfter = [](std::size_t) { return milliseconds{0}; };
+    // How long a first list of more than one part waits after its first part for other hosts to
+    // provide the collection. Otherwise, the calls of hosts that start grow with the collection.
+    std::function<milliseconds()> peerWait = [] { return milliseconds{0}; };
 };
 
 // Keeps a copy of one collection current, from the store's changes or from the copies of other
@@ -90,17 +105,16 @@
     void stop();
     // Sets whether this host itself waits for the store's changes.
     void setWaiting(bool waits);
-    // Replaces the copy by that of another host, which is complete up to `through` and took
-    // `bytes` on the link, unless this one is as new. Returns true when it was replaced; does not
-    // call `changed`.
-    bool adopt(std::map<std::string, nlohmann::json> objects, std::uint64_t contentRevision, std::uint64_t through,
-               std::size_t bytes);
+    // Takes over changes from another host, which took `bytes` on the link. Returns the names of
+    // the objects that changed; nothing when the delta is not newer or does not continue this
+    // copy. Does not call `changed`.
+    std::optional<TouchedNames> adopt(CollectionDelta delta, std::size_t bytes);
 
     // False until the collection has been listed once, and while the store does not answer.
     bool isReached() const;
     // True once the store or another host has provided the objects.
     bool isKnown() const;
-    const std::map<std::string, nlohmann::json> &objects() const;
+    const CollectionCopy &copy() const;
     // The revision of the last change that the copy holds.
     std::uint64_t contentRevision() const;
     // The revision up to which the copy is complete; never below contentRevision().
@@ -108,9 +122,12 @@
 
 private:
     void list();
-    bool applyPage(const CollectionPage &page);
+    void onPage(tl::expected<CollectionPage, CollectionFailure> page);
+    void listMore();
+    bool applyListed();
     void noteOlder(std::uint64_t listed);
-    void pauseAfterChange();
+    void pauseAfterChange(std::size_t bytes);
+    void noteSize(std::size_t bytes);
     bool isBulky() const;
     TimePoint listDeadline() const;
     void wait();
@@ -119,18 +136,13 @@
     void callNext();
     void retry();
     void listAgain();
-    void apply(const CollectionChanges &changes);
+    void apply(CollectionChanges changes);
     void setReached(bool reached);
-    void noteContent(std::uint64_t revision);
 
     CollectionSource m_source;
     CollectionFollowerHooks m_hooks;
     Timer m_timer;
-    std::map<std::string, nlohmann::json> m_objects;
-    // m_objects holds everything up to this revision.
-    std::uint64_t m_revision = 0;
-    // Invariant: m_contentRevision <= m_revision.
-    std::uint64_t m_contentRevision = 0;
+    CollectionCopy m_copy;
     // The known revision for which an older list was last reported.
     std::uint64_t m_olderNotedAt = 0;
     bool m_waits = false;
@@ -139,8 +151,11 @@
     bool m_listsNext = false;
     // True while a call, or the pause before it, is in progress.
     bool m_busy = false;
-    // The approximate size of the collection on the link.
+    // The approximate size of the collection on the link, and that of one of its objects.
     std::size_t m_bytes = 0;
+    std::size_t m_objectBytes = 0;
+    // The parts of the list that is being read; its `more` reads the next part.
+    CollectionPage m_parts;
     bool m_listed = false;
     bool m_reached = false;
     milliseconds m_backoff;
--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -4,6 +4,9 @@
 
 #include "egrettide/core/storeepoch.h"
 #include "runtime/host/log.h"
+#include "wire/difference.h"
+
+#include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
 
@@ -17,6 +20,10 @@
 // back within two seconds of the store's return; half a second is added for the way to this host.
 constexpr milliseconds lapseDelay{2500};
 constexpr const char *storeSource = "store";
+// How long a new host waits at least for others to provide registrations that take several calls
+// to list. Membership finds a live host in some tenths of a second, and the host that reads for
+// the zone is known 1.5 s after the start and lists at once.
+constexpr milliseconds peerWait{3000};
 
 std::uint64_t epochOf(std::uint64_t revision)
 {
@@ -32,8 +39,41 @@
     return known.heartbeats > listed.heartbeats;
 }
 
+// Refused entries from another writer are no reason to stop, so text that cannot be parsed becomes
+// a value that no hook accepts.
+nlohmann::json parsedObject(const std::string &text)
+{
+    return nlohmann::json::parse(text, nullptr, false);
+}
+
+NamedObjects objectsOf(const CollectionCopy &copy)
+{
+    NamedObjects objects;
+    copy.forEach([&objects](const std::string &name, const std::string &text) { objects.emplace(name, parsedObject(text)); });
+    return objects;
+}
+
 } // namespace
 
+Configuration withUpstreams(const TranslatedIntent &intent, const RegisteredUpstreams &upstreams)
+{
+    Configuration configuration = intent.configuration;
+    absl::flat_hash_map<std::string_view, std::size_t> indexes;
+    for (std::size_t i = 0; i < configuration.databases.size(); ++i) {
+        indexes.emplace(intent.configuration.databases[i].name, i);
+    }
+    for (const auto &[name, registered] : upstreams) {
+        const auto found = indexes.find(registered.database);
+        if (found == indexes.end()) {
+            continue;
+        }
+        auto &members = configuration.databases[found->second].upstreams;
+        members.push_back(registered.upstream);
+        members.back().connections = intent.connections[found->second];
+    }
+    return configuration;
+}
+
 DiscoveredConfiguration::DiscoveredConfiguration(boost::asio::io_context &control, std::string self, DiscoveryParts parts,
                                                  ConfigurationKeeperHooks hooks)
     : m_parts(std::move(parts))
@@ -41,22 +81,28 @@
     , m_lapseTimer(control)
     , m_roleTimer(control)
     , m_pushTimer(control)
+    , m_rebuild(control, [this] { rebuild(); })
+    , m_random(digestOf(self))
     , m_selection(std::move(self), m_hooks.reader)
-    , m_intentFollower(control, m_parts.intent, followerHooks("store_intent", [this] { onIntentChanged(); }))
-    , m_registrationFollower(control, m_parts.registrations,
-                             followerHooks("store_registrations", [this] { onRegistrationsChanged(); }))
+    , m_intentFollower(control, m_parts.intent, followerHooks("store_intent", [this](const TouchedNames &) { onIntentChanged(); }))
+    , m_registrationFollower(
+          control, m_parts.registrations,
+          followerHooks("store_registrations", [this](const TouchedNames &touched) { onRegistrationsChanged(touched); }))
 {
 }
 
-CollectionFollowerHooks DiscoveredConfiguration::followerHooks(std::string_view collection, std::function<void()> changed)
+CollectionFollowerHooks DiscoveredConfiguration::followerHooks(std::string_view collection,
+                                                               std::function<void(const TouchedNames &touched)> changed)
 {
     CollectionFollowerHooks hooks;
-    hooks.changed = [changed = std::move(changed)](const NamedObjects &) { changed(); };
+    hooks.changed = [changed = std::move(changed)](const CollectionCopy &, const TouchedNames &touched) { changed(touched); };
     hooks.reachability = [this, collection](bool reached) { onReachability(collection, reached); };
     hooks.olderListed = [collection](std::uint64_t listed, std::uint64_t known) {
         log::warning("store_list_older", {{"collection", std::string(collection)}, {"listed", listed}, {"known", known}});
     };
     hooks.pauseAfter = [this](std::size_t bytes) { return transferTime(bytes); };
+    // Hosts that start together wait for different times, so that some list and send it to the others.
+    hooks.peerWait = [this] { return peerWait + milliseconds{std::uniform_int_distribution<int>(0, peerWait.count())(m_random)}; };
     return hooks;
 }
 
@@ -73,6 +119,7 @@
     m_lapseTimer.cancel();
     m_roleTimer.cancel();
     m_pushTimer.cancel();
+    m_rebuild.cancel();
     m_intentFollower.stop();
     m_registrationFollower.stop();
 }
@@ -84,54 +131,58 @@
 
 void DiscoveredConfiguration::onIntentChanged()
 {
-    if (auto accepted = acceptIntent(m_intentFollower.objects(), storeSource)) {
-        putInForce(std::move(*accepted));
+    if (acceptIntent(objectsOf(m_intentFollower.copy()), storeSource)) {
+        m_rebuild.request();
         informZone();
     }
 }
 
-// Returns the resulting configuration; empty when the intent is damaged, or older than the one in
-// force.
-std::optional<Configuration> DiscoveredConfiguration::acceptIntent(const NamedObjects &objects, const std::string &source)
+// Returns false when the intent is damaged, or older than the one in force.
+bool DiscoveredConfiguration::acceptIntent(const NamedObjects &objects, const std::string &source)
 {
-    auto configuration = m_parts.translate(objects, m_upstreams);
-    if (!configuration) {
-        log::error("configuration_refused", {{"fault", configuration.error().message}});
-        return std::nullopt;
+    ++m_work.translatedIntents;
+    auto intent = m_parts.translate(objects);
+    if (!intent) {
+        log::error("configuration_refused", {{"fault", intent.error().message}});
+        return false;
     }
-    if (m_intentVersion && configuration->version < *m_intentVersion) {
-        log::warning("configuration_older", {{"version", configuration->version}, {"in_force", *m_intentVersion}});
-        return std::nullopt;
+    const std::uint64_t version = intent->configuration.version;
+    if (m_intentVersion && version < *m_intentVersion) {
+        log::warning("configuration_older", {{"version", version}, {"in_force", *m_intentVersion}});
+        return false;
     }
-    m_intent = objects;
-    m_intentVersion = configuration->version;
+    m_intent = std::move(*intent);
+    m_intentVersion = version;
     m_intentSource = source;
-    return std::move(*configuration);
+    m_texts.set(nlohmann::json(objects).dump());
+    return true;
 }
 
-void DiscoveredConfiguration::onRegistrationsChanged()
+void DiscoveredConfiguration::onRegistrationsChanged(const TouchedNames &touched)
 {
     noteEpoch(storeSource);
-    applyRegistrations(m_registrationFollower.objects());
-    rebuild();
+    applyRegistrations(touched);
+    m_rebuild.request();
     informZone();
 }
 
 // Missing registrations lapse after a delay. After a store outage, upstreams that could not renew
 // their registrations are missing for a moment; without the delay their connections would be
 // closed and their transactions lost.
-void DiscoveredConfiguration::applyRegistrations(const NamedObjects &registrations)
+void DiscoveredConfiguration::applyRegistrations(const TouchedNames &touched)
 {
     const TimePoint lapsesAt = Clock::now() + lapseDelay;
-    RegisteredUpstreams next = parse(registrations);
-    std::erase_if(m_lapsing, [&next](const auto &entry) { return next.contains(entry.first); });
-    m_keepsNewerStates = Clock::now() < m_rewriteDeadline && keepNewerStates(next);
-    for (const auto &[name, upstream] : m_upstreams) {
-        if (next.emplace(name, upstream).second) {
+    for (const std::string &name : touched) {
+        auto upstream = parse(name);
+        if (upstream) {
+            m_lapsing.erase(name);
+            if (!keepsNewerState(name, *upstream)) {
+                m_upstreams.insert_or_assign(name, std::move(*upstream));
+            }
+        } else if (m_upstreams.contains(name)) {
             m_lapsing.emplace(name, lapsesAt);
         }
     }
-    m_upstreams = std::move(next);
     armLapseTimer();
 }
 
@@ -161,41 +212,42 @@
 }
 
 // Without this, an upstream that is leaving appears ready again in a restored store, and gets
-// work until it has registered there anew. Returns true when a newer state was kept.
-bool DiscoveredConfiguration::keepNewerStates(RegisteredUpstreams &next) const
+// work until it has registered there anew.
+bool DiscoveredConfiguration::keepsNewerState(const std::string &name, const RegisteredUpstream &listed)
 {
-    bool kept = false;
-    for (auto &[name, listed] : next) {
-        const auto known = m_upstreams.find(name);
-        if (known != m_upstreams.end() && isNewerState(known->second.upstream, listed.upstream)) {
-            listed = known->second;
-            kept = true;
-        }
+    m_keptStates.erase(name);
+    if (Clock::now() >= m_rewriteDeadline) {
+        return false;
     }
-    return kept;
+    const auto known = m_upstreams.find(name);
+    if (known == m_upstreams.end() || !isNewerState(known->second.upstream, listed.upstream)) {
+        return false;
+    }
+    m_keptStates.insert(name);
+    return true;
 }
 
 // Refuses invalid registrations, which another writer may leave there: with an unknown state an
 // entry would count as ready, without an address it would be an unreachable upstream, and an
-// unexpected type would end the process.
-RegisteredUpstreams DiscoveredConfiguration::parse(const NamedObjects &registrations)
+// unexpected type would end the process. Returns nothing for those and for missing ones.
+std::optional<RegisteredUpstream> DiscoveredConfiguration::parse(const std::string &name)
 {
-    RegisteredUpstreams upstreams;
-    for (const auto &[name, value] : registrations) {
-        auto parsed = m_parts.parseRegistration(name, value);
-        if (parsed) {
-            m_refused.erase(name);
-            upstreams.emplace(name, std::move(*parsed));
-        } else {
-            noteRefused(name, parsed.error());
-        }
+    const std::string *const text = m_registrationFollower.copy().text(name);
+    if (text == nullptr) {
+        m_refused.erase(name);
+        return std::nullopt;
+    }
+    ++m_work.parsedRegistrations;
+    auto parsed = m_parts.parseRegistration(name, parsedObject(*text));
+    if (!parsed) {
+        noteRefused(name, parsed.error());
+        return std::nullopt;
     }
-    std::erase_if(m_refused, [&registrations](const auto &entry) { return !registrations.contains(entry.first); });
-    return upstreams;
+    m_refused.erase(name);
+    return std::move(*parsed);
 }
 
-// Logs once per fault, because an unchanged entry is received again with every change of another
-// one.
+// Logs once per fault, because an entry may change without being mended.
 void DiscoveredConfiguration::noteRefused(const std::string &name, const Error &fault)
 {
     std::string &known = m_refused[name];
@@ -212,12 +264,17 @@
     return m_refusals;
 }
 
+const DiscoveryWork &DiscoveredConfiguration::work() const
+{
+    return m_work;
+}
+
 void DiscoveredConfiguration::armLapseTimer()
 {
-    if (m_lapsing.empty() && !m_keepsNewerStates) {
+    if (m_lapsing.empty() && m_keptStates.empty()) {
         return;
     }
-    TimePoint next = m_keepsNewerStates ? m_rewriteDeadline : TimePoint::max();
+    TimePoint next = m_keptStates.empty() ? TimePoint::max() : m_rewriteDeadline;
     for (const auto &[name, lapsesAt] : m_lapsing) {
         next = std::min(next, lapsesAt);
     }
@@ -241,32 +298,21 @@
         }
         return lapsed;
     });
-    if (m_keepsNewerStates && now >= m_rewriteDeadline) {
-        applyRegistrations(m_registrationFollower.objects());
+    if (!m_keptStates.empty() && now >= m_rewriteDeadline) {
+        applyRegistrations({m_keptStates.begin(), m_keptStates.end()});
     } else {
         armLapseTimer();
     }
-    rebuild();
+    m_rebuild.request();
 }
 
 void DiscoveredConfiguration::rebuild()
 {
-    if (!m_intentVersion) {
-        return;
-    }
-    auto next = m_parts.translate(m_intent, m_upstreams);
-    if (!next) {
-        log::error("configuration_refused", {{"fault", next.error().message}});
-        return;
-    }
-    putInForce(std::move(*next));
-}
-
-void DiscoveredConfiguration::putInForce(Configuration next)
-{
-    if (!m_registrationFollower.isKnown()) {
+    if (!m_intentVersion || !m_registrationFollower.isKnown()) {
         return;
     }
+    ++m_work.rebuilds;
+    Configuration next = withUpstreams(m_intent, m_upstreams);
     if (!m_current || next.version > m_current->version) {
         log::info("configuration_accepted",
                   {{"version", next.version}, {"routes", static_cast<int>(next.routes.size())}, {"source", m_intentSource}});
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -12,6 +12,7 @@
 #include "runtime/configuration/catalogtexts.h"
 #include "runtime/configuration/collection.h"
 #include "runtime/configuration/configurationsource.h"
+#include "runtime/host/pacedtask.h"
 #include "runtime/host/timer.h"
 
 #include <boost/asio/io_context.hpp>
@@ -24,9 +25,12 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace egrettide
 {
@@ -47,10 +51,30 @@
 using ParseRegistrationHook =
     std::function<tl::expected<RegisteredUpstream, Error>(const std::string &name, const nlohmann::json &value)>;
 
-// Makes a configuration from the stored objects; fails when the intent is damaged. The version
-// must be that of the operators' intent.
-using TranslateHook =
-    std::function<tl::expected<Configuration, Error>(const NamedObjects &intent, const RegisteredUpstreams &upstreams)>;
+// The operators' intent, without the upstreams, which register themselves.
+struct TranslatedIntent {
+    // The version is that of the intent. No database has upstreams.
+    Configuration configuration;
+    // How many connections each upstream of a database accepts; parallel to
+    // configuration.databases.
+    std::vector<int> connections;
+};
+
+// Translates the stored objects; fails when the intent is damaged.
+using TranslateHook = std::function<tl::expected<TranslatedIntent, Error>(const NamedObjects &intent)>;
+
+// The configuration in which each database has its registered upstreams, in order of their
+// registrations' names. Upstreams of databases that are not in the intent are left out.
+Configuration withUpstreams(const TranslatedIntent &intent, const RegisteredUpstreams &upstreams);
+
+// Counts the work that changes cause; it has to follow the changes, and not the fleet.
+struct DiscoveryWork {
+    std::uint64_t parsedRegistrations = 0;
+    std::uint64_t translatedIntents = 0;
+    std::uint64_t sentEntries = 0;
+    // Each costs as much as there are upstreams and hosts.
+    std::uint64_t rebuilds = 0;
+};
 
 struct DiscoveryParts {
     CollectionSource intent;
@@ -80,21 +104,22 @@
 
     // Registrations that were refused since the start, each counted once per fault.
     std::uint64_t refusedRegistrations() const;
+    const DiscoveryWork &work() const;
 
 private:
-    CollectionFollowerHooks followerHooks(std::string_view collection, std::function<void()> changed);
+    CollectionFollowerHooks followerHooks(std::string_view collection,
+                                          std::function<void(const TouchedNames &touched)> changed);
     void onIntentChanged();
-    std::optional<Configuration> acceptIntent(const NamedObjects &objects, const std::string &source);
-    void onRegistrationsChanged();
-    void applyRegistrations(const NamedObjects &registrations);
-    RegisteredUpstreams parse(const NamedObjects &registrations);
+    bool acceptIntent(const NamedObjects &objects, const std::string &source);
+    void onRegistrationsChanged(const TouchedNames &touched);
+    void applyRegistrations(const TouchedNames &touched);
+    std::optional<RegisteredUpstream> parse(const std::string &name);
     void noteRefused(const std::string &name, const Error &fault);
     void noteEpoch(const std::string &source);
-    bool keepNewerStates(RegisteredUpstreams &next) const;
+    bool keepsNewerState(const std::string &name, const RegisteredUpstream &listed);
     void removeLapsed();
     void armLapseTimer();
     void rebuild();
-    void putInForce(Configuration next);
 
     // Reading for the zone and informing other hosts.
     void checkReaderRole();
@@ -103,26 +128,37 @@
     CatalogVersion version() const;
     CatalogRevisions through() const;
     bool lacks(const CatalogVersion &reported) const;
-    std::string catalogText() const;
     void informZone();
+    hop::CatalogPush zonePush(std::uint64_t intentDigest);
     void offerToSome();
     void onVersionReported(const std::string &host, const CatalogVersion &reported);
     void pullFrom(const std::string &host, std::uint64_t heldDigest);
     void servePulls();
+    void addRegistrations(hop::CatalogPush &push, std::uint64_t held);
     milliseconds transferTime(std::size_t bytes) const;
-    void adopt(const std::string &from, const hop::CatalogPush &push, std::string text);
+    bool isSmallFor(const hop::CatalogPush &push, std::size_t receivers) const;
+    bool adoptIntent(const std::string &from, const hop::CatalogPush &push);
+    bool adoptRegistrations(const std::string &from, const hop::CatalogPush &push);
+    void refusePush(const std::string &from, const std::string &fault);
 
     DiscoveryParts m_parts;
     ConfigurationKeeperHooks m_hooks;
     Timer m_lapseTimer;
     Timer m_roleTimer;
     Timer m_pushTimer;
+    // Puts the present intent and registrations in force.
+    PacedTask m_rebuild;
+    std::mt19937_64 m_random;
     ReaderSelection m_selection;
     // Whether this host followed the store at the last check.
     bool m_isReader = false;
     CatalogTexts m_texts;
-    // Hosts that requested the catalog, each with the digest of the text that it holds.
-    std::deque<std::pair<std::string, std::uint64_t>> m_pulls;
+    // Hosts that requested the catalog, each with its latest request.
+    std::deque<std::pair<std::string, hop::CatalogPull>> m_pulls;
+    // What this host held when it last informed its zone, or began to read for it: the revision up
+    // to which the registrations were complete, and the digest of the intent.
+    std::uint64_t m_informedThrough = 0;
+    std::uint64_t m_informedDigest = 0;
     // True during the pause after a push, which leaves the link to other traffic.
     bool m_pausesPushes = false;
     // The host of this zone that is preferred as store reader; empty while none is known.
@@ -131,7 +167,7 @@
     std::uint64_t m_refusedPushes = 0;
     // The newest accepted intent, by the operators' version. After a restore the store may hold
     // an older one until operators write again.
-    NamedObjects m_intent;
+    TranslatedIntent m_intent;
     // Empty until an intent was accepted.
     std::optional<std::uint64_t> m_intentVersion;
     // The valid registrations, including those that lapse.
@@ -145,19 +181,21 @@
     std::optional<TimePoint> m_newerEpochSince;
     // Until then a restored store may hold older states of upstreams than this host has received.
     TimePoint m_rewriteDeadline;
-    // True while an older state in the store is ignored.
-    bool m_keepsNewerStates = false;
+    // Registrations of which the store holds an older state, which is ignored until then.
+    std::set<std::string> m_keptStates;
     // The last reported fault of each refused registration.
     std::map<std::string, std::string> m_refused;
     std::uint64_t m_refusals = 0;
+    DiscoveryWork m_work;
     UpstreamSuccession m_succession;
     std::shared_ptr<const Configuration> m_current;
     // The source of the current intent: the store, or a host by name.
     std::string m_intentSource;
     // The earliest time of the next request to a peer.
     TimePoint m_pullBefore;
-    // Since when this host has known of a newer copy than its own.
+    // Since when this host has known of a newer copy than its own, and that copy's version.
     std::optional<TimePoint> m_behindSince;
+    CatalogVersion m_behindVersion;
     // False until this host has received the version of a copy that is no newer than its own: a
     // process that has just started requests at once, since the store may hold less than other
     // hosts.
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace egrettide
 {
 
@@ -26,23 +28,17 @@
 // How often a host checks whether it has to read the store. Membership detects a failed reader
 // after about a second; this comes on top.
 constexpr milliseconds roleCheckInterval{300};
-// A difference up to this size is sent to all hosts of the zone at once. A larger one is only
-// announced, and a host requests it when its previous one has arrived, so no link carries two of
-// them or a superseded one. The change of one route among 1,540 takes 0.1 KB.
+// A difference of the intent up to this size is sent to all hosts of the zone at once. A larger one
+// is only announced, and a host requests it when its previous one has arrived, so no link carries
+// two of them or a superseded one. The change of one route among 1,540 takes 0.1 KB.
 constexpr std::size_t maxUnrequestedBytes = std::size_t{4} * 1024;
+// Changes of registrations are sent at once while the link carries them to the whole zone in this
+// time; a reader is informed of the next changes after about as long.
+constexpr milliseconds maxUnrequestedTime{500};
 // Each host announces a newer copy to this many others, of any zone, so that a host which has
 // lost its zone's readers is informed before the heartbeats.
 constexpr std::size_t offersPerHost = 2;
 
-constexpr const char *intentPart = "intent";
-constexpr const char *registrationsPart = "registrations";
-
-bool holdsBothParts(const json &catalog)
-{
-    const auto holds = [&catalog](const char *part) { return catalog.contains(part) && catalog[part].is_object(); };
-    return catalog.is_object() && holds(intentPart) && holds(registrationsPart);
-}
-
 } // namespace
 
 // Reading the store.
@@ -63,6 +59,8 @@
         m_isReader = !m_isReader;
         log::info("store_reader", {{"reads", m_isReader}});
         m_behindSince.reset();
+        m_informedThrough = m_registrationFollower.through();
+        m_informedDigest = m_texts.digest();
         m_intentFollower.setWaiting(m_isReader);
         m_registrationFollower.setWaiting(m_isReader);
     }
@@ -115,25 +113,17 @@
     return version();
 }
 
-std::string DiscoveredConfiguration::catalogText() const
-{
-    return json{{intentPart, m_intent}, {registrationsPart, m_registrationFollower.objects()}}.dump();
-}
-
 // Announces a change that was read in the store. All hosts read the store once at their start;
 // only readers forward what they read.
 void DiscoveredConfiguration::informZone()
 {
-    if (!m_current) {
-        return;
-    }
-    m_texts.set(catalogText(), version(), through());
-    if (!m_isReader) {
+    if (!m_current || !m_isReader) {
         return;
     }
-    const hop::CatalogPush push = m_texts.pushFor(m_texts.digestBefore());
-    const bool isSmall = push.difference.size() <= maxUnrequestedBytes;
-    for (const std::string &host : m_hooks.zone().mates) {
+    const hop::CatalogPush push = zonePush(std::exchange(m_informedDigest, m_texts.digest()));
+    const std::vector<std::string> mates = m_hooks.zone().mates;
+    const bool isSmall = isSmallFor(push, mates.size());
+    for (const std::string &host : mates) {
         if (isSmall) {
             m_hooks.send(host, push);
         } else {
@@ -143,6 +133,39 @@
     offerToSome();
 }
 
+// What changed since this host last informed its zone.
+hop::CatalogPush DiscoveredConfiguration::zonePush(std::uint64_t intentDigest)
+{
+    hop::CatalogPush push;
+    push.version = version();
+    push.through = through();
+    push.digest = m_texts.digest();
+    // Each host reads the store once at its start, so what a reader reads first is only announced;
+    // hosts that lack it request what they lack.
+    if (intentDigest != push.digest && intentDigest != 0) {
+        m_texts.addTo(push, intentDigest);
+    }
+    const std::uint64_t informed = std::exchange(m_informedThrough, push.through.registrations);
+    if (informed < push.through.registrations && informed != 0) {
+        addRegistrations(push, informed);
+    }
+    return push;
+}
+
+void DiscoveredConfiguration::addRegistrations(hop::CatalogPush &push, std::uint64_t held)
+{
+    const CollectionDelta delta = m_registrationFollower.copy().changesSince(held);
+    m_work.sentEntries += delta.entries.size();
+    push.registrationsSince = delta.since;
+    push.entries = packEntries(delta);
+}
+
+bool DiscoveredConfiguration::isSmallFor(const hop::CatalogPush &push, std::size_t receivers) const
+{
+    return push.difference.size() <= maxUnrequestedBytes
+        && transferTime(push.entries.bytes.size() * receivers) <= maxUnrequestedTime;
+}
+
 void DiscoveredConfiguration::offerToSome()
 {
     for (const std::string &host : m_hooks.someHosts(offersPerHost)) {
@@ -178,7 +201,12 @@
         m_newerEpochSince = m_newerEpochSince.value_or(now);
     }
     if (m_hasCaughtUp && host != m_zoneReader) {
-        m_behindSince = m_behindSince.value_or(now);
+        // While changes follow each other some other host is always ahead; what counts is whether
+        // this host lacks one for long.
+        if (!m_behindSince || !lacks(m_behindVersion)) {
+            m_behindSince = now;
+            m_behindVersion = reported;
+        }
         if (now < *m_behindSince + zoneUpdateDelay) {
             return;
         }
@@ -193,7 +221,7 @@
 {
     m_pullBefore = Clock::now() + pullSpacing;
     log::info("catalog_asked", {{"peer", host}, {"version", version().intent}});
-    m_hooks.send(host, hop::CatalogPull{version(), heldDigest});
+    m_hooks.send(host, hop::CatalogPull{version(), heldDigest, m_registrationFollower.through()});
 }
 
 void DiscoveredConfiguration::onCatalogPull(const std::string &from, const hop::CatalogPull &pull)
@@ -202,22 +230,30 @@
         return;
     }
     std::erase_if(m_pulls, [&from](const auto &waiting) { return waiting.first == from; });
-    m_pulls.emplace_back(from, pull.digest);
+    m_pulls.emplace_back(from, pull);
     servePulls();
 }
 
-// Serves requests one by one, each with the newest text at that time, and pauses after each to
-// leave the link to heartbeats and statements.
+// Serves requests one by one, each with what the asking host lacks at that time, and pauses after
+// each to leave the link to heartbeats and statements.
 void DiscoveredConfiguration::servePulls()
 {
     if (m_pausesPushes || m_pulls.empty() || m_stopped) {
         return;
     }
-    const auto [host, digest] = m_pulls.front();
+    const auto [host, pull] = m_pulls.front();
     m_pulls.pop_front();
-    m_texts.setThrough(through());
-    hop::CatalogPush push = m_texts.pushFor(digest);
-    const milliseconds pause = transferTime(push.difference.size());
+    hop::CatalogPush push;
+    push.version = version();
+    push.through = through();
+    push.digest = m_texts.digest();
+    if (push.version.intent > pull.version.intent) {
+        m_texts.addTo(push, pull.digest);
+    }
+    if (push.through.registrations > pull.registrationsThrough) {
+        addRegistrations(push, pull.registrationsThrough);
+    }
+    const milliseconds pause = transferTime(push.difference.size() + push.entries.bytes.size());
     m_hooks.send(host, std::move(push));
     m_pausesPushes = true;
     m_pushTimer.expires_after(pause);
@@ -242,48 +278,77 @@
     if (!lacks(push.version)) {
         return;
     }
-    auto text = m_texts.read(push);
-    if (text) {
-        adopt(from, push, std::move(*text));
-        return;
+    const bool intent = adoptIntent(from, push);
+    const bool registrations = adoptRegistrations(from, push);
+    if (intent || registrations) {
+        m_rebuild.request();
+        offerToSome();
     }
-    ++m_refusedPushes;
-    log::info("catalog_refused", {{"peer", from}, {"fault", text.error().message}, {"refused_so_far", m_refusedPushes}});
-    // A damaged whole text is not requested again at once: heartbeats announce the version again.
-    if (push.baseDigest != 0) {
-        pullFrom(from, push.baseDigest == m_texts.digest() ? 0 : m_texts.digest());
+    if (lacks(push.version)) {
+        onVersionReported(from, push.version);
     }
 }
 
-void DiscoveredConfiguration::adopt(const std::string &from, const hop::CatalogPush &push, std::string text)
+// Returns true when a newer intent was accepted.
+bool DiscoveredConfiguration::adoptIntent(const std::string &from, const hop::CatalogPush &push)
 {
-    const json catalog = json::parse(text, nullptr, false);
-    if (!holdsBothParts(catalog)) {
-        log::warning("catalog_malformed", {{"peer", from}, {"version", push.version.intent}});
-        return;
+    if (push.difference.empty() || push.version.intent <= m_intentVersion.value_or(0)) {
+        return false;
     }
-    const auto intentObjects = catalog[intentPart].get<NamedObjects>();
-    m_intentFollower.adopt(intentObjects, push.through.intent, push.through.intent, text.size());
-    const bool registrations = m_registrationFollower.adopt(catalog[registrationsPart].get<NamedObjects>(),
-                                                            push.version.registrations, push.through.registrations, 0);
-    if (registrations) {
-        noteEpoch(from);
-        applyRegistrations(m_registrationFollower.objects());
+    const auto text = m_texts.read(push);
+    if (!text) {
+        refusePush(from, text.error().message);
+        if (push.baseDigest != 0) {
+            pullFrom(from, push.baseDigest == m_texts.digest() ? 0 : m_texts.digest());
+        }
+        return false;
     }
-    std::optional<Configuration> accepted;
-    if (push.version.intent > m_intentVersion.value_or(0)) {
-        accepted = acceptIntent(intentObjects, from);
+    const json document = json::parse(*text, nullptr, false);
+    if (!document.is_object()) {
+        refusePush(from, "The intent is no JSON object; request it from another host.");
+        return false;
     }
-    if (!accepted && !registrations) {
-        return;
+    CollectionDelta whole{0, push.through.intent, push.through.intent, {}};
+    for (const auto &[name, object] : document.items()) {
+        whole.entries.push_back({name, push.through.intent, object.dump()});
+    }
+    m_intentFollower.adopt(std::move(whole), text->size());
+    return acceptIntent(document.get<NamedObjects>(), from);
+}
+
+// Returns true when registrations, or their epoch, changed.
+bool DiscoveredConfiguration::adoptRegistrations(const std::string &from, const hop::CatalogPush &push)
+{
+    if (push.entries.bytes.empty() || push.through.registrations <= m_registrationFollower.through()) {
+        return false;
     }
-    m_texts.set(accepted && registrations ? std::move(text) : catalogText(), version(), through());
-    if (accepted) {
-        putInForce(std::move(*accepted));
-    } else {
-        rebuild();
+    auto delta = unpackEntries(push.entries);
+    if (!delta) {
+        refusePush(from, delta.error().message);
+        return false;
     }
-    offerToSome();
+    delta->since = push.registrationsSince;
+    delta->through = push.through.registrations;
+    delta->contentRevision = push.version.registrations;
+    const bool isFirst = !m_registrationFollower.isKnown();
+    const std::uint64_t epochBefore = storeEpoch();
+    const auto touched = m_registrationFollower.adopt(std::move(*delta), 0);
+    if (!touched) {
+        // Changes are missing between this host's copy and the delta.
+        pullFrom(from, m_texts.digest());
+        return false;
+    }
+    noteEpoch(from);
+    applyRegistrations(*touched);
+    return isFirst || !touched->empty() || storeEpoch() != epochBefore;
+}
+
+// A damaged push is not requested again at once: heartbeats announce the version again.
+void DiscoveredConfiguration::refusePush(const std::string &from, const std::string &fault)
+{
+    m_pullBefore = Clock::now() + pullSpacing;
+    ++m_refusedPushes;
+    log::info("catalog_refused", {{"peer", from}, {"fault", fault}, {"refused_so_far", m_refusedPushes}});
 }
 
 } // namespace egrettide
--- a/src/runtime/fleet/membershipdriver.cpp
+++ b/src/runtime/fleet/membershipdriver.cpp
@@ -11,7 +11,10 @@
 namespace
 {
 
+// The interval at which a zone's reader lists the hosts, for each started hundred of them: the
+// list finds hosts that no other has heard of, and costs as much as it is long.
 constexpr milliseconds listInterval{1000};
+constexpr std::size_t hostsPerListInterval = 100;
 constexpr milliseconds listTimeout{2000};
 
 } // namespace
@@ -122,7 +125,7 @@
 
 void MembershipDriver::readHostListLater()
 {
-    m_listTimer.expires_after(listInterval);
+    m_listTimer.expires_after(listInterval * (1 + m_listedHosts / hostsPerListInterval));
     m_listTimer.async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled && !m_stopped) {
             readHostList();
@@ -148,6 +151,7 @@
             for (const ListedHost &listed : *answer) {
                 seeds.push_back(HostSeed{listed.name, listed.zone, listed.address});
             }
+            m_listedHosts = seeds.size();
             deliver(m_membership.onHostList(seeds, Clock::now()));
         }
         readHostListLater();
--- a/src/wire/hop_generated.h
+++ b/src/wire/hop_generated.h
@@ -106,6 +106,14 @@
 struct CatalogPush;
 struct CatalogPushBuilder;
 
+struct RevisionGap;
+
+struct CatalogEntry;
+struct CatalogEntryBuilder;
+
+struct CatalogEntries;
+struct CatalogEntriesBuilder;
+
 struct QuotaAsk;
 struct QuotaAskBuilder;
 
@@ -413,6 +421,29 @@
 };
 FLATBUFFERS_STRUCT_END(VersionNote, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) RevisionGap FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t from_;
+  uint64_t to_;
+
+ public:
+  RevisionGap()
+      : from_(0),
+        to_(0) {
+  }
+  RevisionGap(uint64_t _from, uint64_t _to)
+      : from_(flatbuffers::EndianScalar(_from)),
+        to_(flatbuffers::EndianScalar(_to)) {
+  }
+  uint64_t from() const {
+    return flatbuffers::EndianScalar(from_);
+  }
+  uint64_t to() const {
+    return flatbuffers::EndianScalar(to_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RevisionGap, 16);
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2715,7 +2746,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INTENT = 4,
     VT_REGISTRATIONS = 6,
-    VT_DIGEST = 8
+    VT_DIGEST = 8,
+    VT_REGISTRATIONS_THROUGH = 10
   };
   uint64_t intent() const {
     return GetField<uint64_t>(VT_INTENT, 0);
@@ -2726,11 +2758,15 @@
   uint64_t digest() const {
     return GetField<uint64_t>(VT_DIGEST, 0);
   }
+  uint64_t registrations_through() const {
+    return GetField<uint64_t>(VT_REGISTRATIONS_THROUGH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INTENT, 8) &&
            VerifyField<uint64_t>(verifier, VT_REGISTRATIONS, 8) &&
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REGISTRATIONS_THROUGH, 8) &&
            verifier.EndTable();
   }
 };
@@ -2748,6 +2784,9 @@
   void add_digest(uint64_t digest) {
     fbb_.AddElement<uint64_t>(CatalogPull::VT_DIGEST, digest, 0);
   }
+  void add_registrations_through(uint64_t registrations_through) {
+    fbb_.AddElement<uint64_t>(CatalogPull::VT_REGISTRATIONS_THROUGH, registrations_through, 0);
+  }
   explicit CatalogPullBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2763,8 +2802,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t intent = 0,
     uint64_t registrations = 0,
-    uint64_t digest = 0) {
+    uint64_t digest = 0,
+    uint64_t registrations_through = 0) {
   CatalogPullBuilder builder_(_fbb);
+  builder_.add_registrations_through(registrations_through);
   builder_.add_digest(digest);
   builder_.add_registrations(registrations);
   builder_.add_intent(intent);
@@ -2780,7 +2821,10 @@
     VT_REGISTRATIONS_THROUGH = 10,
     VT_BASE_DIGEST = 12,
     VT_DIGEST = 14,
-    VT_DIFFERENCE = 16
+    VT_DIFFERENCE = 16,
+    VT_REGISTRATIONS_SINCE = 18,
+    VT_ENTRIES_DIGEST = 20,
+    VT_ENTRIES = 22
   };
   uint64_t intent() const {
     return GetField<uint64_t>(VT_INTENT, 0);
@@ -2803,6 +2847,15 @@
   const flatbuffers::Vector<uint8_t> *difference() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DIFFERENCE);
   }
+  uint64_t registrations_since() const {
+    return GetField<uint64_t>(VT_REGISTRATIONS_SINCE, 0);
+  }
+  uint64_t entries_digest() const {
+    return GetField<uint64_t>(VT_ENTRIES_DIGEST, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *entries() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ENTRIES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INTENT, 8) &&
@@ -2813,6 +2866,10 @@
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyOffset(verifier, VT_DIFFERENCE) &&
            verifier.VerifyVector(difference()) &&
+           VerifyField<uint64_t>(verifier, VT_REGISTRATIONS_SINCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ENTRIES_DIGEST, 8) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
            verifier.EndTable();
   }
 };
@@ -2842,6 +2899,15 @@
   void add_difference(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> difference) {
     fbb_.AddOffset(CatalogPush::VT_DIFFERENCE, difference);
   }
+  void add_registrations_since(uint64_t registrations_since) {
+    fbb_.AddElement<uint64_t>(CatalogPush::VT_REGISTRATIONS_SINCE, registrations_since, 0);
+  }
+  void add_entries_digest(uint64_t entries_digest) {
+    fbb_.AddElement<uint64_t>(CatalogPush::VT_ENTRIES_DIGEST, entries_digest, 0);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> entries) {
+    fbb_.AddOffset(CatalogPush::VT_ENTRIES, entries);
+  }
   explicit CatalogPushBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2861,14 +2927,20 @@
     uint64_t registrations_through = 0,
     uint64_t base_digest = 0,
     uint64_t digest = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> difference = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> difference = 0,
+    uint64_t registrations_since = 0,
+    uint64_t entries_digest = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> entries = 0) {
   CatalogPushBuilder builder_(_fbb);
+  builder_.add_entries_digest(entries_digest);
+  builder_.add_registrations_since(registrations_since);
   builder_.add_digest(digest);
   builder_.add_base_digest(base_digest);
   builder_.add_registrations_through(registrations_through);
   builder_.add_intent_through(intent_through);
   builder_.add_registrations(registrations);
   builder_.add_intent(intent);
+  builder_.add_entries(entries);
   builder_.add_difference(difference);
   return builder_.Finish();
 }
@@ -2881,8 +2953,12 @@
     uint64_t registrations_through = 0,
     uint64_t base_digest = 0,
     uint64_t digest = 0,
-    const std::vector<uint8_t> *difference = nullptr) {
+    const std::vector<uint8_t> *difference = nullptr,
+    uint64_t registrations_since = 0,
+    uint64_t entries_digest = 0,
+    const std::vector<uint8_t> *entries = nullptr) {
   auto difference__ = difference ? _fbb.CreateVector<uint8_t>(*difference) : 0;
+  auto entries__ = entries ? _fbb.CreateVector<uint8_t>(*entries) : 0;
   return egrettide::wire::CreateCatalogPush(
       _fbb,
       intent,
@@ -2891,7 +2967,153 @@
       registrations_through,
       base_digest,
       digest,
-      difference__);
+      difference__,
+      registrations_since,
+      entries_digest,
+      entries__);
+}
+
+struct CatalogEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CatalogEntryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_REVISION = 6,
+    VT_TEXT = 8
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CatalogEntryBuilder {
+  typedef CatalogEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(CatalogEntry::VT_NAME, name);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(CatalogEntry::VT_REVISION, revision, 0);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(CatalogEntry::VT_TEXT, text);
+  }
+  explicit CatalogEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CatalogEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CatalogEntry>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CatalogEntry> CreateCatalogEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
+  CatalogEntryBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_text(text);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<CatalogEntry> CreateCatalogEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    uint64_t revision = 0,
+    const char *text = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return egrettide::wire::CreateCatalogEntry(
+      _fbb,
+      name__,
+      revision,
+      text__);
+}
+
+struct CatalogEntries FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CatalogEntriesBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENTRIES = 4,
+    VT_GAPS = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::CatalogEntry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::CatalogEntry>> *>(VT_ENTRIES);
+  }
+  const flatbuffers::Vector<const egrettide::wire::RevisionGap *> *gaps() const {
+    return GetPointer<const flatbuffers::Vector<const egrettide::wire::RevisionGap *> *>(VT_GAPS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           VerifyOffset(verifier, VT_GAPS) &&
+           verifier.VerifyVector(gaps()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CatalogEntriesBuilder {
+  typedef CatalogEntries Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::CatalogEntry>>> entries) {
+    fbb_.AddOffset(CatalogEntries::VT_ENTRIES, entries);
+  }
+  void add_gaps(flatbuffers::Offset<flatbuffers::Vector<const egrettide::wire::RevisionGap *>> gaps) {
+    fbb_.AddOffset(CatalogEntries::VT_GAPS, gaps);
+  }
+  explicit CatalogEntriesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CatalogEntries> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CatalogEntries>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CatalogEntries> CreateCatalogEntries(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<egrettide::wire::CatalogEntry>>> entries = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const egrettide::wire::RevisionGap *>> gaps = 0) {
+  CatalogEntriesBuilder builder_(_fbb);
+  builder_.add_gaps(gaps);
+  builder_.add_entries(entries);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<CatalogEntries> CreateCatalogEntriesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<egrettide::wire::CatalogEntry>> *entries = nullptr,
+    const std::vector<egrettide::wire::RevisionGap> *gaps = nullptr) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<egrettide::wire::CatalogEntry>>(*entries) : 0;
+  auto gaps__ = gaps ? _fbb.CreateVectorOfStructs<egrettide::wire::RevisionGap>(*gaps) : 0;
+  return egrettide::wire::CreateCatalogEntries(
+      _fbb,
+      entries__,
+      gaps__);
 }
 
 struct QuotaAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -279,16 +279,19 @@
     PackedBody operator()(const CatalogPull &message) const
     {
         return body(wire::HopBody_CatalogPull,
-                    wire::CreateCatalogPull(m_builder, message.version.intent, message.version.registrations, message.digest));
+                    wire::CreateCatalogPull(m_builder, message.version.intent, message.version.registrations, message.digest,
+                                            message.registrationsThrough));
     }
 
     PackedBody operator()(const CatalogPush &message) const
     {
         const auto difference = packBytes(m_builder, message.difference);
+        const auto entries = packBytes(m_builder, message.entries.bytes);
         return body(wire::HopBody_CatalogPush,
                     wire::CreateCatalogPush(m_builder, message.version.intent, message.version.registrations,
                                             message.through.intent, message.through.registrations, message.baseDigest,
-                                            message.digest, difference));
+                                            message.digest, difference, message.registrationsSince, message.entries.digest,
+                                            entries));
     }
 
     PackedBody operator()(const QuotaAsk &message) const
@@ -682,7 +685,7 @@
     }
     case wire::HopBody_CatalogPull: {
         const wire::CatalogPull &pull = *frame.body_as_CatalogPull();
-        return CatalogPull{{pull.intent(), pull.registrations()}, pull.digest()};
+        return CatalogPull{{pull.intent(), pull.registrations()}, pull.digest(), pull.registrations_through()};
     }
     case wire::HopBody_CatalogPush: {
         const wire::CatalogPush &push = *frame.body_as_CatalogPush();
@@ -690,7 +693,9 @@
                            {push.intent_through(), push.registrations_through()},
                            push.base_digest(),
                            push.digest(),
-                           text(push.difference())};
+                           text(push.difference()),
+                           push.registrations_since(),
+                           {text(push.entries()), push.entries_digest()}};
     }
     case wire::HopBody_QuotaAsk:
         return QuotaAsk{frame.body_as_QuotaAsk()->id(), text(frame.body_as_QuotaAsk()->workspace())};
--- a/src/wire/hopcodec.h
+++ b/src/wire/hopcodec.h
@@ -11,6 +11,7 @@
 #include "egrettide/core/membership.h"
 #include "egrettide/core/quotakeeper.h"
 #include "egrettide/core/request.h"
+#include "wire/catalogentries.h"
 
 #include <tl/expected.hpp>
 
@@ -26,7 +27,7 @@
 
 // Incremented when an older host would misread a newer frame. Hosts of different
 // versions refuse the link at Hello.
-constexpr std::uint32_t protocolVersion = 2;
+constexpr std::uint32_t protocolVersion = 3;
 
 // Larger frames are refused on both sides. Exceeds the largest PostgreSQL message, so
 // that a batch of one message always fits.
@@ -169,20 +170,27 @@
 // Requests the catalog of the receiver; the sender has this version.
 struct CatalogPull {
     CatalogVersion version;
-    // The digest of the sender's text, which the answer may use as the base of a
+    // The digest of the sender's text of the intent, which the answer may use as the base of a
     // difference; 0 to request the whole text.
     std::uint64_t digest = 0;
+    // The revision up to which the sender's registrations are complete.
+    std::uint64_t registrationsThrough = 0;
 };
 
+// The intent as a text, and changes of the registrations. Either may be left out.
 struct CatalogPush {
     CatalogVersion version;
     CatalogRevisions through;
     // The digest of the base of `difference`; 0 when that holds the whole text.
     std::uint64_t baseDigest = 0;
-    // The digest of the resulting text.
+    // The digest of the sender's text of the intent.
     std::uint64_t digest = 0;
-    // See wire/difference.h.
+    // See wire/difference.h; empty to send no intent.
     std::string difference;
+    // See CollectionDelta::since.
+    std::uint64_t registrationsSince = 0;
+    // See wire/catalogentries.h; empty to send no registrations.
+    PackedEntries entries;
 };
 
 // Asks the host that counts a workspace's quota (its keeper) to count one request; see
--- a/tests/core/hopcodec_test.cpp
+++ b/tests/core/hopcodec_test.cpp
@@ -162,8 +162,8 @@
                                            Announce{"booking", 3, "u1"},
                                            ConfigPush{4, "{}"},
                                            CatalogOffer{{1, 2}, false},
-                                           CatalogPull{{1, 2}, 3},
-                                           CatalogPush{{1, 2}, {3, 4}, 5, 6, "difference"},
+                                           CatalogPull{{1, 2}, 3, 4},
+                                           CatalogPush{{1, 2}, {3, 4}, 5, 6, "difference", 7, {"entries", 8}},
                                            SwitchoverReply{1, Error{}},
                                            Ping{}};
     std::vector<std::string> frames;
@@ -322,11 +322,12 @@
         const CatalogVersion version{number, number + 1};
         const auto offer = std::get<CatalogOffer>(roundTrip(CatalogOffer{version, flag}));
         RC_ASSERT(offer.version == version && offer.readsStore == flag);
-        const auto pull = std::get<CatalogPull>(roundTrip(CatalogPull{version, number}));
-        RC_ASSERT(pull.version == version && pull.digest == number);
-        const auto catalog = std::get<CatalogPush>(roundTrip(CatalogPush{version, {number, number}, number, number + 2, one}));
+        const auto pull = std::get<CatalogPull>(roundTrip(CatalogPull{version, number, number + 1}));
+        RC_ASSERT(pull.version == version && pull.digest == number && pull.registrationsThrough == number + 1);
+        const auto catalog = std::get<CatalogPush>(roundTrip(CatalogPush{version, {number, number}, number, number + 2, one, number + 3, {two, number + 4}}));
         RC_ASSERT(catalog.version == version && catalog.through == (CatalogRevisions{number, number}));
         RC_ASSERT(catalog.baseDigest == number && catalog.digest == number + 2 && catalog.difference == one);
+        RC_ASSERT(catalog.registrationsSince == number + 3 && catalog.entries == (PackedEntries{two, number + 4}));
         const auto ask = std::get<QuotaAsk>(roundTrip(QuotaAsk{number, one}));
         RC_ASSERT(ask.id == number && ask.workspace == one);
         const QuotaVerdict verdict{flag ? QuotaVerdict::Kind::Refused : QuotaVerdict::Kind::NotKeeper, milliseconds{250}, flag};
--- a/tests/platform/deployment_test.cpp
+++ b/tests/platform/deployment_test.cpp
@@ -52,6 +52,13 @@
     return upstreams;
 }
 
+tl::expected<Configuration, Error> configured(const NamedObjects &objects, const RegisteredUpstreams &upstreams)
+{
+    const auto translated = platform::translate(objects);
+    return translated ? tl::expected<Configuration, Error>(withUpstreams(*translated, upstreams))
+                      : tl::unexpected(translated.error());
+}
+
 // A complete entry with one field replaced, or removed when `value` is null.
 json withField(const std::string &field, const json &value)
 {
@@ -70,7 +77,7 @@
 
 BOOST_AUTO_TEST_CASE(GiveRoutesTheirFreshnessAndClass)
 {
-    const auto configuration = platform::translate(intent(), {});
+    const auto configuration = configured(intent(), {});
     BOOST_TEST_REQUIRE(configuration.has_value());
     BOOST_TEST(configuration->version == 7U);
     const RouteSpec *pay = configuration->route("pay");
@@ -90,7 +97,7 @@
 
 BOOST_AUTO_TEST_CASE(PutUpstreamsUnderTheirService)
 {
-    const auto configuration = platform::translate(intent(),
+    const auto configuration = configured(intent(),
                                                    parsed({{"i-1", registration("bookings", "ready")},
                                                            {"i-2", registration("bookings", "draining")},
                                                            {"i-3", registration("another", "ready")}}));
@@ -105,15 +112,15 @@
 
 BOOST_AUTO_TEST_CASE(WithoutTheOperatorsObjectAreRefused)
 {
-    BOOST_TEST(!platform::translate({}, {}).has_value());
-    BOOST_TEST(!platform::translate({{"main", 5}}, {}).has_value());
+    BOOST_TEST(!configured({}, {}).has_value());
+    BOOST_TEST(!configured({{"main", 5}}, {}).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(WithDamagedPartsCrashNothing)
 {
     const json damaged{
         {"version", "x"}, {"routes", {1, "two", {{"host", 3}}}}, {"services", {{{"name", 4}}}}, {"limits", "none"}};
-    const auto read = platform::translate({{"main", damaged}}, parsed({{"i-1", "text"}, {"i-2", json::array()}}));
+    const auto read = configured({{"main", damaged}}, parsed({{"i-1", "text"}, {"i-2", json::array()}}));
     BOOST_TEST((!read.has_value() || read->route("pay") == nullptr));
 }
 
@@ -123,7 +130,7 @@
                        {"routes", {{{"host", "pay"}, {"service", "bookings"}, {"priority", 1e19}, {"timeoutMs", -1e18}}}},
                        {"services", {{{"name", "bookings"}, {"maxConnections", 9007199254740993.0e10}}}},
                        {"limits", {{"txIdleMs", 1e30}}}};
-    const auto read = platform::translate({{"main", damaged}}, parsed({{"i-1", registration("bookings", "ready")}}));
+    const auto read = configured({{"main", damaged}}, parsed({{"i-1", registration("bookings", "ready")}}));
     BOOST_TEST_REQUIRE(read.has_value());
     BOOST_TEST(read->version == 0U);
     BOOST_TEST(read->database("bookings")->upstream("i-1")->connections >= 1);
@@ -223,7 +230,7 @@
         const auto read = platform::parseRegistration("i-1", entry);
         RC_ASSERT(!read || (read->upstream.slots > 0 && !read->upstream.address.empty() && !read->database.empty()));
         if (read) {
-            RC_ASSERT(platform::translate(intent(), {{"i-1", *read}}).has_value());
+            RC_ASSERT(configured(intent(), {{"i-1", *read}}).has_value());
         }
     });
     BOOST_TEST(holds);
@@ -253,7 +260,7 @@
 
 BOOST_AUTO_TEST_CASE(AreTakenOverWithKeysAndQuota)
 {
-    const auto configuration = platform::translate(withWorkspaces(json::array({workspace("desk", {"k1", "k2"})})), {});
+    const auto configuration = configured(withWorkspaces(json::array({workspace("desk", {"k1", "k2"})})), {});
     BOOST_TEST_REQUIRE(configuration.has_value());
     BOOST_TEST(configuration->requiresKeys);
     const TenantSpec *desk = configuration->tenantOfKey("k2");
@@ -267,7 +274,7 @@
 
 BOOST_AUTO_TEST_CASE(AreNotRequiredWhereThePlatformListsNone)
 {
-    const auto configuration = platform::translate(intent(), {});
+    const auto configuration = configured(intent(), {});
     BOOST_TEST_REQUIRE(configuration.has_value());
     BOOST_TEST(!configuration->requiresKeys);
 }
@@ -282,7 +289,7 @@
                        workspace("desk", {"", 7, "k3"}),
                        {{"name", "keyless"}},
                        {{"name", "odd"}, {"apiKeys", "k4"}, {"ratePerS", "many"}}};
-    const auto configuration = platform::translate(withWorkspaces(damaged), {});
+    const auto configuration = configured(withWorkspaces(damaged), {});
     BOOST_TEST_REQUIRE(configuration.has_value());
     for (const char *key : {"", "k1", "k2", "7", "k4"}) {
         BOOST_TEST((configuration->tenantOfKey(key) == nullptr), "the key '" << key << "' admits a caller");
@@ -293,7 +300,7 @@
 
 BOOST_AUTO_TEST_CASE(ThatShareAKeyAreRefusedTogether)
 {
-    const auto configuration = platform::translate(
+    const auto configuration = configured(
         withWorkspaces(json::array({workspace("desk", json::array({"k1"})), workspace("site", {"k2", "k1"})})), {});
     BOOST_TEST_REQUIRE(!configuration.has_value());
     BOOST_TEST(configuration.error().message.find("k1") == std::string::npos, "an error message contains a key");
--- a/tests/platform/objectstore_test.cpp
+++ b/tests/platform/objectstore_test.cpp
@@ -12,6 +12,9 @@
 
 #include <chrono>
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace egrettide;
 using namespace std::chrono_literals;
@@ -54,9 +57,20 @@
     using Page = tl::expected<CollectionPage, CollectionFailure>;
     using Changes = tl::expected<CollectionChanges, CollectionFailure>;
 
+    // All parts of the list together.
     Page list(const std::string &kind)
     {
-        return await<Page>([&](auto done) { store.collection(kind).list(Clock::now() + callBound, done); });
+        Page whole = await<Page>([&](auto done) { store.collection(kind).list(Clock::now() + callBound, done); });
+        while (whole && whole->more) {
+            const auto more = std::exchange(whole->more, {});
+            Page part = await<Page>([&](auto done) { more(Clock::now() + callBound, done); });
+            if (!part) {
+                return part;
+            }
+            whole->objects.insert(whole->objects.end(), part->objects.begin(), part->objects.end());
+            whole->more = std::move(part->more);
+        }
+        return whole;
     }
 
     Changes changes(const std::string &kind, std::uint64_t since, std::chrono::milliseconds bound = callBound)
@@ -157,6 +171,23 @@
     BOOST_TEST(page->objects.size() == 5U);
 }
 
+// Guards against hosts of which the others, and a starting host's zone, never hear because they are
+// not on the first page.
+BOOST_AUTO_TEST_CASE(OfTheHostListAreReadOverAllPages)
+{
+    for (const std::size_t hosts : {3U, 12U}) {
+        platform.setPageSize(2);
+        for (std::size_t i = 0; i < hosts; ++i) {
+            const std::string name = "host-" + std::to_string(i);
+            platform.putObject("egrettide-hosts", name, {{"zone", "zone-a"}, {"peer", "10.0.0.1:" + std::to_string(7000 + i)}});
+        }
+        using Hosts = tl::expected<std::vector<ListedHost>, StoreError>;
+        const auto listed = await<Hosts>([&](auto done) { store.hosts(Clock::now() + callBound, done); });
+        BOOST_TEST_REQUIRE(listed.has_value());
+        BOOST_TEST(listed->size() == hosts);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ReportChangesAndRemovalsInOrder)
 {
     platform.putObject("servers", "a", 1);
--- a/tests/runtime/collection_test.cpp
+++ b/tests/runtime/collection_test.cpp
@@ -8,7 +8,9 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace egrettide;
@@ -55,7 +57,7 @@
     BusyStore store{context, 3};
     std::size_t seen = 0;
     CollectionFollower follower(context, store.source(),
-                                CollectionFollowerHooks{[&seen](const auto &objects) { seen = objects.size(); }, [](bool) {}});
+                                CollectionFollowerHooks{[&seen](const auto &copy, const auto &) { seen = copy.size(); }, [](bool) {}});
     follower.setWaiting(true);
     follower.start();
     context.run_until(Clock::now() + std::chrono::seconds{30});
@@ -92,7 +94,7 @@
         boost::asio::post(context, [handler, changes] { handler(changes); });
     };
     nlohmann::json seen;
-    CollectionFollowerHooks hooks{[&seen](const auto &objects) { seen = objects.at("main"); }, [](bool) {}};
+    CollectionFollowerHooks hooks{[&seen](const auto &copy, const auto &) { seen = nlohmann::json::parse(*copy.text("main")); }, [](bool) {}};
     hooks.pauseAfter = [](std::size_t) { return milliseconds{100}; };
     CollectionFollower follower(context, source, std::move(hooks));
     follower.setWaiting(true);
@@ -121,12 +123,12 @@
     };
     source.changes = [&](std::uint64_t since, TimePoint, const auto &) { waitedFrom.push_back(since); };
     nlohmann::json seen;
-    CollectionFollowerHooks hooks{[&seen](const auto &objects) { seen = objects.at("main"); }, [](bool) {}};
+    CollectionFollowerHooks hooks{[&seen](const auto &copy, const auto &) { seen = nlohmann::json::parse(*copy.text("main")); }, [](bool) {}};
     hooks.pauseAfter = [](std::size_t bytes) { return milliseconds{bytes / 10}; };
     CollectionFollower follower(context, source, std::move(hooks));
     follower.start();
     context.run_until(Clock::now() + milliseconds{200});
-    BOOST_TEST_REQUIRE(follower.adopt({{"main", 2}}, 2, 2, 1000));
+    BOOST_TEST_REQUIRE(follower.adopt(CollectionDelta{0, 2, 2, {{"main", 2, "2"}}}, 1000).has_value());
     follower.setWaiting(true);
     context.restart();
     context.run_until(Clock::now() + std::chrono::seconds{3});
@@ -151,7 +153,7 @@
         boost::asio::post(context, [handler] { handler(tl::unexpected(CollectionFailure::HistoryGone)); });
     };
     CollectionFollower follower(context, source,
-                                CollectionFollowerHooks{[](const auto &) {}, [&lost](bool reached) { lost += reached ? 0 : 1; }});
+                                CollectionFollowerHooks{[](const auto &, const auto &) {}, [&lost](bool reached) { lost += reached ? 0 : 1; }});
     follower.setWaiting(true);
     follower.start();
     context.run_until(Clock::now() + std::chrono::seconds{3});
@@ -181,7 +183,7 @@
         }
     };
     int reported = 0;
-    CollectionFollower follower(context, source, CollectionFollowerHooks{[&reported](const auto &) { ++reported; }, [](bool) {}});
+    CollectionFollower follower(context, source, CollectionFollowerHooks{[&reported](const auto &, const auto &) { ++reported; }, [](bool) {}});
     follower.start();
     context.run_until(Clock::now() + milliseconds{500});
     BOOST_TEST(follower.contentRevision() == in(1, 40));
@@ -209,7 +211,7 @@
     source.changes = [&longest](std::uint64_t, TimePoint deadline, const auto &) {
         longest = std::chrono::duration_cast<milliseconds>(deadline - Clock::now());
     };
-    CollectionFollower follower(context, source, CollectionFollowerHooks{[](const auto &) {}, [](bool) {}});
+    CollectionFollower follower(context, source, CollectionFollowerHooks{[](const auto &, const auto &) {}, [](bool) {}});
     follower.setWaiting(true);
     follower.start();
     context.run_until(Clock::now() + milliseconds{500});
@@ -217,4 +219,97 @@
     BOOST_TEST(longest <= inForceWithin - reserve, "it waits for " << longest.count() << " ms");
 }
 
+namespace
+{
+
+// A store that lists `size` objects in parts of 200 and counts the calls.
+struct PagedStore {
+    boost::asio::io_context &context;
+    int size;
+    int calls = 0;
+
+    CollectionPage part(int from)
+    {
+        ++calls;
+        CollectionPage page{{}, 9, 1000};
+        for (int i = from; i < std::min(size, from + 200); ++i) {
+            page.objects.emplace_back("object-" + std::to_string(i), i, 5);
+        }
+        if (from + 200 < size) {
+            page.more = [this, from](TimePoint, const CollectionPage::Handler &handler) {
+                boost::asio::post(context, [this, from, handler] { handler(part(from + 200)); });
+            };
+        }
+        return page;
+    }
+
+    CollectionSource source()
+    {
+        CollectionSource source;
+        source.list = [this](TimePoint, const CollectionPage::Handler &handler) {
+            boost::asio::post(context, [this, handler] { handler(part(0)); });
+        };
+        source.changes = [](std::uint64_t, TimePoint, const auto &) {};
+        return source;
+    }
+};
+
+CollectionFollowerHooks waitingForPeers(milliseconds wait)
+{
+    CollectionFollowerHooks hooks{[](const auto &, const auto &) {}, [](bool) {}};
+    hooks.peerWait = [wait] { return wait; };
+    return hooks;
+}
+
+} // namespace
+
+// Guards against hosts that each list the whole when many start: calls must not grow with the
+// collection while another host can provide it.
+BOOST_AUTO_TEST_CASE(MakesOneCallAtItsStartWhateverTheSizeWhenAnotherHostProvidesIt)
+{
+    for (const int size : {30, 3000}) {
+        boost::asio::io_context context;
+        PagedStore store{context, size};
+        CollectionFollower follower(context, store.source(), waitingForPeers(milliseconds{500}));
+        follower.start();
+        context.run_until(Clock::now() + milliseconds{100});
+        CollectionDelta whole{0, 20, 5, {}};
+        for (int i = 0; i < size; ++i) {
+            whole.entries.push_back({"object-" + std::to_string(i), 5, std::to_string(i)});
+        }
+        BOOST_TEST_REQUIRE(follower.adopt(std::move(whole), 1000).has_value());
+        context.restart();
+        context.run_until(Clock::now() + milliseconds{800});
+        BOOST_TEST(store.calls == 1, "it made " << store.calls << " calls for " << size << " objects");
+        BOOST_TEST(follower.copy().size() == static_cast<std::size_t>(size));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ListsTheRestWhenNoOtherHostProvidesIt)
+{
+    boost::asio::io_context context;
+    PagedStore store{context, 3000};
+    CollectionFollower follower(context, store.source(), waitingForPeers(milliseconds{200}));
+    follower.start();
+    context.run_until(Clock::now() + milliseconds{100});
+    BOOST_TEST(store.calls == 1);
+    context.restart();
+    context.run_until(Clock::now() + milliseconds{600});
+    BOOST_TEST(follower.copy().size() == 3000U);
+    BOOST_TEST(store.calls == 15);
+}
+
+BOOST_AUTO_TEST_CASE(ListsTheRestAtOnceWhenItBecomesReader)
+{
+    boost::asio::io_context context;
+    PagedStore store{context, 3000};
+    CollectionFollower follower(context, store.source(), waitingForPeers(std::chrono::minutes{1}));
+    follower.start();
+    context.run_until(Clock::now() + milliseconds{100});
+    follower.setWaiting(true);
+    context.restart();
+    context.run_until(Clock::now() + milliseconds{400});
+    BOOST_TEST(follower.copy().size() == 3000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/runtime/discoveredconfiguration_test.cpp
+++ b/tests/runtime/discoveredconfiguration_test.cpp
@@ -97,6 +97,35 @@
     BOOST_TEST(fleet.bytesSent / 20 <= 4U * 1024U, "the change of one upstream took " << fleet.bytesSent / 20 << " bytes a host");
 }
 
+// If one change makes every host parse and send all registrations again, a start at which 3,000
+// upstreams register one after the other costs each host as many times the whole.
+BOOST_AUTO_TEST_CASE(TakeOverAChangeWithTheSameWorkWhateverTheirNumber)
+{
+    for (const std::size_t upstreams : {30U, 3000U}) {
+        StoreFleet fleet(5, 14);
+        for (std::size_t i = 0; i < upstreams; ++i) {
+            fleet.store.put("registrations", "upstream-" + std::to_string(i), {{"heartbeats", 1}});
+        }
+        fleet.configure(1);
+        BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(1) && fleet.allKnowUpstreams(upstreams); }));
+        fleet.run(milliseconds{1500});
+        const DiscoveryWork before = fleet.work();
+        fleet.bytesSent = 0;
+        fleet.store.put("registrations", "upstream-7", {{"heartbeats", 2}, {"leaving", true}});
+        BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.knowAsLeaving("upstream-7") == 5; }));
+        fleet.run(milliseconds{500});
+        const DiscoveryWork after = fleet.work();
+        const std::uint64_t parsed = after.parsedRegistrations - before.parsedRegistrations;
+        const std::uint64_t sent = after.sentEntries - before.sentEntries;
+        BOOST_TEST(parsed == 5U, "five hosts parsed " << parsed << " registrations of " << upstreams << " after one change");
+        BOOST_TEST(after.translatedIntents == before.translatedIntents);
+        // Several hosts may read the store and send the change; none sends anything else.
+        BOOST_TEST(sent >= 1U);
+        BOOST_TEST(sent <= 10U, "they sent " << sent << " entries of " << upstreams << " after one change");
+        BOOST_TEST(fleet.bytesSent <= 20U * 1024U, "they sent " << fleet.bytesSent << " bytes after one change");
+    }
+}
+
 // When the answer to the reader's waiting call is lost, a reader that trusts the call until its
 // end leaves its zone with an old configuration.
 BOOST_AUTO_TEST_CASE(ReceiveChangesFromAnotherHostWhenTheReadersAnswerIsLost)
@@ -163,7 +192,7 @@
         [](const std::string &, const nlohmann::json &) -> tl::expected<RegisteredUpstream, Error> {
             return RegisteredUpstream{};
         },
-        [](const NamedObjects &, const RegisteredUpstreams &) -> tl::expected<Configuration, Error> { return Configuration{}; }};
+        [](const NamedObjects &) -> tl::expected<TranslatedIntent, Error> { return TranslatedIntent{}; }};
     DiscoveredConfiguration source(context, "self", std::move(parts), std::move(hooks));
     source.start();
     context.run_until(Clock::now() + milliseconds{100});
@@ -198,8 +227,10 @@
     std::mt19937_64 random(6);
     fleet.onSend = [&random](hop::HopMessage &message) {
         auto *push = std::get_if<hop::CatalogPush>(&message);
-        if (push != nullptr && !push->difference.empty() && random() % 2 == 0) {
-            push->difference[random() % push->difference.size()] ^= 0x55;
+        for (std::string *bytes : {push != nullptr ? &push->difference : nullptr, push != nullptr ? &push->entries.bytes : nullptr}) {
+            if (bytes != nullptr && !bytes->empty() && random() % 2 == 0) {
+                (*bytes)[random() % bytes->size()] ^= 0x55;
+            }
         }
     };
     for (std::uint64_t version = 2; version <= 5; ++version) {
--- a/tests/runtime/fuzz_test.cpp
+++ b/tests/runtime/fuzz_test.cpp
@@ -215,8 +215,8 @@
             hop::ConfigOffer{9},
             hop::Ping{4, true},
             hop::CatalogOffer{{4, 9}, false},
-            hop::CatalogPull{{4, 9}, 7},
-            hop::CatalogPush{{4, 9}, {5, 9}, 7, 8, "bytes"}};
+            hop::CatalogPull{{4, 9}, 7, 8},
+            hop::CatalogPush{{4, 9}, {5, 9}, 7, 8, "bytes", 3, {"entries", 2}}};
 }
 
 std::string objectText()
--- a/tests/runtime/storefleet.h
+++ b/tests/runtime/storefleet.h
@@ -136,7 +136,7 @@
         if (change.removed) {
             m_content.objects[kind].erase(change.object.name);
         } else {
-            m_content.objects[kind][change.object.name] = change.object;
+            m_content.objects[kind].insert_or_assign(change.object.name, change.object);
         }
         m_content.history.emplace_back(kind, std::move(change));
         boost::asio::post(m_context, [this] { answerDue(); });
@@ -151,7 +151,8 @@
         CollectionPage page;
         page.revision = ordered(m_content.revision);
         for (const auto &[name, object] : m_content.objects[kind]) {
-            page.objects.push_back({name, object.value, ordered(object.revision)});
+            page.objects.push_back(object);
+            page.objects.back().revision = ordered(object.revision);
         }
         handler(std::move(page));
     }
@@ -167,8 +168,8 @@
         changes.revision = ordered(m_content.revision);
         for (const auto &[kind, change] : m_content.history) {
             if (kind == watch.kind && change.object.revision > since.revision) {
-                const CollectedObject &object = change.object;
-                changes.changes.push_back({{object.name, object.value, ordered(object.revision)}, change.removed});
+                changes.changes.push_back(change);
+                changes.changes.back().object.revision = ordered(change.object.revision);
             }
         }
         if (changes.changes.empty() && Clock::now() < watch.deadline) {
@@ -303,6 +304,19 @@
         }));
     }
 
+    // The work of all hosts together.
+    DiscoveryWork work() const
+    {
+        DiscoveryWork sum;
+        for (const auto &[name, host] : m_hosts) {
+            const DiscoveryWork &work = host->source->work();
+            sum.parsedRegistrations += work.parsedRegistrations;
+            sum.translatedIntents += work.translatedIntents;
+            sum.sentEntries += work.sentEntries;
+        }
+        return sum;
+    }
+
     boost::asio::io_context context{1};
     SharedStore store{context};
     std::uint64_t newest = 0;
@@ -363,19 +377,17 @@
         return registered;
     }
 
-    static tl::expected<Configuration, Error> translate(const NamedObjects &intent, const RegisteredUpstreams &upstreams)
+    static tl::expected<TranslatedIntent, Error> translate(const NamedObjects &intent)
     {
         const auto found = intent.find("main");
         if (found == intent.end()) {
             return tl::unexpected(Error{ErrorKind::NoConfiguration, "There is no intent.", milliseconds{0}});
         }
-        Configuration configuration;
-        configuration.version = found->second["version"].get<std::uint64_t>();
-        configuration.databases.emplace_back();
-        for (const auto &[name, registered] : upstreams) {
-            configuration.databases.back().upstreams.push_back(registered.upstream);
-        }
-        return configuration;
+        TranslatedIntent translated;
+        translated.configuration.version = found->second["version"].get<std::uint64_t>();
+        translated.configuration.databases.emplace_back();
+        translated.connections.push_back(1);
+        return translated;
     }
 
     void start(const std::string &name)
