Let hosts of large zones join when they know half of it, and ask different hosts for newer copies

And all hosts asked the one host whose copy was newest, which changes with every registration, so most were not answered within their second: one had no configuration 5 s after its start.

Change: the bound follows the number of hosts of the zone on the platform's list (20 ms for each), and a pause between two discoveries lets a host join only when it knows half of them. Of the hosts whose copy is newer, each asks one of its own, another one each time. Weighed: reconciling views in every period while a host discovers its zone; membership_test showed the same times with and without, so it was left out.

Tests: joingate_test WaitsUntilItKnowsHalfOfALargeZone (fails with the listed hosts left out), JoinsAtABoundThatFollowsTheSizeOfItsZone, membership_test AsksDifferentHostsForANewerCopy.

--- a/include/egrettide/core/joingate.h
+++ b/include/egrettide/core/joingate.h
@@ -14,6 +14,7 @@
 #include "egrettide/core/membership.h"
 #include "egrettide/core/types.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,9 @@
     // started within 0.2 s, each discovered the last of the others at most 0.25 s after the one
     // before.
     milliseconds settleTime{300};
+    // Added to maxDelay for each listed host of the zone: the larger the zone, the longer until its
+    // hosts know each other.
+    milliseconds delayPerListedHost{20};
 };
 
 // The join decision of one host. Not thread-safe; lives on the control thread.
@@ -36,6 +40,9 @@
 public:
     JoinGate(std::string zone, JoinOptions options, TimePoint startedAt);
 
+    // Processes the number of hosts of the zone on the platform's list. The list may hold hosts that
+    // are gone, and lacks those that have just started.
+    void onListed(std::size_t zoneHosts);
     // Processes the newest view. `hasDiscoveredZone` is true when every listed host of the zone is known.
     void onView(const MembershipView &view, bool hasDiscoveredZone, TimePoint now);
     // When the host joins unless a later view changes it; never later than the bound.
@@ -44,12 +51,14 @@
 private:
     const std::string m_zone;
     const JoinOptions m_options;
-    const TimePoint m_latestJoin;
+    const TimePoint m_startedAt;
+    TimePoint m_latestJoin;
     // Invariant: never after m_latestJoin.
     TimePoint m_joinsAt;
     // Live and suspect hosts of the zone. The homes of its upstreams depend on these alone.
     std::vector<std::string> m_zoneHosts;
     bool m_trusted = false;
+    std::size_t m_listedHosts = 0;
 };
 
 } // namespace egrettide
--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -122,6 +122,12 @@
     bool operator==(const GossipMessage &) const = default;
 };
 
+// A host and the version of its copy of the catalog.
+struct CatalogHolder {
+    std::string host;
+    CatalogVersion version;
+};
+
 // A message to be sent, the only effect that a membership has.
 struct GossipSend {
     std::string peer;
@@ -231,6 +237,12 @@
     // True once every host of this host's zone on the platform's list is known and not dead. False
     // before the first list.
     bool hasDiscoveredZone() const;
+    // Hosts of this host's zone on the platform's list, except this host; 0 before the first list.
+    std::size_t listedInZone() const;
+    // One of the live hosts whose copy of the catalog is newer than this host's: of those with the
+    // newest intent, one that `salt` chooses. If all hosts asked the one with the newest copy, that
+    // host would have to serve the whole fleet.
+    std::optional<CatalogHolder> newerCatalog(std::uint64_t salt) const;
 
 private:
     class State;
--- a/src/core/fleet/joingate.cpp
+++ b/src/core/fleet/joingate.cpp
@@ -9,10 +9,24 @@
 {
 
 JoinGate::JoinGate(std::string zone, JoinOptions options, TimePoint startedAt)
-    : m_zone(std::move(zone)), m_options(options), m_latestJoin(startedAt + options.maxDelay), m_joinsAt(m_latestJoin)
+    : m_zone(std::move(zone))
+    , m_options(options)
+    , m_startedAt(startedAt)
+    , m_latestJoin(startedAt + options.maxDelay)
+    , m_joinsAt(m_latestJoin)
 {
 }
 
+void JoinGate::onListed(std::size_t zoneHosts)
+{
+    const bool waitsForBound = m_joinsAt == m_latestJoin;
+    m_listedHosts = zoneHosts;
+    m_latestJoin = m_startedAt + m_options.maxDelay + m_options.delayPerListedHost * zoneHosts;
+    if (waitsForBound || 2 * m_zoneHosts.size() < zoneHosts) {
+        m_joinsAt = m_latestJoin;
+    }
+}
+
 void JoinGate::onView(const MembershipView &view, bool hasDiscoveredZone, TimePoint now)
 {
     std::vector<std::string> zoneHosts;
@@ -28,6 +42,9 @@
         m_joinsAt = m_latestJoin;
     } else if (hasDiscoveredZone) {
         m_joinsAt = std::min(m_joinsAt, now);
+    } else if (2 * m_zoneHosts.size() < m_listedHosts) {
+        // In a large zone a pause between two discoveries does not show that they are over.
+        m_joinsAt = m_latestJoin;
     } else if (hasChanged) {
         m_joinsAt = std::min(now + m_options.settleTime, m_latestJoin);
     }
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -114,6 +114,12 @@
     return m_hasHostList && std::all_of(m_seeds.begin(), m_seeds.end(), isKnown);
 }
 
+std::size_t Membership::State::listedInZone() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_seeds, [this](const auto &entry) { return entry.second.zone == m_self.zone; }));
+}
+
 HostReach Membership::State::reach(TimePoint now) const
 {
     if (m_reachAtChange == m_table.changes()) {
@@ -202,21 +208,35 @@
     if (!(m_self.catalogVersion < m_table.newestVersion())) {
         return highest;
     }
-    const std::uint64_t selfKey = m_table.find(m_self.name)->key;
-    std::uint64_t best = 0;
     for (const auto &[name, member] : m_table.members()) {
-        const CatalogVersion &version = member.record.catalogVersion;
-        if (member.record.health == HostHealth::Dead || name == m_self.name || version < highest.first) {
+        const bool higher = highest.first < member.record.catalogVersion;
+        if (higher && member.record.health != HostHealth::Dead) {
+            highest = {member.record.catalogVersion, name};
+        }
+    }
+    return highest;
+}
+
+std::optional<CatalogHolder> Membership::State::newerCatalog(std::uint64_t salt) const
+{
+    const CatalogVersion &own = m_self.catalogVersion;
+    if (!own.lacks(m_table.newestVersion())) {
+        return std::nullopt;
+    }
+    const std::uint64_t selfKey = m_table.find(m_self.name)->key ^ salt;
+    const Member *chosen = nullptr;
+    std::pair<std::uint64_t, std::uint64_t> best;
+    for (const auto &[name, member] : m_table.members()) {
+        if (member.record.health == HostHealth::Dead || !own.lacks(member.record.catalogVersion)) {
             continue;
         }
-        // Of several holders, each host chooses another one.
-        const std::uint64_t score = rendezvousScore(selfKey, member.key);
-        if (highest.first < version || (highest.second && score > best)) {
-            highest = {version, name};
-            best = score;
+        const std::pair rank(member.record.catalogVersion.intent, rendezvousScore(selfKey, member.key));
+        if (chosen == nullptr || rank > best) {
+            chosen = &member;
+            best = rank;
         }
     }
-    return highest;
+    return chosen == nullptr ? std::nullopt : std::optional(CatalogHolder{chosen->record.name, chosen->record.catalogVersion});
 }
 
 std::shared_ptr<const MembershipView> Membership::State::view() const
@@ -328,6 +348,16 @@
     return m_state->view();
 }
 
+std::size_t Membership::listedInZone() const
+{
+    return m_state->listedInZone();
+}
+
+std::optional<CatalogHolder> Membership::newerCatalog(std::uint64_t salt) const
+{
+    return m_state->newerCatalog(salt);
+}
+
 std::uint64_t Membership::placementVersion() const
 {
     return m_state->placementVersion();
--- a/src/core/fleet/membershipstate.h
+++ b/src/core/fleet/membershipstate.h
@@ -58,6 +58,8 @@
 
     HostReach reach(TimePoint now) const;
     bool hasDiscoveredZone() const;
+    std::size_t listedInZone() const;
+    std::optional<CatalogHolder> newerCatalog(std::uint64_t salt) const;
 
 private:
     enum class Stage { Direct, Indirect };
--- a/src/runtime/fleet/membershipdriver.cpp
+++ b/src/runtime/fleet/membershipdriver.cpp
@@ -152,7 +152,9 @@
                 seeds.push_back(HostSeed{listed.name, listed.zone, listed.address});
             }
             m_listedHosts = seeds.size();
-            deliver(m_membership.onHostList(seeds, Clock::now()));
+            auto sends = m_membership.onHostList(seeds, Clock::now());
+            m_hooks.zoneListed(m_membership.listedInZone());
+            deliver(sends);
         }
         readHostListLater();
     });
@@ -161,13 +163,8 @@
 void MembershipDriver::onGossip(const GossipMessage &message)
 {
     deliver(m_membership.onMessage(message, Clock::now()));
-    // The sender first: if all hosts without a copy asked the host with the newest one, that host
-    // would have to serve all of them.
-    if (m_membership.self().catalogVersion < message.catalogVersion) {
-        m_hooks.catalogAdvertised(message.from, message.catalogVersion);
-    }
-    if (const auto holder = m_membership.holderOfHighestCatalog()) {
-        m_hooks.catalogAdvertised(*holder, m_membership.highestCatalogVersion());
+    if (const auto holder = m_membership.newerCatalog(m_random())) {
+        m_hooks.catalogAdvertised(holder->host, holder->version);
     }
 }
 
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -307,7 +307,8 @@
                               [this](const std::string &host, const CatalogVersion &version) {
                                   m_configurationSource->noteKnownVersion(host, version);
                               },
-                              [this] { return isStoreReader(); }});
+                              [this] { return isStoreReader(); },
+                              [this](std::size_t hosts) { m_joinGate->onListed(hosts); }});
     ReaderSelectionOptions reader;
     m_mechanisms.applyTo(reader);
     m_configurationSource = m_parts.makeConfiguration(
--- a/tests/core/joingate_test.cpp
+++ b/tests/core/joingate_test.cpp
@@ -93,4 +93,31 @@
     }));
 }
 
+// Guards against hosts of a large zone that take the homes of all its upstreams because they know
+// few of the others yet: each opens connections to hundreds of upstreams, and closes them again.
+BOOST_AUTO_TEST_CASE(WaitsUntilItKnowsHalfOfALargeZone)
+{
+    const JoinOptions options;
+    for (const std::size_t listed : {40U, 400U}) {
+        JoinGate gate("here", options, start);
+        gate.onListed(listed);
+        std::vector<std::string> known(listed / 4, "host");
+        gate.onView(viewOf(known, true), false, start + milliseconds{500});
+        BOOST_TEST(sinceStart(gate.joinsAt()).count() > 500 + options.settleTime.count(), "it joins too early among " << listed);
+        known.resize(listed / 2, "host");
+        gate.onView(viewOf(known, true), false, start + milliseconds{900});
+        BOOST_TEST(sinceStart(gate.joinsAt()).count() == 900 + options.settleTime.count());
+    }
+}
+
+// A list may hold hosts that are gone for good.
+BOOST_AUTO_TEST_CASE(JoinsAtABoundThatFollowsTheSizeOfItsZone)
+{
+    const JoinOptions options;
+    JoinGate gate("here", options, start);
+    gate.onListed(100);
+    gate.onView(viewOf({"a"}, true), false, start + milliseconds{500});
+    BOOST_TEST(sinceStart(gate.joinsAt()).count() == (options.maxDelay + 100 * options.delayPerListedHost).count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -494,6 +494,26 @@
     BOOST_TEST(!fleet->host("h7").holderOfHighestCatalog().has_value(), "the holder needs to pull from no other host");
 }
 
+// Guards against a fleet whose hosts all ask one host for the newest copy.
+BOOST_AUTO_TEST_CASE(AsksDifferentHostsForANewerCopy)
+{
+    auto fleet = settledFleet(40, 4, 53);
+    for (int i = 0; i < 20; ++i) {
+        // Each holder has read one change more than the one before it.
+        fleet->host("h" + std::to_string(i)).setCatalogVersion({5, 100 + static_cast<std::uint64_t>(i)});
+    }
+    fleet->runFor(seconds{20});
+    std::map<std::string, int> askers;
+    for (int i = 20; i < 40; ++i) {
+        const auto holder = fleet->host("h" + std::to_string(i)).newerCatalog(7);
+        BOOST_TEST_REQUIRE(holder.has_value());
+        ++askers[holder->host];
+    }
+    const auto busiest = std::ranges::max_element(askers, {}, [](const auto &entry) { return entry.second; });
+    BOOST_TEST(busiest->second <= 8, busiest->second << " of 20 hosts ask " << busiest->first);
+    BOOST_TEST(!fleet->host("h19").newerCatalog(7).has_value());
+}
+
 // Guards against heartbeats that are filled with the versions of all hosts after every change of a
 // registration: each host announces a version, and each announcement used to go to every other one.
 BOOST_AUTO_TEST_CASE(SpreadsAVersionThatAllTakeOverWithTheSameNumberOfNotesWhateverTheirNumber)
