--- a/src/core/fleet/joingate.cpp
+++ b/src/core/fleet/joingate.cpp
@@ -38,13 +38,12 @@
     const bool hasChanged = zoneHosts != m_zoneHosts || view.trusted != m_trusted;
     m_zoneHosts = std::move(zoneHosts);
     m_trusted = view.trusted;
-    if (!view.trusted) {
+    // In a large zone a pause between two discoveries does not show that they are over.
+    const bool knowsFew = !hasDiscoveredZone && 2 * m_zoneHosts.size() < m_listedHosts;
+    if (!view.trusted || knowsFew) {
         m_joinsAt = m_latestJoin;
     } else if (hasDiscoveredZone) {
         m_joinsAt = std::min(m_joinsAt, now);
-    } else if (2 * m_zoneHosts.size() < m_listedHosts) {
-        // In a large zone a pause between two discoveries does not show that they are over.
-        m_joinsAt = m_latestJoin;
     } else if (hasChanged) {
         m_joinsAt = std::min(now + m_options.settleTime, m_latestJoin);
     }
--- a/src/runtime/configuration/collection.h
+++ b/src/runtime/configuration/collection.h
@@ -65,7 +65,6 @@
     std::size_t bytes = 0;
 };
 
-
 // Access to one collection; used from one thread only. Every handler runs exactly once, no later
 // than the deadline.
 struct CollectionSource {
--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -96,7 +96,8 @@
     , m_rebuild(control, [this] { rebuild(); })
     , m_random(digestOf(self))
     , m_selection(std::move(self), m_hooks.reader)
-    , m_intentFollower(control, m_parts.intent, followerHooks("store_intent", [this](const TouchedNames &) { onIntentChanged(); }))
+    , m_intentFollower(control, m_parts.intent,
+                       followerHooks("store_intent", [this](const TouchedNames &) { onIntentChanged(); }))
     , m_registrationFollower(
           control, m_parts.registrations,
           followerHooks("store_registrations", [this](const TouchedNames &touched) { onRegistrationsChanged(touched); }))
@@ -114,7 +115,9 @@
     };
     hooks.pauseAfter = [this](std::size_t bytes) { return transferTime(bytes); };
     // Hosts that start together wait for different times, so that some list and send it to the others.
-    hooks.peerWait = [this] { return peerWait + milliseconds{std::uniform_int_distribution<int>(0, peerWait.count())(m_random)}; };
+    hooks.peerWait = [this] {
+        return peerWait + milliseconds{std::uniform_int_distribution<int>(0, peerWait.count())(m_random)};
+    };
     return hooks;
 }
 
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -107,8 +107,7 @@
     const DiscoveryWork &work() const;
 
 private:
-    CollectionFollowerHooks followerHooks(std::string_view collection,
-                                          std::function<void(const TouchedNames &touched)> changed);
+    CollectionFollowerHooks followerHooks(std::string_view collection, std::function<void(const TouchedNames &touched)> changed);
     void onIntentChanged();
     bool acceptIntent(NamedObjects objects, std::string text, const std::string &source);
     void onRegistrationsChanged(const TouchedNames &touched);
--- a/tests/core/hopcodec_test.cpp
+++ b/tests/core/hopcodec_test.cpp
@@ -324,7 +324,8 @@
         RC_ASSERT(offer.version == version && offer.readsStore == flag);
         const auto pull = std::get<CatalogPull>(roundTrip(CatalogPull{version, number, number + 1}));
         RC_ASSERT(pull.version == version && pull.digest == number && pull.registrationsThrough == number + 1);
-        const auto catalog = std::get<CatalogPush>(roundTrip(CatalogPush{version, {number, number}, number, number + 2, one, number + 3, {two, number + 4}}));
+        const auto catalog = std::get<CatalogPush>(
+            roundTrip(CatalogPush{version, {number, number}, number, number + 2, one, number + 3, {two, number + 4}}));
         RC_ASSERT(catalog.version == version && catalog.through == (CatalogRevisions{number, number}));
         RC_ASSERT(catalog.baseDigest == number && catalog.digest == number + 2 && catalog.difference == one);
         RC_ASSERT(catalog.registrationsSince == number + 3 && catalog.entries == (PackedEntries{two, number + 4}));
--- a/tests/platform/deployment_test.cpp
+++ b/tests/platform/deployment_test.cpp
@@ -98,9 +98,9 @@
 BOOST_AUTO_TEST_CASE(PutUpstreamsUnderTheirService)
 {
     const auto configuration = configured(intent(),
-                                                   parsed({{"i-1", registration("bookings", "ready")},
-                                                           {"i-2", registration("bookings", "draining")},
-                                                           {"i-3", registration("another", "ready")}}));
+                                          parsed({{"i-1", registration("bookings", "ready")},
+                                                  {"i-2", registration("bookings", "draining")},
+                                                  {"i-3", registration("another", "ready")}}));
     BOOST_TEST_REQUIRE(configuration.has_value());
     const DatabaseSpec *database = configuration->database("bookings");
     BOOST_TEST_REQUIRE((database != nullptr && database->upstreams.size() == 2U));
@@ -300,8 +300,8 @@
 
 BOOST_AUTO_TEST_CASE(ThatShareAKeyAreRefusedTogether)
 {
-    const auto configuration = configured(
-        withWorkspaces(json::array({workspace("desk", json::array({"k1"})), workspace("site", {"k2", "k1"})})), {});
+    const auto configuration =
+        configured(withWorkspaces(json::array({workspace("desk", json::array({"k1"})), workspace("site", {"k2", "k1"})})), {});
     BOOST_TEST_REQUIRE(!configuration.has_value());
     BOOST_TEST(configuration.error().message.find("k1") == std::string::npos, "an error message contains a key");
 }
--- a/tests/runtime/collection_test.cpp
+++ b/tests/runtime/collection_test.cpp
@@ -56,8 +56,9 @@
     boost::asio::io_context context;
     BusyStore store{context, 3};
     std::size_t seen = 0;
-    CollectionFollower follower(context, store.source(),
-                                CollectionFollowerHooks{[&seen](const auto &copy, const auto &) { seen = copy.size(); }, [](bool) {}});
+    CollectionFollower follower(
+        context, store.source(),
+        CollectionFollowerHooks{[&seen](const auto &copy, const auto &) { seen = copy.size(); }, [](bool) {}});
     follower.setWaiting(true);
     follower.start();
     context.run_until(Clock::now() + std::chrono::seconds{30});
@@ -94,7 +95,8 @@
         boost::asio::post(context, [handler, changes] { handler(changes); });
     };
     nlohmann::json seen;
-    CollectionFollowerHooks hooks{[&seen](const auto &copy, const auto &) { seen = nlohmann::json::parse(*copy.text("main")); }, [](bool) {}};
+    CollectionFollowerHooks hooks{[&seen](const auto &copy, const auto &) { seen = nlohmann::json::parse(*copy.text("main")); },
+                                  [](bool) {}};
     hooks.pauseAfter = [](std::size_t) { return milliseconds{100}; };
     CollectionFollower follower(context, source, std::move(hooks));
     follower.setWaiting(true);
@@ -123,7 +125,8 @@
     };
     source.changes = [&](std::uint64_t since, TimePoint, const auto &) { waitedFrom.push_back(since); };
     nlohmann::json seen;
-    CollectionFollowerHooks hooks{[&seen](const auto &copy, const auto &) { seen = nlohmann::json::parse(*copy.text("main")); }, [](bool) {}};
+    CollectionFollowerHooks hooks{[&seen](const auto &copy, const auto &) { seen = nlohmann::json::parse(*copy.text("main")); },
+                                  [](bool) {}};
     hooks.pauseAfter = [](std::size_t bytes) { return milliseconds{bytes / 10}; };
     CollectionFollower follower(context, source, std::move(hooks));
     follower.start();
@@ -152,8 +155,9 @@
     source.changes = [&](std::uint64_t, TimePoint, const auto &handler) {
         boost::asio::post(context, [handler] { handler(tl::unexpected(CollectionFailure::HistoryGone)); });
     };
-    CollectionFollower follower(context, source,
-                                CollectionFollowerHooks{[](const auto &, const auto &) {}, [&lost](bool reached) { lost += reached ? 0 : 1; }});
+    CollectionFollower follower(
+        context, source,
+        CollectionFollowerHooks{[](const auto &, const auto &) {}, [&lost](bool reached) { lost += reached ? 0 : 1; }});
     follower.setWaiting(true);
     follower.start();
     context.run_until(Clock::now() + std::chrono::seconds{3});
@@ -183,7 +187,8 @@
         }
     };
     int reported = 0;
-    CollectionFollower follower(context, source, CollectionFollowerHooks{[&reported](const auto &, const auto &) { ++reported; }, [](bool) {}});
+    CollectionFollower follower(context, source,
+                                CollectionFollowerHooks{[&reported](const auto &, const auto &) { ++reported; }, [](bool) {}});
     follower.start();
     context.run_until(Clock::now() + milliseconds{500});
     BOOST_TEST(follower.contentRevision() == in(1, 40));
--- a/tests/runtime/discoveredconfiguration_test.cpp
+++ b/tests/runtime/discoveredconfiguration_test.cpp
@@ -187,12 +187,11 @@
     };
     hooks.someHosts = [](std::size_t) { return std::vector<std::string>{}; };
     hooks.zone = [] { return ZoneHosts{true, {"reader", "self"}, {"reader"}}; };
-    DiscoveryParts parts{
-        store.sourceFor("self", "intent"), store.sourceFor("self", "registrations"),
-        [](const std::string &, const nlohmann::json &) -> tl::expected<RegisteredUpstream, Error> {
-            return RegisteredUpstream{};
-        },
-        [](const NamedObjects &) -> tl::expected<TranslatedIntent, Error> { return TranslatedIntent{}; }};
+    DiscoveryParts parts{store.sourceFor("self", "intent"), store.sourceFor("self", "registrations"),
+                         [](const std::string &, const nlohmann::json &) -> tl::expected<RegisteredUpstream, Error> {
+                             return RegisteredUpstream{};
+                         },
+                         [](const NamedObjects &) -> tl::expected<TranslatedIntent, Error> { return TranslatedIntent{}; }};
     DiscoveredConfiguration source(context, "self", std::move(parts), std::move(hooks));
     source.start();
     context.run_until(Clock::now() + milliseconds{100});
@@ -227,7 +226,8 @@
     std::mt19937_64 random(6);
     fleet.onSend = [&random](hop::HopMessage &message) {
         auto *push = std::get_if<hop::CatalogPush>(&message);
-        for (std::string *bytes : {push != nullptr ? &push->difference : nullptr, push != nullptr ? &push->entries.bytes : nullptr}) {
+        for (std::string *bytes :
+             {push != nullptr ? &push->difference : nullptr, push != nullptr ? &push->entries.bytes : nullptr}) {
             if (bytes != nullptr && !bytes->empty() && random() % 2 == 0) {
                 (*bytes)[random() % bytes->size()] ^= 0x55;
             }
