Reconcile views in every period until a host knows the listed hosts

A host that is not trusted yet reconciles its view with each answer, but the first host that it reconciles with knows few others; from then on it does so every ten periods, the less often the larger the fleet, and with 256 hosts at most in each exchange. Views that differ place homes differently.

Change: a host that has started within 20 s and knows fewer hosts than are listed reconciles in every period, and an exchange carries as many hosts as there are.

Beside it: a host notes the later change that a peer's copy names also when it needs none of its entries, as before entries came.

--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -157,9 +157,13 @@
     std::size_t recordsPerMessage = 4;
     std::size_t healthNotesPerMessage = 24;
     std::size_t versionNotesPerMessage = 32;
-    // Limits of what one message of a reconciliation carries.
+    // Limits of what one message of a reconciliation carries; as many as there are hosts if there
+    // are more.
     std::size_t notesPerSync = 256;
     std::size_t recordsPerSync = 256;
+    // How long after its start a host that knows fewer hosts than are listed reconciles its view in
+    // every period.
+    std::chrono::seconds discoveryTime{20};
     // How long a dead host is retained, so that outdated records cannot revive it and its address
     // is still tried after a partition heals.
     std::chrono::minutes deadRetention{60};
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -25,6 +25,7 @@
     , m_options(options)
     , m_random(seed)
     , m_table(options.keepsIncarnations)
+    , m_startedAt(now)
     , m_lastTickAt(now)
     , m_nextPeriodAt(now)
     , m_nextForgetAt(now)
@@ -120,6 +121,23 @@
         std::ranges::count_if(m_seeds, [this](const auto &entry) { return entry.second.zone == m_self.zone; }));
 }
 
+// Whether this host has started lately and knows fewer hosts than are listed.
+bool Membership::State::isDiscovering(TimePoint now) const
+{
+    return now - m_startedAt < m_options.discoveryTime && m_table.livingCount() <= m_seeds.size();
+}
+
+// Two views of a large fleet that differ in most buckets are reconciled in one exchange as well.
+std::size_t Membership::State::notesPerSync() const
+{
+    return std::max(m_options.notesPerSync, m_table.livingCount());
+}
+
+std::size_t Membership::State::recordsPerSync() const
+{
+    return std::max(m_options.recordsPerSync, m_table.livingCount());
+}
+
 HostReach Membership::State::reach(TimePoint now) const
 {
     if (m_reachAtChange == m_table.changes()) {
--- a/src/core/fleet/membershipmessages.cpp
+++ b/src/core/fleet/membershipmessages.cpp
@@ -276,14 +276,15 @@
     }
     const bool recent = m_table.hasPendingUpdates() || now - m_lastChangeAt < suspicionTime();
     const bool inFlux = recent && m_table.differingBuckets(ack.bucketDigests) <= maxBucketsInFlux;
-    const auto spacing = period() * (inFlux ? ticksPerSyncInFlux : static_cast<int>(sizeBits()));
+    const int ticks = inFlux ? ticksPerSyncInFlux : static_cast<int>(sizeBits());
+    const auto spacing = period() * (isDiscovering(now) ? 1 : ticks);
     if (m_trusted && now - m_lastSyncAt < spacing) {
         return;
     }
     m_lastSyncAt = now;
     GossipMessage sync = message(GossipKind::Sync, ack.sequence);
     sync.bucketDigests = m_table.bucketDigests();
-    sync.healthNotes = m_table.notesDifferingFrom(ack.bucketDigests, m_random() % digestBuckets, m_options.notesPerSync);
+    sync.healthNotes = m_table.notesDifferingFrom(ack.bucketDigests, m_random() % digestBuckets, notesPerSync());
     sends.push_back(GossipSend{ack.from, ack.fromAddress, std::move(sync)});
 }
 
@@ -293,7 +294,7 @@
     std::vector<std::uint64_t> keys;
     for (const HealthNote &note : message.healthNotes) {
         const bool unknown = note.health != HostHealth::Dead && m_table.nameOfKey(note.hostKey) == nullptr;
-        if (unknown && keys.size() < m_options.recordsPerSync) {
+        if (unknown && keys.size() < recordsPerSync()) {
             keys.push_back(note.hostKey);
         }
     }
@@ -305,7 +306,7 @@
 {
     for (const std::uint64_t key : request.wanted) {
         const std::string *name = m_table.nameOfKey(key);
-        if (name != nullptr && reply.records.size() < m_options.recordsPerSync) {
+        if (name != nullptr && reply.records.size() < recordsPerSync()) {
             reply.records.push_back(m_table.find(*name)->record);
         }
     }
@@ -314,7 +315,7 @@
 void Membership::State::onSync(const GossipMessage &sync, Sends &sends)
 {
     GossipMessage reply = message(GossipKind::SyncReply, sync.sequence);
-    reply.healthNotes = m_table.notesDifferingFrom(sync.bucketDigests, m_random() % digestBuckets, m_options.notesPerSync);
+    reply.healthNotes = m_table.notesDifferingFrom(sync.bucketDigests, m_random() % digestBuckets, notesPerSync());
     reply.wanted = unknownKeys(sync);
     sends.push_back(GossipSend{sync.from, sync.fromAddress, std::move(reply)});
 }
@@ -324,7 +325,7 @@
     GossipMessage records = message(GossipKind::Records, reply.sequence);
     addWanted(reply, records);
     records.wanted = unknownKeys(reply);
-    const bool complete = records.wanted.empty() && reply.healthNotes.size() < m_options.notesPerSync;
+    const bool complete = records.wanted.empty() && reply.healthNotes.size() < notesPerSync();
     if (complete && reply.sequence >= m_firstTrustedSequence) {
         restoreTrust();
     }
@@ -342,7 +343,7 @@
         return;
     }
     // A full answer may be only a part; the next reconciliation brings more.
-    const bool complete = answer.records.size() < m_options.recordsPerSync;
+    const bool complete = answer.records.size() < recordsPerSync();
     if (complete && answer.sequence >= m_firstTrustedSequence) {
         restoreTrust();
     }
--- a/src/core/fleet/membershipstate.h
+++ b/src/core/fleet/membershipstate.h
@@ -85,6 +85,9 @@
     milliseconds suspicionTime() const;
     int retransmitCount() const;
     double sizeBits() const;
+    bool isDiscovering(TimePoint now) const;
+    std::size_t notesPerSync() const;
+    std::size_t recordsPerSync() const;
 
     // Schedule.
     void detectPause(TimePoint now);
@@ -138,6 +141,7 @@
     std::map<std::string, HostSeed> m_seeds;
     // Set by the first list, whose hosts are pinged at once.
     bool m_hasHostList = false;
+    const TimePoint m_startedAt;
     // Peers watched by this host, in the order of their pings. Invariant: as many as the options
     // say, or all others if there are fewer, plus suspects that precede them in a ring.
     std::vector<std::string> m_watched;
--- a/src/runtime/configuration/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -118,7 +118,6 @@
 std::optional<TouchedNames> CollectionFollower::adopt(CollectionDelta delta, std::size_t bytes)
 {
     if (!m_copy.accepts(delta)) {
-        m_copy.noteContent(delta.contentRevision);
         return std::nullopt;
     }
     TouchedNames touched = m_copy.apply(std::move(delta));
@@ -127,6 +126,11 @@
     return touched;
 }
 
+void CollectionFollower::noteContent(std::uint64_t revision)
+{
+    m_copy.noteContent(revision);
+}
+
 void CollectionFollower::noteSize(std::size_t bytes)
 {
     m_bytes = bytes;
--- a/src/runtime/configuration/collection.h
+++ b/src/runtime/configuration/collection.h
@@ -108,6 +108,8 @@
     // the objects that changed; nothing when the delta is not newer or does not continue this
     // copy. Does not call `changed`.
     std::optional<TouchedNames> adopt(CollectionDelta delta, std::size_t bytes);
+    // See CollectionCopy::noteContent().
+    void noteContent(std::uint64_t revision);
 
     // False until the collection has been listed once, and while the store does not answer.
     bool isReached() const;
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -322,7 +322,12 @@
 // Returns true when registrations, or their epoch, changed.
 bool DiscoveredConfiguration::adoptRegistrations(const std::string &from, const hop::CatalogPush &push)
 {
-    if (push.entries.bytes.empty() || push.through.registrations <= m_registrationFollower.through()) {
+    if (push.entries.bytes.empty()) {
+        return false;
+    }
+    if (push.through.registrations <= m_registrationFollower.through()) {
+        // It may know of a later change than this host's list showed.
+        m_registrationFollower.noteContent(push.version.registrations);
         return false;
     }
     auto delta = unpackEntries(push.entries);
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -494,6 +494,25 @@
     BOOST_TEST(!fleet->host("h7").holderOfHighestCatalog().has_value(), "the holder needs to pull from no other host");
 }
 
+// Guards against hosts that know half of the fleet for many seconds after all have started together:
+// views are reconciled less and less often the larger a fleet is, and hosts that know few others
+// gain little from each other.
+BOOST_AUTO_TEST_CASE(KnowsAllHostsSoonWhenManyStartTogether)
+{
+    for (const int hosts : {64, 256}) {
+        GossipFleet fleet(47);
+        fleet.listDelay = milliseconds{300};
+        fleet.startMany(hosts, 6);
+        const auto known = fleet.runUntil(seconds{30}, [&] {
+            return std::ranges::all_of(fleet.names(), [&](const std::string &name) {
+                return fleet.host(name).liveCount() == static_cast<std::size_t>(hosts);
+            });
+        });
+        BOOST_REQUIRE(known.has_value());
+        BOOST_TEST(known->count() <= 5000, hosts << " hosts know each other only after " << known->count() << " ms");
+    }
+}
+
 // Guards against a fleet whose hosts all ask one host for the newest copy.
 BOOST_AUTO_TEST_CASE(AsksDifferentHostsForANewerCopy)
 {
