Answer hosts that the view lacks over the link that they use

A host that few know asks one after the other for a newer configuration, and most cannot answer it.

Change: such messages go over an open link of that host, if there is one.

Tests: peernetwork_test AnswersAPeerWhoseAddressIsNotKnown; discoveredconfiguration_test ProvideANewHostWithALongCollection, written while looking for the cause, passes with and without.

--- a/src/runtime/fleet/peernetwork.cpp
+++ b/src/runtime/fleet/peernetwork.cpp
@@ -94,6 +94,21 @@
     flush(to);
 }
 
+void PeerNetwork::State::sendIfLinked(const std::string &peer, const hop::HopMessage &message)
+{
+    if (m_stopped) {
+        return;
+    }
+    if (Inbound *inbound = readyInboundOf(peer)) {
+        sendMessage(*inbound->link, inbound->probe, message);
+        return;
+    }
+    const auto found = m_outbound.find(peer);
+    if (found != m_outbound.end() && found->second->ready) {
+        sendMessage(*found->second->link, found->second->probe, message);
+    }
+}
+
 void PeerNetwork::State::sendOn(const PeerRef &peer, const hop::HopMessage &message)
 {
     const auto inbound = m_inbound.find(peer.link);
@@ -423,6 +438,11 @@
     m_state->send(peer, address, std::move(message));
 }
 
+void PeerNetwork::sendIfLinked(const std::string &peer, const hop::HopMessage &message)
+{
+    m_state->sendIfLinked(peer, message);
+}
+
 void PeerNetwork::sendOn(const PeerRef &peer, const hop::HopMessage &message)
 {
     m_state->sendOn(peer, message);
--- a/src/runtime/fleet/peernetwork.h
+++ b/src/runtime/fleet/peernetwork.h
@@ -129,6 +129,9 @@
     // Sends any other message, over an open link if there is one. It may be lost
     // with the link: a sender that needs an answer has to repeat it.
     void send(const std::string &peer, const std::string &address, hop::HopMessage message);
+    // Sends over an open link only, to a host whose address is not known: one that has sent a
+    // message before this host has heard of it from others.
+    void sendIfLinked(const std::string &peer, const hop::HopMessage &message);
     // Sends over the same link that a message was received on.
     void sendOn(const PeerRef &peer, const hop::HopMessage &message);
     // Sends to every peer with an open link. For rare announcements; gossip carries the rest.
--- a/src/runtime/fleet/peernetworkstate.h
+++ b/src/runtime/fleet/peernetworkstate.h
@@ -124,6 +124,7 @@
     void execute(const std::string &peer, const std::string &address, StatementRequest request, ReplyHandler handler);
     void cancel(const std::string &peer, std::uint64_t requestId);
     void send(const std::string &peer, const std::string &address, hop::HopMessage message);
+    void sendIfLinked(const std::string &peer, const hop::HopMessage &message);
     void sendOn(const PeerRef &peer, const hop::HopMessage &message);
     void sendToAll(const hop::HopMessage &message);
     void drop(const std::string &host);
--- a/src/runtime/host/hostrouting.cpp
+++ b/src/runtime/host/hostrouting.cpp
@@ -227,7 +227,10 @@
     const HostRecord *record = current->view->host(host);
     if (record != nullptr) {
         sendTo(host, record->peerAddress, std::move(message));
+        return;
     }
+    // In a large fleet a host may ask before its record has come.
+    asio::post(m_link, [this, host, message = std::move(message)] { m_network->sendIfLinked(host, message); });
 }
 
 void HostDaemon::Impl::sendTo(const std::string &host, const std::string &address, hop::HopMessage message)
--- a/tests/runtime/discoveredconfiguration_test.cpp
+++ b/tests/runtime/discoveredconfiguration_test.cpp
@@ -126,6 +126,27 @@
     }
 }
 
+// Guards against a host that starts into a running fleet and has no configuration for seconds, since
+// it waits for others to send it a collection that takes several calls to list.
+BOOST_AUTO_TEST_CASE(ProvideANewHostWithALongCollection)
+{
+    StoreFleet fleet(6, 15);
+    fleet.store.pageSize = 200;
+    for (std::size_t i = 0; i < 3000; ++i) {
+        fleet.store.put("registrations", "upstream-" + std::to_string(i), {{"heartbeats", 1}});
+    }
+    fleet.configure(1);
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(1) && fleet.allKnowUpstreams(3000); }));
+    fleet.run(milliseconds{500});
+    const auto before = fleet.store.calls();
+    fleet.restart("host-4");
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(1); }, milliseconds{2000}));
+    fleet.run(milliseconds{7000});
+    const int calls = fleet.store.calls().at("host-4") - before.at("host-4");
+    BOOST_TEST(calls <= 2, "the new host made " << calls << " calls to a store of 3,000 upstreams");
+    BOOST_TEST(fleet.allKnowUpstreams(3000));
+}
+
 // When the answer to the reader's waiting call is lost, a reader that trusts the call until its
 // end leaves its zone with an old configuration.
 BOOST_AUTO_TEST_CASE(ReceiveChangesFromAnotherHostWhenTheReadersAnswerIsLost)
--- a/tests/runtime/peernetwork_test.cpp
+++ b/tests/runtime/peernetwork_test.cpp
@@ -606,6 +606,24 @@
     pair.await("the answer", [&] { return used.available() > greeting; });
 }
 
+// Guards against a host that asks in vain for a newer configuration, because those whom it asks have
+// not heard of it yet: its address is not in their view of the fleet.
+BOOST_AUTO_TEST_CASE(AnswersAPeerWhoseAddressIsNotKnown)
+{
+    Pair pair;
+    tcp::socket asker(pair.context);
+    asker.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), pair.home.port()));
+    boost::asio::write(asker, boost::asio::buffer(helloFrame(hop::protocolVersion, "asker")));
+    pair.await("the hello", [&] { return asker.available() > 0; });
+    const std::size_t greeting = asker.available();
+    boost::asio::write(asker, boost::asio::buffer(hop::encodeFrame(hop::CatalogPull{}, Clock::now())));
+    pair.await("the request", [&] { return pair.homeMessages.size() == 1; });
+    pair.home.sendIfLinked("asker", hop::CatalogOffer{{3, 4}});
+    pair.home.sendIfLinked("nobody", hop::CatalogOffer{{3, 4}});
+    pair.await("the answer", [&] { return asker.available() > greeting; });
+    BOOST_TEST(pair.home.linkCount() == 1U, "nobody else was dialled");
+}
+
 // A link must not be closed while the other side answers.
 BOOST_AUTO_TEST_CASE(KeepsALinkThatCarriesOnlyMessagesWhileThePeerAnswers)
 {
--- a/tests/runtime/storefleet.h
+++ b/tests/runtime/storefleet.h
@@ -113,6 +113,9 @@
         return m_calls;
     }
 
+    // A list is answered in parts of so many objects.
+    std::size_t pageSize = 500;
+
 private:
     using ChangesHandler = std::function<void(tl::expected<CollectionChanges, CollectionFailure>)>;
     using ListHandler = std::function<void(tl::expected<CollectionPage, CollectionFailure>)>;
@@ -154,6 +157,21 @@
             page.objects.push_back(object);
             page.objects.back().revision = ordered(object.revision);
         }
+        answerInParts(host, std::move(page), handler);
+    }
+
+    void answerInParts(const std::string &host, CollectionPage page, const ListHandler &handler)
+    {
+        if (page.objects.size() > pageSize) {
+            CollectionPage rest;
+            rest.revision = page.revision;
+            rest.objects.assign(page.objects.begin() + static_cast<std::ptrdiff_t>(pageSize), page.objects.end());
+            page.objects.erase(page.objects.begin() + static_cast<std::ptrdiff_t>(pageSize), page.objects.end());
+            page.more = [this, host, rest = std::move(rest)](TimePoint, const ListHandler &next) {
+                ++m_calls[host];
+                boost::asio::post(m_context, [this, host, rest, next] { answerInParts(host, rest, next); });
+            };
+        }
         handler(std::move(page));
     }
 
