--- a/include/egrettide/core/recomputationpace.h
+++ b/include/egrettide/core/recomputationpace.h
@@ -8,9 +8,9 @@
 {
 
 struct RecomputationOptions {
-    // After each recomputation, this multiple of its duration passes before the next one. The share
-    // of the time that recomputations take is therefore bounded, at any cost and any rate of
-    // changes.
+    // After each recomputation, this multiple of its duration passes before the next one. This
+    // bounds the share of the time that recomputations take at any rate of changes, as long as
+    // maxPause does not end the pause.
     int pauseFactor = 4;
     // Longest pause. A recomputation also seems long when the process was suspended meanwhile.
     milliseconds maxPause{500};
