Do not take the host for alone by a list from before its start

Cause: a host lists the others once at its start, and that list may be older than the start of all of them. A list without the host itself is older than its own registration. Such a list counted as the first one: its hosts alone were pinged at once, an empty one counted as a discovered zone, and the host joined after 1.5 s as the only one of its zone. Besides, a list moved the end of the join but not the timer that waits for it.

Change: the host looks for itself on the list. Until it is there, the list is outdated: the next one is pinged as well, the zone is not discovered, and a host that knows nobody of its zone joins 5 s after its start at the earliest. The bound of the join counts from the first current list, and its timer follows.

Ruled out: listing again while hosts are known; 984 lists of five pages are some 147 MB at once (by calculation) for what reconciliation brings as well.

--- a/include/egrettide/core/joingate.h
+++ b/include/egrettide/core/joingate.h
@@ -32,6 +32,9 @@
     // Added to maxDelay for each listed host of the zone: the larger the zone, the longer until its
     // hosts know each other.
     milliseconds delayPerListedHost{20};
+    // How far the platform's list may lag behind: a host with an outdated list waits this long after
+    // its start for others of its zone.
+    milliseconds maxListLag{5000};
 };
 
 // The join decision of one host. Not thread-safe; lives on the control thread.
@@ -41,8 +44,9 @@
     JoinGate(std::string zone, JoinOptions options, TimePoint startedAt);
 
     // Processes the number of hosts of the zone on the platform's list. The list may hold hosts that
-    // are gone, and lacks those that have just started.
-    void onListed(std::size_t zoneHosts);
+    // are gone. An outdated one may lack all that started with this host, so it does not show that
+    // this host is alone.
+    void onListed(std::size_t zoneHosts, bool isCurrent, TimePoint now);
     // Processes the newest view. `hasDiscoveredZone` is true when every listed host of the zone is known.
     void onView(const MembershipView &view, bool hasDiscoveredZone, TimePoint now);
     // When the host joins unless a later view changes it; never later than the bound.
@@ -59,6 +63,11 @@
     std::vector<std::string> m_zoneHosts;
     bool m_trusted = false;
     std::size_t m_listedHosts = 0;
+    bool m_hasCurrentList = false;
+    // When the first current list arrived; the hosts on it become known from then on.
+    TimePoint m_listedAt;
+    // Whether each list until now was outdated; false before the first one.
+    bool m_listIsOutdated = false;
 };
 
 } // namespace egrettide
--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -161,8 +161,8 @@
     // are more.
     std::size_t notesPerSync = 256;
     std::size_t recordsPerSync = 256;
-    // How long after its start a host that knows fewer hosts than are listed reconciles its view in
-    // every period.
+    // How long after its start a host that has no current list, or knows fewer hosts than are listed,
+    // reconciles its view in every period.
     std::chrono::seconds discoveryTime{20};
     // How long a dead host is retained, so that outdated records cannot revive it and its address
     // is still tried after a partition heals.
@@ -213,8 +213,10 @@
     // Processes a message from a peer and returns the messages to send in response.
     std::vector<GossipSend> onMessage(const GossipMessage &message, TimePoint now);
     // Processes the platform's list, which adds addresses to try and removes no host. Hosts of the
-    // first list are pinged at once, those of the own zone before the others.
-    std::vector<GossipSend> onHostList(const std::vector<HostSeed> &seeds, TimePoint now);
+    // first current list, and of outdated ones before it, are pinged at once, those of the own zone
+    // before the others. A list is outdated when it may lack hosts that started at the same time as
+    // this one.
+    std::vector<GossipSend> onHostList(const std::vector<HostSeed> &seeds, bool isCurrent, TimePoint now);
     // A connection to the peer was refused or broke: the peer is probed at once, not declared dead.
     std::vector<GossipSend> onLinkLost(const std::string &peer, TimePoint now);
     // Announces that this host accepts no new work from now on; cannot be undone.
@@ -239,7 +241,7 @@
     // Counts of the other hosts by reachability; recomputed only after a change.
     HostReach reach(TimePoint now) const;
     // True once every host of this host's zone on the platform's list is known and not dead. False
-    // before the first list.
+    // before the first current list.
     bool hasDiscoveredZone() const;
     // Hosts of this host's zone on the platform's list, except this host; 0 before the first list.
     std::size_t listedInZone() const;
--- a/src/core/fleet/joingate.cpp
+++ b/src/core/fleet/joingate.cpp
@@ -17,11 +17,20 @@
 {
 }
 
-void JoinGate::onListed(std::size_t zoneHosts)
+void JoinGate::onListed(std::size_t zoneHosts, bool isCurrent, TimePoint now)
 {
     const bool waitsForBound = m_joinsAt == m_latestJoin;
     m_listedHosts = zoneHosts;
-    m_latestJoin = m_startedAt + m_options.maxDelay + m_options.delayPerListedHost * zoneHosts;
+    m_listIsOutdated = !isCurrent && !m_hasCurrentList;
+    if (m_listIsOutdated) {
+        m_latestJoin = m_startedAt + m_options.maxListLag;
+        m_joinsAt = m_latestJoin;
+        return;
+    }
+    if (!std::exchange(m_hasCurrentList, true)) {
+        m_listedAt = now;
+    }
+    m_latestJoin = m_listedAt + m_options.maxDelay + m_options.delayPerListedHost * zoneHosts;
     if (waitsForBound || 2 * m_zoneHosts.size() < zoneHosts) {
         m_joinsAt = m_latestJoin;
     }
@@ -40,7 +49,8 @@
     m_trusted = view.trusted;
     // In a large zone a pause between two discoveries does not show that they are over.
     const bool knowsFew = !hasDiscoveredZone && 2 * m_zoneHosts.size() < m_listedHosts;
-    if (!view.trusted || knowsFew) {
+    const bool seemsAlone = m_listIsOutdated && m_zoneHosts.size() <= 1;
+    if (!view.trusted || knowsFew || seemsAlone) {
         m_joinsAt = m_latestJoin;
     } else if (hasDiscoveredZone) {
         m_joinsAt = std::min(m_joinsAt, now);
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -59,7 +59,7 @@
     return std::max(minRetransmits, static_cast<int>(retransmitsPerBit * sizeBits()));
 }
 
-std::vector<GossipSend> Membership::State::onHostList(const std::vector<HostSeed> &seeds)
+std::vector<GossipSend> Membership::State::onHostList(const std::vector<HostSeed> &seeds, bool isCurrent)
 {
     Sends sends;
     m_seeds.clear();
@@ -68,13 +68,14 @@
             m_seeds.emplace(seed.name, seed);
         }
     }
-    if (!std::exchange(m_hasHostList, true) && !m_departed) {
+    if (!m_hasCurrentList && !m_departed) {
         introduceSelf(sends);
     }
+    m_hasCurrentList = m_hasCurrentList || isCurrent;
     return sends;
 }
 
-// Pings the hosts of the first list at once; they answer with their own records. With one listed
+// Pings the hosts of a list at once; they answer with their own records. With one listed
 // host pinged per period, hosts that all start together after a power failure need several periods
 // until their views settle, and no home is taken for a second. With this, 2 to 24 hosts that
 // started within 0.2 s all know each other 20 ms after the last start (in simulated time).
@@ -112,7 +113,7 @@
         const Member *member = m_table.find(entry.first);
         return entry.second.zone != m_self.zone || (member != nullptr && member->record.health != HostHealth::Dead);
     };
-    return m_hasHostList && std::all_of(m_seeds.begin(), m_seeds.end(), isKnown);
+    return m_hasCurrentList && std::all_of(m_seeds.begin(), m_seeds.end(), isKnown);
 }
 
 std::size_t Membership::State::listedInZone() const
@@ -316,9 +317,9 @@
     return m_state->onMessage(message, now);
 }
 
-std::vector<GossipSend> Membership::onHostList(const std::vector<HostSeed> &seeds, TimePoint /*now*/)
+std::vector<GossipSend> Membership::onHostList(const std::vector<HostSeed> &seeds, bool isCurrent, TimePoint /*now*/)
 {
-    return m_state->onHostList(seeds);
+    return m_state->onHostList(seeds, isCurrent);
 }
 
 HostReach Membership::reach(TimePoint now) const
--- a/src/core/fleet/membershipstate.h
+++ b/src/core/fleet/membershipstate.h
@@ -28,7 +28,7 @@
     std::vector<GossipSend> tick(TimePoint now);
     TimePoint nextTick() const;
     std::vector<GossipSend> onMessage(const GossipMessage &message, TimePoint now);
-    std::vector<GossipSend> onHostList(const std::vector<HostSeed> &seeds);
+    std::vector<GossipSend> onHostList(const std::vector<HostSeed> &seeds, bool isCurrent);
     std::vector<GossipSend> onLinkLost(const std::string &peer, TimePoint now);
     std::vector<GossipSend> leave(TimePoint now);
     std::vector<GossipSend> depart(TimePoint now);
@@ -139,8 +139,8 @@
     std::mt19937_64 m_random;
     MemberTable m_table;
     std::map<std::string, HostSeed> m_seeds;
-    // Set by the first list, whose hosts are pinged at once.
-    bool m_hasHostList = false;
+    // Set by the first current list. Hosts of the lists up to that one are pinged at once.
+    bool m_hasCurrentList = false;
     const TimePoint m_startedAt;
     // Peers watched by this host, in the order of their pings. Invariant: as many as the options
     // say, or all others if there are fewer, plus suspects that precede them in a ring.
--- a/src/runtime/fleet/membershipdriver.cpp
+++ b/src/runtime/fleet/membershipdriver.cpp
@@ -140,6 +140,9 @@
 // only after its view has been stable for some time. Measured with nine hosts that lost
 // power together: 10% of the homes were taken more than 0.15 s after the last host had
 // started; 5% with this read and the introductions of Membership (60 and 80 runs).
+//
+// A list without this host is older than its registration. When a fleet starts, hosts that take an
+// empty list for the fleet would consider themselves alone, take all homes and read the store for all.
 void MembershipDriver::fetchHostList()
 {
     m_store.hosts(Clock::now() + listTimeout, [this](const tl::expected<std::vector<ListedHost>, StoreError> &answer) {
@@ -148,12 +151,14 @@
         }
         if (answer) {
             std::vector<HostSeed> seeds;
+            bool isCurrent = false;
             for (const ListedHost &listed : *answer) {
                 seeds.push_back(HostSeed{listed.name, listed.zone, listed.address});
+                isCurrent = isCurrent || listed.name == m_self.name;
             }
             m_listedHosts = seeds.size();
-            auto sends = m_membership.onHostList(seeds, Clock::now());
-            m_hooks.zoneListed(m_membership.listedInZone());
+            auto sends = m_membership.onHostList(seeds, isCurrent, Clock::now());
+            m_hooks.zoneListed(m_membership.listedInZone(), isCurrent);
             deliver(sends);
         }
         readHostListLater();
--- a/src/runtime/fleet/membershipdriver.h
+++ b/src/runtime/fleet/membershipdriver.h
@@ -29,8 +29,9 @@
     std::function<void(const std::string &host, const CatalogVersion &version)> catalogAdvertised;
     // True when this host is the store reader of its zone.
     std::function<bool()> isStoreReader;
-    // Called with each host list: how many other hosts of this host's zone are on it.
-    std::function<void(std::size_t hosts)> zoneListed = [](std::size_t) {};
+    // Called with each host list: how many other hosts of this host's zone are on it, and whether
+    // it is current; see Membership::onHostList().
+    std::function<void(std::size_t hosts, bool isCurrent)> zoneListed = [](std::size_t, bool) {};
 };
 
 // Used from the control thread only.
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -307,7 +307,11 @@
                               [this](const std::string &host, const CatalogVersion &version) {
                                   m_configurationSource->noteKnownVersion(host, version);
                               },
-                              [this] { return isStoreReader(); }, [this](std::size_t hosts) { m_joinGate->onListed(hosts); }});
+                              [this] { return isStoreReader(); },
+                              [this](std::size_t hosts, bool isCurrent) {
+                                  m_joinGate->onListed(hosts, isCurrent, Clock::now());
+                                  joinWhenDue();
+                              }});
     ReaderSelectionOptions reader;
     m_mechanisms.applyTo(reader);
     m_configurationSource = m_parts.makeConfiguration(
--- a/src/runtime/host/mechanisms.cpp
+++ b/src/runtime/host/mechanisms.cpp
@@ -65,6 +65,7 @@
 {
     if (isOff("join-gate")) {
         joining.maxDelay = milliseconds{0};
+        joining.maxListLag = milliseconds{0};
         joining.settleTime = milliseconds{0};
     }
 }
--- a/testing/platform/platformstandin.cpp
+++ b/testing/platform/platformstandin.cpp
@@ -187,6 +187,7 @@
     // The store epoch sent with every answer; empty sends none.
     std::string epoch;
     bool restoresBeforeNextPage = false;
+    bool staleListsAreEmpty = false;
     std::vector<std::function<void()>> delayedChanges;
     std::function<bool(const PromotionOrder &)> promote;
     std::function<void(const json &)> members;
@@ -504,6 +505,9 @@
         if (after != query.end() && std::exchange(restoresBeforeNextPage, false)) {
             restoreCopy();
         }
+        if (name.empty() && staleListsAreEmpty && query.contains("allowStale")) {
+            return answer(http::status::ok, {{"items", json::array()}, {"hasMore", false}, {"currentRev", 0}});
+        }
         return outcomeOf(name.empty() ? kinds.list(kind, after == query.end() ? std::string() : after->second)
                                       : kinds.read(kind, name));
     }
@@ -859,6 +863,11 @@
     m_server->run([](Server &server) { server.restoresBeforeNextPage = true; });
 }
 
+void PlatformStandIn::emptyStaleLists(bool empty)
+{
+    m_server->run([empty](Server &server) { server.staleListsAreEmpty = empty; });
+}
+
 void PlatformStandIn::setEpoch(std::string epoch)
 {
     m_server->run([&epoch](Server &server) { server.epoch = std::move(epoch); });
--- a/testing/platform/platformstandin.h
+++ b/testing/platform/platformstandin.h
@@ -99,6 +99,8 @@
     void restoreCopy();
     // Calls restoreCopy() between two pages of the next list.
     void restoreBeforeNextPage();
+    // While set, lists that may be stale are empty, as before the first registration of a host.
+    void emptyStaleLists(bool empty);
     // Sets the store epoch sent with answers; empty sends none.
     void setEpoch(std::string epoch);
     void setPageSize(std::size_t objects);
--- a/tests/platform/host_test.cpp
+++ b/tests/platform/host_test.cpp
@@ -371,6 +371,22 @@
     BOOST_TEST(client.run("READ without").succeeded());
 }
 
+// Guards against hosts that each take all homes and read the store for all others after a start of
+// the whole fleet: the list of hosts may be older than that start.
+BOOST_AUTO_TEST_CASE(ThatStartTogetherDoNotTakeThemselvesForAlone)
+{
+    PlatformSite site(0);
+    site.platform.emptyStaleLists(true);
+    site.startHost("h1", "a");
+    site.startHost("h2", "a");
+    std::this_thread::sleep_for(milliseconds{2500});
+    BOOST_TEST(site.platform.calls().watches == 0U, "hosts with an outdated list read the store for others");
+    site.platform.emptyStaleLists(false);
+    for (const std::string &address : site.addresses) {
+        BOOST_TEST(eventually([&] { return PlatformSite::serves(address); }));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(NeverExceedTheUpstreamsConnections)
 {
     PlatformSite site(3);
