Introduce starting hosts to other zones of a large fleet as well

Cause: a starting host pings 24 listed hosts at once, those of its own zone first. In zones of more than 24 hosts no host of another zone is among them, and zones find each other only by the pings of missing hosts, one in five periods.

Change: eight of the 24 are hosts of other zones when more than 24 are listed. Smaller fleets ping whom they pinged, in the same order.

--- a/include/egrettide/core/membership.h
+++ b/include/egrettide/core/membership.h
@@ -150,9 +150,10 @@
     double suspicionTicksPerBit = 0.75;
     // Peers asked to probe a silent host indirectly.
     int helpers = 2;
-    // Hosts of the first list that are pinged at once. A zone has up to 17 hosts; the bound keeps
-    // the number from growing with the fleet.
+    // Hosts of a starting host's list that are pinged at once, those of its zone before the others,
+    // and how many of other zones are among them however large its zone is.
     std::size_t introductions = 24;
+    std::size_t introductionsElsewhere = 8;
     // Limits of what one heartbeat carries.
     std::size_t recordsPerMessage = 4;
     std::size_t healthNotesPerMessage = 24;
--- a/src/core/fleet/membership.cpp
+++ b/src/core/fleet/membership.cpp
@@ -96,9 +96,15 @@
         }
     }
     std::shuffle(uncontacted.begin(), uncontacted.end(), m_random);
-    std::stable_partition(uncontacted.begin(), uncontacted.end(),
-                          [this](const HostSeed *seed) { return seed->zone == m_self.zone; });
-    uncontacted.resize(std::min(uncontacted.size(), m_options.introductions));
+    const auto elsewhere = std::stable_partition(uncontacted.begin(), uncontacted.end(),
+                                                 [this](const HostSeed *seed) { return seed->zone == m_self.zone; });
+    if (uncontacted.size() > m_options.introductions) {
+        // The zones of a large fleet find each other only through introductions to other zones.
+        const auto reserved =
+            std::min(static_cast<std::ptrdiff_t>(m_options.introductionsElsewhere), uncontacted.end() - elsewhere);
+        std::rotate(uncontacted.begin(), elsewhere, elsewhere + reserved);
+        uncontacted.resize(m_options.introductions);
+    }
     for (const HostSeed *seed : uncontacted) {
         GossipMessage introduction = message(GossipKind::Ping, ++m_sequence);
         introduction.target = seed->name;
--- a/tests/core/membership_test.cpp
+++ b/tests/core/membership_test.cpp
@@ -513,6 +513,35 @@
     }
 }
 
+// Guards against hosts that stay alone for seconds because the list that they read first was older
+// than the start of all of them: later lists were not pinged, and an empty list counted as a
+// discovered zone.
+BOOST_AUTO_TEST_CASE(KnowsAllHostsSoonAfterAnOutdatedList)
+{
+    for (const int hosts : {16, 128}) {
+        GossipFleet fleet(59);
+        std::vector<HostSeed> seeds;
+        for (int i = 0; i < hosts; ++i) {
+            seeds.push_back(HostSeed{GossipFleet::nameOf(i), GossipFleet::zoneOf(i, 4), GossipFleet::addressOf(i)});
+        }
+        for (int i = 0; i < hosts; ++i) {
+            fleet.start(GossipFleet::nameOf(i), GossipFleet::zoneOf(i, 4), i, 1000, {}, false);
+            BOOST_TEST(!fleet.host(GossipFleet::nameOf(i)).hasDiscoveredZone(), "an outdated list does not show the zone");
+        }
+        fleet.runFor(seconds{1});
+        for (int i = 0; i < hosts; ++i) {
+            fleet.list(GossipFleet::nameOf(i), seeds);
+        }
+        const auto known = fleet.runUntil(seconds{30}, [&] {
+            return std::ranges::all_of(fleet.names(), [&](const std::string &name) {
+                return fleet.host(name).liveCount() == static_cast<std::size_t>(hosts);
+            });
+        });
+        BOOST_REQUIRE(known.has_value());
+        BOOST_TEST(known->count() <= 1000, hosts << " hosts know each other only after " << known->count() << " ms");
+    }
+}
+
 // Guards against a fleet whose hosts all ask one host for the newest copy.
 BOOST_AUTO_TEST_CASE(AsksDifferentHostsForANewerCopy)
 {
