--- a/tests/runtime/storefleet.h
+++ b/tests/runtime/storefleet.h
@@ -45,6 +45,7 @@
         CollectionSource source;
         source.list = [this, host, kind](TimePoint, const auto &handler) {
             ++m_calls[host];
+            ++m_lists[kind];
             boost::asio::post(m_context, [this, host, kind, handler] { list(host, kind, handler); });
         };
         source.changes = [this, host, kind](std::uint64_t since, TimePoint deadline, const auto &handler) {
@@ -113,6 +114,13 @@
         return m_calls;
     }
 
+    // How often a collection was listed, by all hosts together.
+    int listsOf(const std::string &kind) const
+    {
+        const auto found = m_lists.find(kind);
+        return found == m_lists.end() ? 0 : found->second;
+    }
+
     // A list is answered in parts of so many objects.
     std::size_t pageSize = 500;
 
@@ -216,6 +224,7 @@
     std::uint64_t m_epoch = 0;
     std::vector<Watch> m_waiting;
     std::map<std::string, int> m_calls;
+    std::map<std::string, int> m_lists;
     std::set<std::string> m_cut;
     bool m_down = false;
 };
