--- a/tests/runtime/storefleet.h
+++ b/tests/runtime/storefleet.h
@@ -43,9 +43,13 @@
     CollectionSource sourceFor(const std::string &host, const std::string &kind)
     {
         CollectionSource source;
-        source.list = [this, host, kind](TimePoint, const auto &handler) {
+        source.list = [this, host, kind](TimePoint deadline, const auto &handler) {
             ++m_calls[host];
             ++m_lists[kind];
+            if (m_silent.contains(host)) {
+                m_unanswered.push_back({deadline, [handler] { handler(tl::unexpected(CollectionFailure::Unavailable)); }});
+                return;
+            }
             boost::asio::post(m_context, [this, host, kind, handler] { list(host, kind, handler); });
         };
         source.changes = [this, host, kind](std::uint64_t since, TimePoint deadline, const auto &handler) {
@@ -59,9 +63,13 @@
     // Answers all waiting calls that are due; called often.
     void answerDue()
     {
+        failUnansweredCalls();
         std::vector<Watch> waiting = std::exchange(m_waiting, {});
         for (Watch &watch : waiting) {
-            if (isAwayFor(watch.host)) {
+            const bool isSilent = m_silent.contains(watch.host);
+            if (isSilent && Clock::now() < watch.deadline) {
+                m_waiting.push_back(std::move(watch));
+            } else if (isSilent || isAwayFor(watch.host)) {
                 watch.handler(tl::unexpected(CollectionFailure::Unavailable));
             } else if (!answer(watch)) {
                 m_waiting.push_back(std::move(watch));
@@ -79,6 +87,12 @@
         cut ? (void)m_cut.insert(host) : (void)m_cut.erase(host);
     }
 
+    // Leaves all calls of this host without an answer, so that they fail at their deadlines.
+    void silence(const std::string &host, bool silent)
+    {
+        silent ? (void)m_silent.insert(host) : (void)m_silent.erase(host);
+    }
+
     // Discards the waiting calls of this host, so that they are never answered.
     void loseAnswersOf(const std::string &host)
     {
@@ -136,6 +150,23 @@
         ChangesHandler handler;
     };
 
+    struct UnansweredCall {
+        TimePoint deadline;
+        std::function<void()> fail;
+    };
+
+    void failUnansweredCalls()
+    {
+        std::vector<UnansweredCall> calls = std::exchange(m_unanswered, {});
+        for (UnansweredCall &call : calls) {
+            if (Clock::now() < call.deadline) {
+                m_unanswered.push_back(std::move(call));
+            } else {
+                call.fail();
+            }
+        }
+    }
+
     bool isAwayFor(const std::string &host) const
     {
         return m_down || m_cut.contains(host);
@@ -226,6 +257,8 @@
     std::map<std::string, int> m_calls;
     std::map<std::string, int> m_lists;
     std::set<std::string> m_cut;
+    std::set<std::string> m_silent;
+    std::vector<UnansweredCall> m_unanswered;
     bool m_down = false;
 };
 
