Let any host of a zone read the store once its readers are no longer confirmed

What callers saw: a host that reaches the store refuses an added route, or serves a removed one, seconds after the change was confirmed (CONFIG on three sites).

Cause: delays that are each within the bound were taken one after the other. Whether a reader reaches the store showed at the end of its waiting call of 2.5 s; only then the next candidate began, with a wait as long; the fourth candidate of a zone never read at all.

Change: the age of a zone's newest answer decides, and nobody waits for another's failure. - Readers tell their zone of each answer (a flag of CatalogOffer, unknown to older hosts).

--- a/include/egrettide/core/readerselection.h
+++ b/include/egrettide/core/readerselection.h
@@ -6,6 +6,7 @@
 #include "egrettide/core/types.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -23,6 +24,15 @@
     milliseconds handOverValidity{3000};
     // The interval at which such a reader repeats the hand-over.
     milliseconds handOverInterval{1000};
+    // The age of the zone's newest confirmation at which other hosts begin to read. A reader's two
+    // waiting calls end alternately, at most 1.4 s apart; the rest is for an answer that is late
+    // and for its way to the zone.
+    milliseconds confirmationBound{1600};
+    // How long a stand-in reads before the next ones begin: the time for one answered call and
+    // the way of its confirmation to the zone.
+    milliseconds standInStep{300};
+    // While nobody confirms, each host beyond `maxReaders` tries again after this many steps.
+    std::uint32_t standInCycle = 13;
     // Disables the selection: every host reads the store itself.
     bool allHostsRead = false;
 };
@@ -32,6 +42,12 @@
 // and keeps trying. Two readers at once are harmless, whereas without a reader a new
 // configuration does not come into force; in doubt, one more host reads.
 //
+// Readers tell their zone of each answer of the store (a confirmation). When none has arrived for
+// `confirmationBound`, hosts stand in by their rank, in steps of twice as many hosts each, until
+// one of them confirms. So the delay until any host that reaches the store reads it grows with the
+// logarithm of the zone's size, whichever other hosts do not reach it, and no reader's failure is
+// waited for after another's.
+//
 // Pure: the time is passed in. Not thread-safe.
 class ReaderSelection
 {
@@ -45,16 +61,28 @@
     void onStoreReachable(bool reachable);
     // Records that the preceding candidate reported that it does not reach the store.
     void onHandOver(TimePoint now);
+    // Records that this host has a copy to keep current; it stands in for nobody before.
+    void onCopyKnown(TimePoint now);
+    // Records that the store answered this host.
+    void onStoreAnswered(TimePoint now);
+    // Records that `host`, another reader of the zone, reported an answer of the store.
+    void onConfirmed(const std::string &host, TimePoint now);
 
     // True while this host is a reader, which has to watch the store for changes.
     bool isReader(TimePoint now) const;
+    // The next time after `now` at which this host may become a reader without another event.
+    TimePoint nextCheckAt(TimePoint now) const;
+    // The time since the zone's newest confirmation, as far as this host knows; zero before the first.
+    milliseconds confirmationAge(TimePoint now) const;
     // The host to which this reader has to send a hand-over at `now`, because it does not
     // reach the store; nothing if none is due.
     std::optional<std::string> handOverTarget(TimePoint now);
 
 private:
-    // The host's index among the candidates; nothing if it is leaving and so not among them.
-    std::optional<std::size_t> rank() const;
+    // A host's index among the candidates; nothing if it is leaving and so not among them.
+    std::optional<std::size_t> rankOf(const std::string &host) const;
+    bool isUnconfirmed(TimePoint now) const;
+    bool standsIn(std::size_t rank, TimePoint now) const;
 
     const std::string m_self;
     const ReaderSelectionOptions m_options;
@@ -63,6 +91,10 @@
     bool m_storeReachable = true;
     TimePoint m_handedOverUntil;
     TimePoint m_nextHandOverAt;
+    // The newest confirmation by another host; before one arrives, when this host got its copy.
+    std::optional<TimePoint> m_confirmedAt;
+    // The store's newest answer to this host as a reader; empty once a preceding host confirms.
+    std::optional<TimePoint> m_answeredAt;
 };
 
 } // namespace egrettide
--- a/src/runtime/configuration/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -21,6 +21,10 @@
 // never answers while the connection stays up, the host detects it only at the end of the call,
 // and a configuration must be in force 3 s after it was accepted.
 constexpr milliseconds changesTimeout{2500};
+// The time for a waiting call that has to show whether the store answers. It leaves a slow store
+// some tenths of a second, and doubles while calls fail.
+constexpr milliseconds pathCheckTimeout{450};
+constexpr int maxPathCheckDoublings = 2;
 // The pause before the next call after a change: without it, 24 upstreams that register one by
 // one cause 24 calls from each of 73 hosts. The pause counts toward the 3 s within which a
 // configuration must be in force.
@@ -83,6 +87,11 @@
     return m_copy.isKnown();
 }
 
+std::optional<TimePoint> CollectionFollower::waitsUntil() const
+{
+    return m_waitsUntil;
+}
+
 const CollectionCopy &CollectionFollower::copy() const
 {
     return m_copy;
@@ -111,6 +120,15 @@
     if (m_waits && m_listed && !m_busy) {
         // The copy came from other hosts until now and may be some changes behind.
         m_listsNext = isBulky();
+        m_checksPath = true;
+        callNext();
+    }
+}
+
+void CollectionFollower::resume()
+{
+    if (m_defers && m_timer.cancel() != 0) {
+        m_busy = false;
         callNext();
     }
 }
@@ -191,6 +209,7 @@
     const std::size_t bytes = m_parts.bytes;
     const bool changed = applyListed();
     noteSize(bytes);
+    m_hooks.answered();
     if (changed) {
         pauseAfterChange(bytes);
     } else {
@@ -247,32 +266,42 @@
 void CollectionFollower::wait()
 {
     m_busy = true;
-    m_source.changes(through(), Clock::now() + changesTimeout,
-                     [this](tl::expected<CollectionChanges, CollectionFailure> changes) {
-                         if (m_stopped) {
-                             return;
-                         }
-                         if (changes) {
-                             setReached(true);
-                             m_listBackoff = firstBackoff;
-                             const std::size_t count = changes->changes.size();
-                             const std::size_t bytes = changes->bytes;
-                             apply(std::move(*changes));
-                             if (count == 0) {
-                                 goOn(milliseconds{0});
-                             } else {
-                                 m_objectBytes = std::max(m_objectBytes, bytes / count);
-                                 m_bytes = std::max(m_bytes, m_objectBytes);
-                                 pauseAfterChange(bytes);
-                             }
-                             return;
-                         }
-                         if (changes.error() == CollectionFailure::HistoryGone) {
-                             listAgain();
-                         } else {
-                             retry();
-                         }
-                     });
+    const TimePoint now = Clock::now();
+    const bool checksPath = std::exchange(m_checksPath, false);
+    m_waitsUntil = checksPath
+        ? now + pathCheckTimeout * (1 << std::min(m_failedCalls, maxPathCheckDoublings)) + m_hooks.pauseAfter(m_objectBytes)
+        : m_hooks.waitEnd(now + changesTimeout);
+    m_source.changes(through(), *m_waitsUntil,
+                     [this](tl::expected<CollectionChanges, CollectionFailure> changes) { onChanges(std::move(changes)); });
+}
+
+void CollectionFollower::onChanges(tl::expected<CollectionChanges, CollectionFailure> changes)
+{
+    if (m_stopped) {
+        return;
+    }
+    m_waitsUntil.reset();
+    if (!changes) {
+        if (changes.error() == CollectionFailure::HistoryGone) {
+            listAgain();
+        } else {
+            retry();
+        }
+        return;
+    }
+    setReached(true);
+    m_listBackoff = firstBackoff;
+    const std::size_t count = changes->changes.size();
+    const std::size_t bytes = changes->bytes;
+    apply(std::move(*changes));
+    m_hooks.answered();
+    if (count == 0) {
+        goOn(milliseconds{0});
+        return;
+    }
+    m_objectBytes = std::max(m_objectBytes, bytes / count);
+    m_bytes = std::max(m_bytes, m_objectBytes);
+    pauseAfterChange(bytes);
 }
 
 // The store answers, so it counts as reached. A successful list does not show that the next wait
@@ -322,7 +351,10 @@
 
 void CollectionFollower::callNext()
 {
-    if (!m_listed || m_listsNext) {
+    m_defers = m_hooks.defersCalls();
+    if (m_defers) {
+        callAfter(lastBackoff);
+    } else if (!m_listed || m_listsNext) {
         list();
     } else {
         wait();
@@ -351,6 +383,8 @@
 void CollectionFollower::retry()
 {
     setReached(false);
+    ++m_failedCalls;
+    m_checksPath = true;
     // The changes since then may be more than the link carries within the time of a call.
     m_listsNext = isBulky();
     const milliseconds pause = m_backoff;
@@ -362,6 +396,7 @@
 {
     if (reached) {
         m_backoff = firstBackoff;
+        m_failedCalls = 0;
     }
     if (reached != m_reached) {
         m_reached = reached;
--- a/src/runtime/configuration/collection.h
+++ b/src/runtime/configuration/collection.h
@@ -81,6 +81,13 @@
     std::function<void(const CollectionCopy &copy, const TouchedNames &touched)> changed;
     // Called when the store stops answering, and when it answers again.
     std::function<void(bool reached)> reachability;
+    // Called after each complete answer of the store, once its content is in the copy.
+    std::function<void()> answered = [] {};
+    // True while another collection of the same store is called to see whether the store answers
+    // again. This one then makes no calls, until resume().
+    std::function<bool()> defersCalls = [] { return false; };
+    // Decides when a call ends that waits for changes and may last until `latest`.
+    std::function<TimePoint(TimePoint latest)> waitEnd = [](TimePoint latest) { return latest; };
     // Called when the store listed an older state than the known one; the list was discarded.
     std::function<void(std::uint64_t listed, std::uint64_t known)> olderListed = [](std::uint64_t, std::uint64_t) {};
     // The minimum pause before the next call after an answer of that size.
@@ -104,6 +111,8 @@
     void stop();
     // Sets whether this host itself waits for the store's changes.
     void setWaiting(bool waits);
+    // Makes the call that was deferred, if there is one.
+    void resume();
     // Takes over changes from another host, which took `bytes` on the link. Returns the names of
     // the objects that changed; nothing when the delta is not newer or does not continue this
     // copy. Does not call `changed`.
@@ -111,6 +120,8 @@
     // See CollectionCopy::noteContent().
     void noteContent(std::uint64_t revision);
 
+    // The deadline of the call that waits for changes; nothing while there is none.
+    std::optional<TimePoint> waitsUntil() const;
     // False until the collection has been listed once, and while the store does not answer.
     bool isReached() const;
     // True once the store or another host has provided the objects.
@@ -132,6 +143,7 @@
     bool isBulky() const;
     TimePoint listDeadline() const;
     void wait();
+    void onChanges(tl::expected<CollectionChanges, CollectionFailure> changes);
     void goOn(milliseconds pause);
     void callAfter(milliseconds pause);
     void callNext();
@@ -147,6 +159,13 @@
     // The known revision for which an older list was last reported.
     std::uint64_t m_olderNotedAt = 0;
     bool m_waits = false;
+    // True when the next waiting call has to show soon whether the store answers.
+    bool m_checksPath = false;
+    // Calls that failed since the store last answered.
+    int m_failedCalls = 0;
+    // True while a call is deferred, with its timer running.
+    bool m_defers = false;
+    std::optional<TimePoint> m_waitsUntil;
     // True while changes are read by listing, so that a series of changes to an object is
     // transferred once.
     bool m_listsNext = false;
--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -3,6 +3,7 @@
 #include "runtime/configuration/discoveredconfiguration.h"
 
 #include "egrettide/core/storeepoch.h"
+#include "egrettide/core/waitstagger.h"
 #include "runtime/host/freememory.h"
 #include "runtime/host/log.h"
 #include "wire/difference.h"
@@ -97,19 +98,31 @@
     , m_random(digestOf(self))
     , m_selection(std::move(self), m_hooks.reader)
     , m_intentFollower(control, m_parts.intent,
-                       followerHooks("store_intent", [this](const TouchedNames &) { onIntentChanged(); }))
-    , m_registrationFollower(
-          control, m_parts.registrations,
-          followerHooks("store_registrations", [this](const TouchedNames &touched) { onRegistrationsChanged(touched); }))
+                       followerHooks(
+                           "store_intent", [this](const TouchedNames &) { onIntentChanged(); },
+                           [this] { return m_registrationFollower.waitsUntil(); }))
+    , m_registrationFollower(control, m_parts.registrations,
+                             followerHooks(
+                                 "store_registrations", [this](const TouchedNames &touched) { onRegistrationsChanged(touched); },
+                                 [this] { return m_intentFollower.waitsUntil(); },
+                                 [this] { return !m_intentFollower.isReached(); }))
 {
 }
 
+// `otherWait` is the deadline of the other collection's waiting call; `defers` is that of CollectionFollowerHooks.
 CollectionFollowerHooks DiscoveredConfiguration::followerHooks(std::string_view collection,
-                                                               std::function<void(const TouchedNames &touched)> changed)
+                                                               std::function<void(const TouchedNames &touched)> changed,
+                                                               std::function<std::optional<TimePoint>()> otherWait,
+                                                               std::function<bool()> defers)
 {
     CollectionFollowerHooks hooks;
     hooks.changed = [changed = std::move(changed)](const CollectionCopy &, const TouchedNames &touched) { changed(touched); };
     hooks.reachability = [this, collection](bool reached) { onReachability(collection, reached); };
+    hooks.defersCalls = std::move(defers);
+    hooks.waitEnd = [otherWait = std::move(otherWait)](TimePoint latest) {
+        return staggeredEnd(Clock::now(), latest, otherWait());
+    };
+    hooks.answered = [this] { onStoreAnswered(); };
     hooks.olderListed = [collection](std::uint64_t listed, std::uint64_t known) {
         log::warning("store_list_older", {{"collection", std::string(collection)}, {"listed", listed}, {"known", known}});
     };
@@ -338,6 +351,7 @@
     for (const SupersededUpstream &old : m_succession.removeSuperseded(next)) {
         log::info("upstream_superseded", {{"upstream", old.name}, {"address", old.address}, {"by", old.successor}});
     }
+    m_selection.onCopyKnown(Clock::now());
     m_current = std::make_shared<const Configuration>(std::move(next));
     m_hooks.accepted(m_current);
 }
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -107,7 +107,9 @@
     const DiscoveryWork &work() const;
 
 private:
-    CollectionFollowerHooks followerHooks(std::string_view collection, std::function<void(const TouchedNames &touched)> changed);
+    CollectionFollowerHooks followerHooks(
+        std::string_view collection, std::function<void(const TouchedNames &touched)> changed,
+        std::function<std::optional<TimePoint>()> otherWait, std::function<bool()> defers = [] { return false; });
     void onIntentChanged();
     bool acceptIntent(NamedObjects objects, std::string text, const std::string &source);
     void onRegistrationsChanged(const TouchedNames &touched);
@@ -124,13 +126,15 @@
     void checkReaderRole();
     void scheduleRoleCheck();
     void onReachability(std::string_view collection, bool reached);
+    void onStoreAnswered();
+    void confirmToZone();
     CatalogVersion version() const;
     CatalogRevisions through() const;
     bool lacks(const CatalogVersion &reported) const;
     void informZone();
     hop::CatalogPush zonePush(std::uint64_t intentDigest);
     void offerToSome();
-    void onVersionReported(const std::string &host, const CatalogVersion &reported);
+    void onVersionReported(const std::string &host, const CatalogVersion &reported, bool readsStore = false);
     void pullFrom(const std::string &host, std::uint64_t heldDigest);
     void servePulls();
     void addRegistrations(hop::CatalogPush &push, std::uint64_t held);
@@ -158,6 +162,8 @@
     // to which the registrations were complete, and the digest of the intent.
     std::uint64_t m_informedThrough = 0;
     std::uint64_t m_informedDigest = 0;
+    // The earliest time of the next confirmation to the zone.
+    TimePoint m_confirmBefore;
     // True during the pause after a push, which leaves the link to other traffic.
     bool m_pausesPushes = false;
     // The host of this zone that is preferred as store reader; empty while none is known.
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -38,6 +38,8 @@
 // Each host announces a newer copy to this many others, of any zone, so that a host which has
 // lost its zone's readers is informed before the heartbeats.
 constexpr std::size_t offersPerHost = 2;
+// Minimum time between two confirmations to the zone.
+constexpr milliseconds confirmSpacing{500};
 
 } // namespace
 
@@ -57,7 +59,8 @@
     m_selection.onStoreReachable(m_intentFollower.isReached() && m_registrationFollower.isReached());
     if (m_selection.isReader(now) != m_isReader) {
         m_isReader = !m_isReader;
-        log::info("store_reader", {{"reads", m_isReader}});
+        log::info("store_reader",
+                  {{"reads", m_isReader}, {"confirmed_ms_ago", static_cast<int>(m_selection.confirmationAge(now).count())}});
         m_behindSince.reset();
         m_informedThrough = m_registrationFollower.through();
         m_informedDigest = m_texts.digest();
@@ -77,7 +80,8 @@
 
 void DiscoveredConfiguration::scheduleRoleCheck()
 {
-    m_roleTimer.expires_after(roleCheckInterval);
+    const TimePoint now = Clock::now();
+    m_roleTimer.expires_at(std::min(now + roleCheckInterval, m_selection.nextCheckAt(now)));
     m_roleTimer.async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled) {
             checkReaderRole();
@@ -89,10 +93,34 @@
 {
     log::info(std::string(collection), {{"reached", reached}});
     checkReaderRole();
+    if (m_intentFollower.isReached()) {
+        m_registrationFollower.resume();
+    }
+}
+
+void DiscoveredConfiguration::onStoreAnswered()
+{
+    m_selection.onStoreAnswered(Clock::now());
+    checkReaderRole();
+    if (m_isReader) {
+        confirmToZone();
+    }
 }
 
 // Informing other hosts.
 
+void DiscoveredConfiguration::confirmToZone()
+{
+    const TimePoint now = Clock::now();
+    if (!m_current || now < m_confirmBefore) {
+        return;
+    }
+    m_confirmBefore = now + confirmSpacing;
+    for (const std::string &host : m_hooks.zone().mates) {
+        m_hooks.send(host, hop::CatalogOffer{version(), true, true});
+    }
+}
+
 CatalogVersion DiscoveredConfiguration::version() const
 {
     return {m_intentVersion.value_or(0), m_registrationFollower.contentRevision()};
@@ -127,7 +155,7 @@
         if (isSmall) {
             m_hooks.send(host, push);
         } else {
-            m_hooks.send(host, hop::CatalogOffer{version()});
+            m_hooks.send(host, hop::CatalogOffer{version(), true, true});
         }
     }
     offerToSome();
@@ -184,10 +212,14 @@
         m_selection.onHandOver(Clock::now());
         checkReaderRole();
     }
-    onVersionReported(from, offer.version);
+    if (offer.confirmed) {
+        m_selection.onConfirmed(from, Clock::now());
+    }
+    onVersionReported(from, offer.version, offer.confirmed);
 }
 
-void DiscoveredConfiguration::onVersionReported(const std::string &host, const CatalogVersion &reported)
+// `readsStore` is true when the host reads the store for this host's zone.
+void DiscoveredConfiguration::onVersionReported(const std::string &host, const CatalogVersion &reported, bool readsStore)
 {
     const TimePoint now = Clock::now();
     if (!lacks(reported)) {
@@ -200,7 +232,7 @@
     if (StoreRevision::fromOrdered(reported.registrations).epoch > storeEpoch()) {
         m_newerEpochSince = m_newerEpochSince.value_or(now);
     }
-    if (m_hasCaughtUp && host != m_zoneReader) {
+    if (m_hasCaughtUp && host != m_zoneReader && !readsStore) {
         // While changes follow each other some other host is always ahead; what counts is whether
         // this host lacks one for long.
         if (!m_behindSince || !lacks(m_behindVersion)) {
--- a/src/wire/hop_generated.h
+++ b/src/wire/hop_generated.h
@@ -2685,7 +2685,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INTENT = 4,
     VT_REGISTRATIONS = 6,
-    VT_READS_STORE = 8
+    VT_READS_STORE = 8,
+    VT_CONFIRMED = 10
   };
   uint64_t intent() const {
     return GetField<uint64_t>(VT_INTENT, 0);
@@ -2696,11 +2697,15 @@
   bool reads_store() const {
     return GetField<uint8_t>(VT_READS_STORE, 1) != 0;
   }
+  bool confirmed() const {
+    return GetField<uint8_t>(VT_CONFIRMED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_INTENT, 8) &&
            VerifyField<uint64_t>(verifier, VT_REGISTRATIONS, 8) &&
            VerifyField<uint8_t>(verifier, VT_READS_STORE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_CONFIRMED, 1) &&
            verifier.EndTable();
   }
 };
@@ -2718,6 +2723,9 @@
   void add_reads_store(bool reads_store) {
     fbb_.AddElement<uint8_t>(CatalogOffer::VT_READS_STORE, static_cast<uint8_t>(reads_store), 1);
   }
+  void add_confirmed(bool confirmed) {
+    fbb_.AddElement<uint8_t>(CatalogOffer::VT_CONFIRMED, static_cast<uint8_t>(confirmed), 0);
+  }
   explicit CatalogOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2733,10 +2741,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t intent = 0,
     uint64_t registrations = 0,
-    bool reads_store = true) {
+    bool reads_store = true,
+    bool confirmed = false) {
   CatalogOfferBuilder builder_(_fbb);
   builder_.add_registrations(registrations);
   builder_.add_intent(intent);
+  builder_.add_confirmed(confirmed);
   builder_.add_reads_store(reads_store);
   return builder_.Finish();
 }
--- a/src/wire/hopcodec.cpp
+++ b/src/wire/hopcodec.cpp
@@ -272,9 +272,9 @@
 
     PackedBody operator()(const CatalogOffer &message) const
     {
-        return body(
-            wire::HopBody_CatalogOffer,
-            wire::CreateCatalogOffer(m_builder, message.version.intent, message.version.registrations, message.readsStore));
+        return body(wire::HopBody_CatalogOffer,
+                    wire::CreateCatalogOffer(m_builder, message.version.intent, message.version.registrations, message.readsStore,
+                                             message.confirmed));
     }
 
     PackedBody operator()(const CatalogPull &message) const
@@ -682,7 +682,7 @@
         return Ping{frame.body_as_Ping()->number(), frame.body_as_Ping()->answer()};
     case wire::HopBody_CatalogOffer: {
         const wire::CatalogOffer &offer = *frame.body_as_CatalogOffer();
-        return CatalogOffer{{offer.intent(), offer.registrations()}, offer.reads_store()};
+        return CatalogOffer{{offer.intent(), offer.registrations()}, offer.reads_store(), offer.confirmed()};
     }
     case wire::HopBody_CatalogPull: {
         const wire::CatalogPull &pull = *frame.body_as_CatalogPull();
--- a/src/wire/hopcodec.h
+++ b/src/wire/hopcodec.h
@@ -165,6 +165,9 @@
     // False when the sender is to read the store for its zone and can't reach it: the
     // receiver has to read it instead.
     bool readsStore = true;
+    // True when the sender reads the store for the receiver's zone and has just been answered:
+    // the version was the newest one then.
+    bool confirmed = false;
 };
 
 // Requests the catalog of the receiver; the sender has this version.
--- a/tests/core/hopcodec_test.cpp
+++ b/tests/core/hopcodec_test.cpp
@@ -321,8 +321,8 @@
         const auto push = std::get<ConfigPush>(roundTrip(ConfigPush{number, one}));
         RC_ASSERT(push.version == number && push.json == one);
         const CatalogVersion version{number, number + 1};
-        const auto offer = std::get<CatalogOffer>(roundTrip(CatalogOffer{version, flag}));
-        RC_ASSERT(offer.version == version && offer.readsStore == flag);
+        const auto offer = std::get<CatalogOffer>(roundTrip(CatalogOffer{version, flag, !flag}));
+        RC_ASSERT(offer.version == version && offer.readsStore == flag && offer.confirmed == !flag);
         const auto pull = std::get<CatalogPull>(roundTrip(CatalogPull{version, number, number + 1}));
         RC_ASSERT(pull.version == version && pull.digest == number && pull.registrationsThrough == number + 1);
         const auto catalog = std::get<CatalogPush>(
