Let few hosts of a large zone read the first intent when they start together

A host without a list of hosts took itself for its zone's only one and read for the zone as well.

Change: the first three of a zone read the first intent; the others receive it from them, or read after 3 to 6 s. In a zone of up to eight listed hosts all read as before, once the list is there. A host without a list reads for nobody for 5 s. Ruled out: to delay all hosts by a random time, which small deployments would pay at each restart.

--- a/include/egrettide/core/readerselection.h
+++ b/include/egrettide/core/readerselection.h
@@ -33,6 +33,10 @@
     milliseconds standInStep{300};
     // While nobody confirms, each host beyond `maxReaders` tries again after this many steps.
     std::uint32_t standInCycle = 13;
+    // In a zone of up to this many hosts, each reads its first copy itself; in a larger one the
+    // first `maxReaders` do, and the others receive theirs from them. A fleet that starts together
+    // would otherwise wait for more than the store's link carries.
+    std::size_t maxStartupReaders = 8;
     // Disables the selection: every host reads the store itself.
     bool allHostsRead = false;
 };
@@ -68,6 +72,9 @@
     // Records that `host`, another reader of the zone, reported an answer of the store.
     void onConfirmed(const std::string &host, TimePoint now);
 
+    // Whether this host, which holds no copy yet, reads its first one itself. `listedHosts` is the
+    // number of the zone's hosts on the store's list, if that is known.
+    bool readsFirstCopy(std::optional<std::size_t> listedHosts) const;
     // True while this host is a reader, which has to watch the store for changes.
     bool isReader(TimePoint now) const;
     // The next time after `now` at which this host may become a reader without another event.
--- a/src/core/configuration/readerselection.cpp
+++ b/src/core/configuration/readerselection.cpp
@@ -76,6 +76,15 @@
     return static_cast<std::size_t>(found - m_candidates.begin());
 }
 
+bool ReaderSelection::readsFirstCopy(std::optional<std::size_t> listedHosts) const
+{
+    if (m_options.allHostsRead || (listedHosts && *listedHosts <= m_options.maxStartupReaders)) {
+        return true;
+    }
+    const auto own = rankOf(m_self);
+    return m_candidatesKnown && (m_candidates.empty() || (own && *own < m_options.maxReaders));
+}
+
 bool ReaderSelection::isReader(TimePoint now) const
 {
     if (m_options.allHostsRead) {
--- a/src/runtime/configuration/collection.cpp
+++ b/src/runtime/configuration/collection.cpp
@@ -87,6 +87,11 @@
     return m_copy.isKnown();
 }
 
+bool CollectionFollower::isProbing() const
+{
+    return m_failedCalls > 0 && (m_waits || !m_listed);
+}
+
 std::optional<TimePoint> CollectionFollower::waitsUntil() const
 {
     return m_waitsUntil;
--- a/src/runtime/configuration/collection.h
+++ b/src/runtime/configuration/collection.h
@@ -122,6 +122,8 @@
 
     // The deadline of the call that waits for changes; nothing while there is none.
     std::optional<TimePoint> waitsUntil() const;
+    // True while calls are repeated because the store does not answer.
+    bool isProbing() const;
     // False until the collection has been listed once, and while the store does not answer.
     bool isReached() const;
     // True once the store or another host has provided the objects.
--- a/src/runtime/configuration/configurationsource.h
+++ b/src/runtime/configuration/configurationsource.h
@@ -73,6 +73,10 @@
     virtual void onCatalogPush(const std::string & /*from*/, const hop::CatalogPush & /*push*/)
     {
     }
+    // The store listed so many hosts of this host's zone.
+    virtual void onZoneListed(std::size_t /*hosts*/)
+    {
+    }
     // A heartbeat reported that `host` announces `version`; see announced().
     virtual void noteKnownVersion(const std::string &host, const CatalogVersion &version) = 0;
 
--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -105,7 +105,7 @@
                              followerHooks(
                                  "store_registrations", [this](const TouchedNames &touched) { onRegistrationsChanged(touched); },
                                  [this] { return m_intentFollower.waitsUntil(); },
-                                 [this] { return !m_intentFollower.isReached(); }))
+                                 [this] { return m_intentFollower.isProbing(); }))
 {
 }
 
@@ -127,16 +127,19 @@
         log::warning("store_list_older", {{"collection", std::string(collection)}, {"listed", listed}, {"known", known}});
     };
     hooks.pauseAfter = [this](std::size_t bytes) { return transferTime(bytes); };
-    // Hosts that start together wait for different times, so that some list and send it to the others.
-    hooks.peerWait = [this] {
-        return peerWait + milliseconds{std::uniform_int_distribution<int>(0, peerWait.count())(m_random)};
-    };
+    hooks.peerWait = [this] { return firstCopyWait(); };
     return hooks;
 }
 
+// Hosts that start together wait for different times, so that some read and send it to the others.
+milliseconds DiscoveredConfiguration::firstCopyWait()
+{
+    return peerWait + milliseconds{std::uniform_int_distribution<int>(0, peerWait.count())(m_random)};
+}
+
 void DiscoveredConfiguration::start()
 {
-    m_intentFollower.start();
+    m_readsFirstIntentAt = Clock::now() + firstCopyWait();
     m_registrationFollower.start();
     checkReaderRole();
 }
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -97,6 +97,7 @@
     void onCatalogOffer(const std::string &from, const hop::CatalogOffer &offer) override;
     void onCatalogPull(const std::string &from, const hop::CatalogPull &pull) override;
     void onCatalogPush(const std::string &from, const hop::CatalogPush &push) override;
+    void onZoneListed(std::size_t hosts) override;
     void noteKnownVersion(const std::string &host, const CatalogVersion &version) override;
     std::shared_ptr<const Configuration> current() const override;
     CatalogVersion announced() const override;
@@ -110,6 +111,7 @@
     CollectionFollowerHooks followerHooks(
         std::string_view collection, std::function<void(const TouchedNames &touched)> changed,
         std::function<std::optional<TimePoint>()> otherWait, std::function<bool()> defers = [] { return false; });
+    milliseconds firstCopyWait();
     void onIntentChanged();
     bool acceptIntent(NamedObjects objects, std::string text, const std::string &source);
     void onRegistrationsChanged(const TouchedNames &touched);
@@ -123,6 +125,7 @@
     void rebuild();
 
     // Reading for the zone and informing other hosts.
+    void readFirstIntent();
     void checkReaderRole();
     void scheduleRoleCheck();
     void onReachability(std::string_view collection, bool reached);
@@ -153,6 +156,12 @@
     PacedTask m_rebuild;
     std::mt19937_64 m_random;
     ReaderSelection m_selection;
+    // Whether this host has still to read its first intent, or to receive it from another host.
+    bool m_lacksFirstIntent = true;
+    // When it reads the store itself if no other host has provided the intent.
+    TimePoint m_readsFirstIntentAt;
+    // The number of hosts of this zone on the store's list; empty until it was read.
+    std::optional<std::size_t> m_listedHosts;
     // Whether this host followed the store at the last check.
     bool m_isReader = false;
     CatalogTexts m_texts;
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -56,6 +56,7 @@
         m_zoneReader = zone.candidates.empty() ? std::string() : zone.candidates.front();
         m_selection.onCandidates(std::move(zone.candidates));
     }
+    readFirstIntent();
     m_selection.onStoreReachable(m_intentFollower.isReached() && m_registrationFollower.isReached());
     if (m_selection.isReader(now) != m_isReader) {
         m_isReader = !m_isReader;
@@ -78,6 +79,26 @@
     scheduleRoleCheck();
 }
 
+// Reads the intent at the start, unless other hosts of a large zone read it and send it to this one.
+void DiscoveredConfiguration::readFirstIntent()
+{
+    if (!m_lacksFirstIntent || m_stopped) {
+        return;
+    }
+    if (m_intentFollower.isKnown()) {
+        m_lacksFirstIntent = false;
+    } else if (m_selection.readsFirstCopy(m_listedHosts) || Clock::now() >= m_readsFirstIntentAt) {
+        m_lacksFirstIntent = false;
+        m_intentFollower.start();
+    }
+}
+
+void DiscoveredConfiguration::onZoneListed(std::size_t hosts)
+{
+    m_listedHosts = hosts;
+    readFirstIntent();
+}
+
 void DiscoveredConfiguration::scheduleRoleCheck()
 {
     const TimePoint now = Clock::now();
@@ -93,7 +114,7 @@
 {
     log::info(std::string(collection), {{"reached", reached}});
     checkReaderRole();
-    if (m_intentFollower.isReached()) {
+    if (!m_intentFollower.isProbing()) {
         m_registrationFollower.resume();
     }
 }
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds slotBoundInterval{20};
 // The interval between two log lines of totals; a killed process loses the totals of at most this time.
 constexpr std::chrono::seconds recordSpacing{10};
+// How long a host without a list of hosts leaves reading the store to others: all hosts of a fleet
+// that starts together list each other within it.
+constexpr std::chrono::seconds unlistedReaderDelay{5};
 // The time after which upstreams close the connections of a host that has disappeared.
 constexpr milliseconds upstreamLinger{3000};
 
@@ -296,6 +299,7 @@
     partition.balancerMisses = m_settings.balancerMisses;
     m_mechanisms.applyTo(partition);
     m_partition = std::make_unique<PartitionDriver>(m_control, *m_store, partition, [this] { m_front->moveCallers(); });
+    m_readsUnlistedAt = Clock::now() + unlistedReaderDelay;
     m_joinGate = std::make_unique<JoinGate>(m_settings.zone, joining, Clock::now());
     m_membership = std::make_unique<MembershipDriver>(
         m_control, *m_store, std::move(self), m_random(),
@@ -309,7 +313,9 @@
                               },
                               [this] { return isStoreReader(); },
                               [this](std::size_t hosts, bool isCurrent) {
+                                  m_hasHostList = true;
                                   m_joinGate->onListed(hosts, isCurrent, Clock::now());
+                                  m_configurationSource->onZoneListed(hosts);
                                   joinWhenDue();
                               }});
     ReaderSelectionOptions reader;
--- a/src/runtime/host/hostdaemonimpl.h
+++ b/src/runtime/host/hostdaemonimpl.h
@@ -199,6 +199,11 @@
     std::unique_ptr<PacedTask> m_routesTask;
     // False until this host may be home of upstreams. Control thread only.
     bool m_joined = false;
+    // True once the store has listed the hosts. Control thread only.
+    bool m_hasHostList = false;
+    // When this host may read the store for its zone although it has no list: without one, each
+    // host of a fleet that starts together would take itself for its zone's only one.
+    TimePoint m_readsUnlistedAt;
     // Decides when this host may become home of upstreams; used until it has joined.
     std::unique_ptr<JoinGate> m_joinGate;
 
--- a/src/runtime/host/hostview.cpp
+++ b/src/runtime/host/hostview.cpp
@@ -134,7 +134,7 @@
 ZoneHosts HostDaemon::Impl::zoneHosts() const
 {
     ZoneHosts zone;
-    zone.known = m_joined;
+    zone.known = m_joined && (m_hasHostList || Clock::now() >= m_readsUnlistedAt);
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
     const auto now = routes();
     for (const HostRecord &host : now->view->hosts) {
--- a/tests/core/readerselection_test.cpp
+++ b/tests/core/readerselection_test.cpp
@@ -404,6 +404,25 @@
     BOOST_TEST(zone.takeCalls() <= 10U, "more than one host reads after the store is back");
 }
 
+// Guards against a large fleet that reads its first copies all at once, and against small zones that wait for them.
+BOOST_AUTO_TEST_CASE(ReadTheFirstCopiesOfALargeZoneOnly)
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < 64; ++i) {
+        names.push_back("host-" + std::to_string(i));
+    }
+    std::size_t reading = 0;
+    for (const std::string &name : names) {
+        ReaderSelection host(name);
+        BOOST_TEST(!host.readsFirstCopy(std::nullopt), "a host that knows nobody may be one of a thousand");
+        BOOST_TEST(host.readsFirstCopy(9 - 1));
+        BOOST_TEST(!host.readsFirstCopy(names.size()));
+        host.onCandidates(names);
+        reading += host.readsFirstCopy(names.size()) ? 1 : 0;
+    }
+    BOOST_TEST(reading == ReaderSelectionOptions{}.maxReaders);
+}
+
 BOOST_AUTO_TEST_CASE(AreAllHostsWhenTheMechanismIsOff)
 {
     Zone zone(9, ReaderSelectionOptions{.allHostsRead = true});
