--- a/src/core/configuration/readerselection.cpp
+++ b/src/core/configuration/readerselection.cpp
@@ -116,6 +116,7 @@
     if (step <= first || rank < m_options.maxReaders) {
         return step >= first;
     }
+    // Spreads the others evenly over the cycle, so that a store that answers nobody is called by few at once.
     return step % m_options.standInCycle == rank % m_options.standInCycle;
 }
 
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -172,7 +172,7 @@
     std::uint64_t m_informedThrough = 0;
     std::uint64_t m_informedDigest = 0;
     // The earliest time of the next confirmation to the zone.
-    TimePoint m_confirmBefore;
+    TimePoint m_nextConfirmationAt;
     // True during the pause after a push, which leaves the link to other traffic.
     bool m_pausesPushes = false;
     // The host of this zone that is preferred as store reader; empty while none is known.
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -69,7 +69,7 @@
         m_registrationFollower.setWaiting(m_isReader);
     }
     if (const auto next = m_selection.handOverTarget(now)) {
-        m_hooks.send(*next, hop::CatalogOffer{version(), false});
+        m_hooks.send(*next, hop::CatalogOffer{.version = version(), .readsStore = false});
     }
     // Announcements and answers can be lost, so a host that is behind does not wait for another
     // one.
@@ -133,12 +133,12 @@
 void DiscoveredConfiguration::confirmToZone()
 {
     const TimePoint now = Clock::now();
-    if (!m_current || now < m_confirmBefore) {
+    if (!m_current || now < m_nextConfirmationAt) {
         return;
     }
-    m_confirmBefore = now + confirmSpacing;
+    m_nextConfirmationAt = now + confirmSpacing;
     for (const std::string &host : m_hooks.zone().mates) {
-        m_hooks.send(host, hop::CatalogOffer{version(), true, true});
+        m_hooks.send(host, hop::CatalogOffer{.version = version(), .confirmed = true});
     }
 }
 
@@ -176,7 +176,7 @@
         if (isSmall) {
             m_hooks.send(host, push);
         } else {
-            m_hooks.send(host, hop::CatalogOffer{version(), true, true});
+            m_hooks.send(host, hop::CatalogOffer{.version = version(), .confirmed = true});
         }
     }
     offerToSome();
