Read the first configuration by the host list, and hold callers until it is there

Cause: after a kill of all 138 hosts the store answers their lists within 0.02 s, but the hosts that read the first intent are known only once they have joined, and are asked at the next check of the reader's role, 0.3 s later.

Change: the first three hosts of the list, in the order of the reader selection, read at once; the others request the intent from them, the next one after 250 ms, and a host keeps requests that come before it has one. Joining, and a change of the zone's hosts, repeat the decision at once. Callers that connect before the first configuration are held: 512 a thread, 0.8 s each.

--- a/include/egrettide/core/readerselection.h
+++ b/include/egrettide/core/readerselection.h
@@ -72,9 +72,14 @@
     // Records that `host`, another reader of the zone, reported an answer of the store.
     void onConfirmed(const std::string &host, TimePoint now);
 
-    // Whether this host, which holds no copy yet, reads its first one itself. `listedHosts` is the
-    // number of the zone's hosts on the store's list, if that is known.
-    bool readsFirstCopy(std::optional<std::size_t> listedHosts) const;
+    // Sets the hosts of the zone on the store's list, this one included, in order of preference. They
+    // may no longer exist. An outdated list may lack hosts that started at the same time as this one.
+    void onListed(std::vector<std::string> listed, bool isCurrent);
+
+    // Whether this host, which holds no copy yet, reads its first one itself.
+    bool readsFirstCopy() const;
+    // The other hosts of the list that read their first copy themselves, in order of preference.
+    std::vector<std::string> firstReaders() const;
     // True while this host is a reader, which has to watch the store for changes.
     bool isReader(TimePoint now) const;
     // The next time after `now` at which this host may become a reader without another event.
@@ -86,6 +91,7 @@
     std::optional<std::string> handOverTarget(TimePoint now);
 
 private:
+    bool isFirstListed() const;
     // A host's index among the candidates; nothing if it is leaving and so not among them.
     std::optional<std::size_t> rankOf(const std::string &host) const;
     bool isUnconfirmed(TimePoint now) const;
@@ -94,6 +100,9 @@
     const std::string m_self;
     const ReaderSelectionOptions m_options;
     std::vector<std::string> m_candidates;
+    // Empty until the store's list is known.
+    std::vector<std::string> m_listed;
+    bool m_listIsCurrent = false;
     bool m_candidatesKnown = false;
     bool m_storeReachable = true;
     TimePoint m_handedOverUntil;
--- a/src/core/configuration/readerselection.cpp
+++ b/src/core/configuration/readerselection.cpp
@@ -76,15 +76,44 @@
     return static_cast<std::size_t>(found - m_candidates.begin());
 }
 
-bool ReaderSelection::readsFirstCopy(std::optional<std::size_t> listedHosts) const
+void ReaderSelection::onListed(std::vector<std::string> listed, bool isCurrent)
 {
-    if (m_options.allHostsRead || (listedHosts && *listedHosts <= m_options.maxStartupReaders)) {
+    m_listed = std::move(listed);
+    m_listIsCurrent = isCurrent;
+}
+
+// The list is known some tenths of a second before the live hosts are. Its first hosts read at once,
+// so that a fleet that starts together does not wait until its hosts know each other.
+bool ReaderSelection::readsFirstCopy() const
+{
+    // Without this host, so up to `maxStartupReaders` others.
+    const bool isSmallZone = !m_listed.empty() && m_listed.size() - 1 <= m_options.maxStartupReaders;
+    if (m_options.allHostsRead || isSmallZone || isFirstListed()) {
         return true;
     }
     const auto own = rankOf(m_self);
     return m_candidatesKnown && (m_candidates.empty() || (own && *own < m_options.maxReaders));
 }
 
+bool ReaderSelection::isFirstListed() const
+{
+    const auto found = std::ranges::find(m_listed, m_self);
+    return m_listIsCurrent && found != m_listed.end()
+        && static_cast<std::size_t>(found - m_listed.begin()) < m_options.maxReaders;
+}
+
+std::vector<std::string> ReaderSelection::firstReaders() const
+{
+    // The first hosts of an outdated list are not the same ones on each host.
+    if (!m_listIsCurrent) {
+        return {};
+    }
+    std::vector<std::string> readers(
+        m_listed.begin(), m_listed.begin() + static_cast<std::ptrdiff_t>(std::min(m_listed.size(), m_options.maxReaders)));
+    std::erase(readers, m_self);
+    return readers;
+}
+
 bool ReaderSelection::isReader(TimePoint now) const
 {
     if (m_options.allHostsRead) {
--- a/src/runtime/callers/callerconnection.cpp
+++ b/src/runtime/callers/callerconnection.cpp
@@ -148,7 +148,7 @@
 
 bool CallerConnection::mayRead() const
 {
-    if (m_phase == Phase::Closed || m_isReading || m_inputEnded) {
+    if (m_phase == Phase::Closed || m_phase == Phase::Held || m_isReading || m_inputEnded) {
         return false;
     }
     if (m_phase == Phase::Closing) {
@@ -270,27 +270,60 @@
         return false;
     }
     negotiateVersion(m_startup);
+    if (m_shard->configuration() || !hold()) {
+        checkStartup();
+    }
+    return false;
+}
+
+// Waits for the first configuration. Returns false when the caller cannot be held.
+bool CallerConnection::hold()
+{
+    m_hold = m_shard->holdStartup([weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->endHold();
+        }
+    });
+    if (m_hold) {
+        m_phase = Phase::Held;
+    }
+    return m_hold != nullptr;
+}
+
+void CallerConnection::endHold()
+{
+    m_hold.reset();
+    if (m_phase != Phase::Held) {
+        return;
+    }
+    m_phase = Phase::Startup;
+    checkStartup();
+    process();
+    read();
+}
+
+void CallerConnection::checkStartup()
+{
     m_configuration = m_shard->configuration();
     if (!m_configuration) {
         const Error error{ErrorKind::NoConfiguration, "This host has no configuration yet; connect again later.",
                           m_shard->common->options.noConfigurationRetry};
         sendFinalError(sqlStateOf(error.kind), error);
-        return false;
+        return;
     }
     if (parameter(m_startup, "user").empty()) {
         sendFinalError(
             "28000",
             Error{ErrorKind::AuthenticationFailed, "The startup message has no user; connect as a tenant.", milliseconds{0}});
-        return false;
+        return;
     }
     if (!parameter(m_startup, "replication").empty()) {
         sendFinalError("0A000",
                        Error{ErrorKind::Unsupported, "Replication connections are not supported; connect to the upstream.",
                              milliseconds{0}});
-        return false;
+        return;
     }
     authenticate();
-    return false;
 }
 
 // A driver that requests a newer minor version or protocol options receives
--- a/src/runtime/callers/callerconnection.h
+++ b/src/runtime/callers/callerconnection.h
@@ -39,6 +39,8 @@
 private:
     enum class Phase {
         Startup,
+        // The startup waits for the first configuration; nothing more is read.
+        Held,
         Password,
         Ready,
         // Only the remaining output is still written, and input is discarded.
@@ -60,6 +62,9 @@
     bool processStartup();
     bool onStartup(const pg::StartupMessage &startup);
     bool beginSession(pg::StartupMessage startup);
+    bool hold();
+    void endHold();
+    void checkStartup();
     void negotiateVersion(const pg::StartupMessage &startup);
     bool processPassword();
     void authenticate();
@@ -91,6 +96,8 @@
     Phase m_phase = Phase::Startup;
     pg::BatchAssembler m_assembler;
     pg::StartupMessage m_startup;
+    // Set while the startup is held.
+    StartupHold m_hold;
     int m_encryptionRequests = 0;
     std::shared_ptr<const Configuration> m_configuration;
     std::shared_ptr<CallerSession> m_session;
--- a/src/runtime/callers/front.cpp
+++ b/src/runtime/callers/front.cpp
@@ -50,6 +50,7 @@
     std::uint16_t port() const;
     void beginDrain();
     void moveCallers();
+    void resumeStartups();
     void stop();
     std::size_t openConnections() const;
     void learn(const GroupHint &hint, const std::string &upstream);
@@ -197,6 +198,7 @@
     // Set before the connections are notified, so that one that starts now reads it.
     m_common->draining = true;
     closeAcceptor();
+    resumeStartups();
     forEachConnection(&CallerLink::drain);
 }
 
@@ -205,6 +207,13 @@
     forEachConnection(&CallerLink::drain);
 }
 
+void FrontState::resumeStartups()
+{
+    for (const auto &shard : m_shards) {
+        boost::asio::post(shard->context, [shard] { shard->resumeStartups(); });
+    }
+}
+
 void FrontState::stop()
 {
     closeAcceptor();
@@ -263,6 +272,11 @@
     return m_state->openConnections();
 }
 
+void Front::resumeStartups()
+{
+    m_state->resumeStartups();
+}
+
 void Front::stop()
 {
     m_state->stop();
--- a/src/runtime/callers/front.h
+++ b/src/runtime/callers/front.h
@@ -129,7 +129,11 @@
     std::uint64_t seed = 1;
     // How long a request waits for the answer of the quota check.
     milliseconds quotaTimeout{1000};
-    // The retry delay sent to a caller that connects before the first configuration.
+    // Callers that connect before the first configuration: how many of a thread are held until there
+    // is one, and for how long. Callers that accept an answer within a second have no use for more.
+    std::size_t maxHeldStartups = 512;
+    milliseconds startupHold{800};
+    // The retry delay sent to one that is not held, or was held for too long.
     milliseconds noConfigurationRetry{1000};
     CallerLinkFactory makeCaller = postgresCallers();
     // As UpstreamDialect::rollback.
@@ -164,6 +168,8 @@
     // Closes each connection that is open now as soon as it is idle outside a transaction;
     // continues to accept new ones.
     void moveCallers();
+    // Continues the startups that wait for the first configuration.
+    void resumeStartups();
     // Number of open caller connections; zero after a complete drain.
     std::size_t openConnections() const;
     // Closes all connections immediately.
--- a/src/runtime/callers/trafficshard.h
+++ b/src/runtime/callers/trafficshard.h
@@ -10,6 +10,7 @@
 #include "runtime/callers/cancelregistry.h"
 #include "runtime/callers/front.h"
 #include "runtime/callers/primarywaits.h"
+#include "runtime/callers/startupholds.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -58,6 +59,7 @@
               routerOptions(common->options), [this](TimePoint) { return common->hooks.takeRetry(); },
               [this](const std::string &database) { endWaits(database); })
         , random(seed)
+        , m_holds(shardContext, common->options.maxHeldStartups, common->options.startupHold)
     {
     }
     TrafficShard(const TrafficShard &) = delete;
@@ -86,6 +88,20 @@
         m_waits.add(database, std::move(waiter), std::move(onPrimary));
     }
 
+    // Calls `resume` once there is a first configuration, or FrontOptions::startupHold is over,
+    // unless the returned place is given up before. Null when the caller cannot be held: too many
+    // are, or this host is leaving.
+    StartupHold holdStartup(std::function<void()> resume)
+    {
+        return common->draining ? nullptr : m_holds.add(std::move(resume));
+    }
+
+    // There is a configuration, or this host begins to leave.
+    void resumeStartups()
+    {
+        m_holds.resumeAll();
+    }
+
     boost::asio::io_context &context;
     const std::shared_ptr<FrontCommon> common;
     Classifier classifier;
@@ -115,6 +131,7 @@
 
     std::shared_ptr<const Configuration> m_configuration;
     PrimaryWaits m_waits;
+    StartupHolds m_holds;
 };
 
 } // namespace egrettide::detail
--- a/src/runtime/configuration/configurationsource.h
+++ b/src/runtime/configuration/configurationsource.h
@@ -73,8 +73,13 @@
     virtual void onCatalogPush(const std::string & /*from*/, const hop::CatalogPush & /*push*/)
     {
     }
-    // The store listed so many hosts of this host's zone.
-    virtual void onZoneListed(std::size_t /*hosts*/)
+    // The store listed the hosts of this host's zone: this one and the others, in order of preference
+    // as store readers. An outdated list may lack hosts that started with this one.
+    virtual void onZoneListed(const std::vector<std::string> & /*hosts*/, bool /*isCurrent*/)
+    {
+    }
+    // This host has joined its zone, or the zone's live hosts have changed.
+    virtual void onZoneChanged()
     {
     }
     // A heartbeat reported that `host` announces `version`; see announced().
--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -94,6 +94,7 @@
     , m_lapseTimer(control)
     , m_roleTimer(control)
     , m_pushTimer(control)
+    , m_firstRequestTimer(control)
     , m_rebuild(control, [this] { rebuild(); })
     , m_random(digestOf(self))
     , m_selection(std::move(self), m_hooks.reader)
@@ -150,6 +151,7 @@
     m_lapseTimer.cancel();
     m_roleTimer.cancel();
     m_pushTimer.cancel();
+    m_firstRequestTimer.cancel();
     m_rebuild.cancel();
     m_intentFollower.stop();
     m_registrationFollower.stop();
@@ -164,6 +166,7 @@
 {
     if (acceptIntent(objectsOf(m_intentFollower.copy()), textOf(m_intentFollower.copy()), storeSource)) {
         m_rebuild.request();
+        serveEarlyPulls();
         informZone();
     }
 }
--- a/src/runtime/configuration/discoveredconfiguration.h
+++ b/src/runtime/configuration/discoveredconfiguration.h
@@ -97,7 +97,8 @@
     void onCatalogOffer(const std::string &from, const hop::CatalogOffer &offer) override;
     void onCatalogPull(const std::string &from, const hop::CatalogPull &pull) override;
     void onCatalogPush(const std::string &from, const hop::CatalogPush &push) override;
-    void onZoneListed(std::size_t hosts) override;
+    void onZoneListed(const std::vector<std::string> &hosts, bool isCurrent) override;
+    void onZoneChanged() override;
     void noteKnownVersion(const std::string &host, const CatalogVersion &version) override;
     std::shared_ptr<const Configuration> current() const override;
     CatalogVersion announced() const override;
@@ -126,6 +127,7 @@
 
     // Reading for the zone and informing other hosts.
     void readFirstIntent();
+    void requestFirstIntent();
     void checkReaderRole();
     void scheduleRoleCheck();
     void onReachability(std::string_view collection, bool reached);
@@ -140,6 +142,8 @@
     void onVersionReported(const std::string &host, const CatalogVersion &reported, bool readsStore = false);
     void pullFrom(const std::string &host, std::uint64_t heldDigest);
     void servePulls();
+    void addPull(const std::string &from, const hop::CatalogPull &pull);
+    void serveEarlyPulls();
     void addRegistrations(hop::CatalogPush &push, std::uint64_t held);
     milliseconds transferTime(std::size_t bytes) const;
     bool isSmallFor(const hop::CatalogPush &push, std::size_t receivers) const;
@@ -152,6 +156,7 @@
     Timer m_lapseTimer;
     Timer m_roleTimer;
     Timer m_pushTimer;
+    Timer m_firstRequestTimer;
     // Puts the present intent and registrations in force.
     PacedTask m_rebuild;
     std::mt19937_64 m_random;
@@ -160,13 +165,15 @@
     bool m_lacksFirstIntent = true;
     // When it reads the store itself if no other host has provided the intent.
     TimePoint m_readsFirstIntentAt;
-    // The number of hosts of this zone on the store's list; empty until it was read.
-    std::optional<std::size_t> m_listedHosts;
+    // Requests for the first intent so far; each goes to another of the hosts that read it.
+    std::size_t m_firstRequests = 0;
     // Whether this host followed the store at the last check.
     bool m_isReader = false;
     CatalogTexts m_texts;
     // Hosts that requested the catalog, each with its latest request.
     std::deque<std::pair<std::string, hop::CatalogPull>> m_pulls;
+    // Hosts that requested the intent before this host had one. Invariant: at most maxEarlyPulls.
+    std::vector<std::pair<std::string, hop::CatalogPull>> m_earlyPulls;
     // What this host held when it last informed its zone, or began to read for it: the revision up
     // to which the registrations were complete, and the digest of the intent.
     std::uint64_t m_informedThrough = 0;
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -38,6 +38,11 @@
 // Each host announces a newer copy to this many others, of any zone, so that a host which has
 // lost its zone's readers is informed before the heartbeats.
 constexpr std::size_t offersPerHost = 2;
+// A starting host requests the intent from the next of the hosts that read it when the one before has
+// not answered for this time: some may be gone, and a store answers within some milliseconds.
+constexpr milliseconds firstRequestSpacing{250};
+// Requests that are kept until this host has an intent; more than a zone has hosts.
+constexpr std::size_t maxEarlyPulls = 512;
 // Minimum time between two confirmations to the zone.
 constexpr milliseconds confirmSpacing{500};
 
@@ -87,16 +92,44 @@
     }
     if (m_intentFollower.isKnown()) {
         m_lacksFirstIntent = false;
-    } else if (m_selection.readsFirstCopy(m_listedHosts) || Clock::now() >= m_readsFirstIntentAt) {
+    } else if (m_selection.readsFirstCopy() || Clock::now() >= m_readsFirstIntentAt) {
         m_lacksFirstIntent = false;
         m_intentFollower.start();
     }
 }
 
-void DiscoveredConfiguration::onZoneListed(std::size_t hosts)
+void DiscoveredConfiguration::onZoneListed(const std::vector<std::string> &hosts, bool isCurrent)
 {
-    m_listedHosts = hosts;
+    m_selection.onListed(hosts, isCurrent);
     readFirstIntent();
+    if (m_firstRequests == 0) {
+        requestFirstIntent();
+    }
+}
+
+void DiscoveredConfiguration::onZoneChanged()
+{
+    checkReaderRole();
+}
+
+// The hosts that read the first intent are known by the list, so this host need not wait until one of
+// them announces its copy.
+void DiscoveredConfiguration::requestFirstIntent()
+{
+    const std::vector<std::string> readers = m_selection.firstReaders();
+    if (m_stopped || m_intentVersion || !m_lacksFirstIntent || readers.empty()) {
+        return;
+    }
+    m_firstRequests += m_firstRequests == 0 ? m_random() % readers.size() : 0;
+    pullFrom(readers[m_firstRequests++ % readers.size()], 0);
+    // Whoever announces a copy meanwhile is asked at once.
+    m_pullBefore = TimePoint{};
+    m_firstRequestTimer.expires_after(firstRequestSpacing);
+    m_firstRequestTimer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            requestFirstIntent();
+        }
+    });
 }
 
 void DiscoveredConfiguration::scheduleRoleCheck()
@@ -279,11 +312,31 @@
 
 void DiscoveredConfiguration::onCatalogPull(const std::string &from, const hop::CatalogPull &pull)
 {
-    if (m_texts.isEmpty() || !pull.version.lacks(version())) {
+    if (m_texts.isEmpty()) {
+        std::erase_if(m_earlyPulls, [&from](const auto &waiting) { return waiting.first == from; });
+        if (m_earlyPulls.size() < maxEarlyPulls) {
+            m_earlyPulls.emplace_back(from, pull);
+        }
         return;
     }
-    std::erase_if(m_pulls, [&from](const auto &waiting) { return waiting.first == from; });
-    m_pulls.emplace_back(from, pull);
+    addPull(from, pull);
+    servePulls();
+}
+
+void DiscoveredConfiguration::addPull(const std::string &from, const hop::CatalogPull &pull)
+{
+    if (pull.version.lacks(version())) {
+        std::erase_if(m_pulls, [&from](const auto &waiting) { return waiting.first == from; });
+        m_pulls.emplace_back(from, pull);
+    }
+}
+
+// Answers what was requested before this host had an intent.
+void DiscoveredConfiguration::serveEarlyPulls()
+{
+    for (const auto &[host, pull] : std::exchange(m_earlyPulls, {})) {
+        addPull(host, pull);
+    }
     servePulls();
 }
 
@@ -335,6 +388,7 @@
     const bool registrations = adoptRegistrations(from, push);
     if (intent || registrations) {
         m_rebuild.request();
+        serveEarlyPulls();
         offerToSome();
     }
     if (lacks(push.version)) {
--- a/src/runtime/fleet/membershipdriver.cpp
+++ b/src/runtime/fleet/membershipdriver.cpp
@@ -151,14 +151,19 @@
         }
         if (answer) {
             std::vector<HostSeed> seeds;
+            std::vector<ListedHost> zone;
             bool isCurrent = false;
             for (const ListedHost &listed : *answer) {
                 seeds.push_back(HostSeed{listed.name, listed.zone, listed.address});
-                isCurrent = isCurrent || listed.name == m_self.name;
+                const bool isSelf = listed.name == m_self.name;
+                isCurrent = isCurrent || isSelf;
+                if (!isSelf && listed.zone == m_self.zone) {
+                    zone.push_back(listed);
+                }
             }
             m_listedHosts = seeds.size();
             auto sends = m_membership.onHostList(seeds, isCurrent, Clock::now());
-            m_hooks.zoneListed(m_membership.listedInZone(), isCurrent);
+            m_hooks.zoneListed(zone, isCurrent);
             deliver(sends);
         }
         readHostListLater();
--- a/src/runtime/fleet/membershipdriver.h
+++ b/src/runtime/fleet/membershipdriver.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace egrettide
 {
@@ -29,9 +30,9 @@
     std::function<void(const std::string &host, const CatalogVersion &version)> catalogAdvertised;
     // True when this host is the store reader of its zone.
     std::function<bool()> isStoreReader;
-    // Called with each host list: how many other hosts of this host's zone are on it, and whether
-    // it is current; see Membership::onHostList().
-    std::function<void(std::size_t hosts, bool isCurrent)> zoneListed = [](std::size_t, bool) {};
+    // Called with each host list: the other hosts of this host's zone on it, and whether it is
+    // current; see Membership::onHostList().
+    std::function<void(const std::vector<ListedHost> &hosts, bool isCurrent)> zoneListed = [](const auto &, bool) {};
 };
 
 // Used from the control thread only.
--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -312,21 +312,17 @@
                                   m_configurationSource->noteKnownVersion(host, version);
                               },
                               [this] { return isStoreReader(); },
-                              [this](std::size_t hosts, bool isCurrent) {
-                                  m_hasHostList = true;
-                                  m_joinGate->onListed(hosts, isCurrent, Clock::now());
-                                  m_configurationSource->onZoneListed(hosts);
-                                  joinWhenDue();
-                              }});
+                              [this](const std::vector<ListedHost> &hosts, bool isCurrent) { onZoneListed(hosts, isCurrent); }});
     ReaderSelectionOptions reader;
     m_mechanisms.applyTo(reader);
     m_configurationSource = m_parts.makeConfiguration(
         m_control, *m_store,
-        ConfigurationKeeperHooks{[this](const std::shared_ptr<const Configuration> &) { onConfiguration(); },
-                                 [this](const std::string &host, hop::HopMessage message) { send(host, std::move(message)); },
-                                 [this](std::size_t count) { return someHosts(count); }, [this] { return isStoreReader(); },
-                                 [this] { return zoneHosts(); }, [this] { m_membership->registerAgain(); }, reader,
-                                 bulkBytesPerSecond(m_settings.linkMbps)});
+        ConfigurationKeeperHooks{
+            [this](const std::shared_ptr<const Configuration> &) { onConfiguration(); },
+            [this](const std::string &host, hop::HopMessage message) { sendToListed(host, std::move(message)); },
+            [this](std::size_t count) { return someHosts(count); }, [this] { return isStoreReader(); },
+            [this] { return zoneHosts(); }, [this] { m_membership->registerAgain(); }, reader,
+            bulkBytesPerSecond(m_settings.linkMbps)});
     rebuildRoutes();
     startThreads();
     return addresses;
@@ -368,6 +364,7 @@
         if (!cancelled) {
             m_joined = true;
             m_routesTask->runNow();
+            m_configurationSource->onZoneChanged();
         }
     });
 }
--- a/src/runtime/host/hostdaemonimpl.h
+++ b/src/runtime/host/hostdaemonimpl.h
@@ -125,11 +125,14 @@
     void applyPrimary(const std::string &database, Term term, const std::string &primary);
 
     void send(const std::string &host, hop::HopMessage message);
+    // Sends also to a host of the zone that is only known from the store's list. On the control thread.
+    void sendToListed(const std::string &host, hop::HopMessage message);
     void sendTo(const std::string &host, const std::string &address, hop::HopMessage message);
     void sendOn(const PeerRef &peer, hop::HopMessage message);
 
     // On the control thread.
     void onConfiguration();
+    void onZoneListed(const std::vector<ListedHost> &hosts, bool isCurrent);
     void onView(const std::shared_ptr<const MembershipView> &view);
     void dropLinksToDead(const MembershipView &view);
     void rebuildRoutes();
@@ -201,6 +204,8 @@
     bool m_joined = false;
     // True once the store has listed the hosts. Control thread only.
     bool m_hasHostList = false;
+    // Addresses of the zone's other hosts on the store's list. Control thread only.
+    absl::flat_hash_map<std::string, std::string> m_listedAddresses;
     // When this host may read the store for its zone although it has no list: without one, each
     // host of a fleet that starts together would take itself for its zone's only one.
     TimePoint m_readsUnlistedAt;
--- a/src/runtime/host/hostrouting.cpp
+++ b/src/runtime/host/hostrouting.cpp
@@ -233,6 +233,16 @@
     asio::post(m_link, [this, host, message = std::move(message)] { m_network->sendIfLinked(host, message); });
 }
 
+void HostDaemon::Impl::sendToListed(const std::string &host, hop::HopMessage message)
+{
+    const auto listed = m_listedAddresses.find(host);
+    if (listed == m_listedAddresses.end() || routes()->view->host(host) != nullptr) {
+        send(host, std::move(message));
+    } else {
+        sendTo(host, listed->second, std::move(message));
+    }
+}
+
 void HostDaemon::Impl::sendTo(const std::string &host, const std::string &address, hop::HopMessage message)
 {
     asio::post(m_link, [this, host, address, message = std::move(message)]() mutable {
--- a/src/runtime/host/hostview.cpp
+++ b/src/runtime/host/hostview.cpp
@@ -16,6 +16,24 @@
 // In large zones a host receives messages from a sample of the hosts of its zone only.
 constexpr std::size_t confirmingHosts = 3;
 
+// The order in which hosts of a zone are preferred as its store reader.
+std::vector<std::string> inReaderOrder(std::vector<std::string> hosts)
+{
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    ranked.reserve(hosts.size());
+    for (std::string &host : hosts) {
+        const std::uint64_t score = rendezvousScore(placementKey(host), placementKey(watchKey));
+        ranked.emplace_back(score, std::move(host));
+    }
+    std::ranges::sort(ranked, std::greater<>());
+    std::vector<std::string> ordered;
+    ordered.reserve(ranked.size());
+    for (auto &[score, host] : ranked) {
+        ordered.push_back(std::move(host));
+    }
+    return ordered;
+}
+
 } // namespace
 
 namespace detail
@@ -47,6 +65,20 @@
     m_routesTask->request();
 }
 
+void HostDaemon::Impl::onZoneListed(const std::vector<ListedHost> &hosts, bool isCurrent)
+{
+    m_hasHostList = true;
+    m_joinGate->onListed(hosts.size(), isCurrent, Clock::now());
+    m_listedAddresses.clear();
+    std::vector<std::string> names{m_settings.host};
+    for (const ListedHost &host : hosts) {
+        m_listedAddresses[host.name] = host.address;
+        names.push_back(host.name);
+    }
+    m_configurationSource->onZoneListed(inReaderOrder(std::move(names)), isCurrent);
+    joinWhenDue();
+}
+
 void HostDaemon::Impl::onView(const std::shared_ptr<const MembershipView> &view)
 {
     dropLinksToDead(*view);
@@ -91,6 +123,7 @@
 void HostDaemon::Impl::rebuildRoutes()
 {
     const auto before = routes();
+    const bool isFirstConfiguration = !before || !before->configuration;
     auto next = std::make_shared<detail::Routes>();
     next->configuration = m_configurationSource ? m_configurationSource->current() : nullptr;
     next->view = m_membership->view();
@@ -123,6 +156,12 @@
         m_homes->update(next->configuration, [this, &isOwn](const DatabaseSpec &database, const UpstreamSpec &upstream) {
             return m_joined && isOwn(database, upstream);
         });
+        if (isFirstConfiguration) {
+            m_front->resumeStartups();
+        }
+    }
+    if (m_joined && before->view->placementVersion != next->view->placementVersion) {
+        m_configurationSource->onZoneChanged();
     }
 }
 
@@ -135,23 +174,19 @@
 {
     ZoneHosts zone;
     zone.known = m_joined && (m_hasHostList || Clock::now() >= m_readsUnlistedAt);
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
     const auto now = routes();
     for (const HostRecord &host : now->view->hosts) {
         if (!host.mayBeHome() || host.zone != m_settings.zone) {
             continue;
         }
         if (!host.leaving) {
-            ranked.emplace_back(rendezvousScore(placementKey(host.name), placementKey(watchKey)), host.name);
+            zone.candidates.push_back(host.name);
         }
         if (host.name != m_settings.host) {
             zone.mates.push_back(host.name);
         }
     }
-    std::ranges::sort(ranked, std::greater<>());
-    for (auto &[score, name] : ranked) {
-        zone.candidates.push_back(std::move(name));
-    }
+    zone.candidates = inReaderOrder(std::move(zone.candidates));
     return zone;
 }
 
--- a/tests/core/readerselection_test.cpp
+++ b/tests/core/readerselection_test.cpp
@@ -411,16 +411,25 @@
     for (int i = 0; i < 64; ++i) {
         names.push_back("host-" + std::to_string(i));
     }
+    std::size_t readingByList = 0;
     std::size_t reading = 0;
     for (const std::string &name : names) {
         ReaderSelection host(name);
-        BOOST_TEST(!host.readsFirstCopy(std::nullopt), "a host that knows nobody may be one of a thousand");
-        BOOST_TEST(host.readsFirstCopy(9 - 1));
-        BOOST_TEST(!host.readsFirstCopy(names.size()));
+        BOOST_TEST(!host.readsFirstCopy(), "a host that knows nobody may be one of a thousand");
+        host.onListed(std::vector<std::string>(9, name), true);
+        BOOST_TEST(host.readsFirstCopy());
+        host.onListed(names, false);
+        BOOST_TEST(!host.readsFirstCopy(), "the first hosts of an outdated list are others on each host");
+        BOOST_TEST(host.firstReaders().empty());
         host.onCandidates(names);
-        reading += host.readsFirstCopy(names.size()) ? 1 : 0;
+        reading += host.readsFirstCopy() ? 1 : 0;
+        ReaderSelection listed(name);
+        listed.onListed(names, true);
+        readingByList += listed.readsFirstCopy() ? 1 : 0;
+        BOOST_TEST(listed.firstReaders().size() == (listed.readsFirstCopy() ? 2U : 3U));
     }
     BOOST_TEST(reading == ReaderSelectionOptions{}.maxReaders);
+    BOOST_TEST(readingByList == ReaderSelectionOptions{}.maxReaders);
 }
 
 BOOST_AUTO_TEST_CASE(AreAllHostsWhenTheMechanismIsOff)
--- a/tests/runtime/front_test.cpp
+++ b/tests/runtime/front_test.cpp
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <atomic>
+#include <future>
 
 using namespace egrettide;
 using egrettide::test::FakeHome;
@@ -60,7 +61,7 @@
             traffic.push_back(&context);
         }
         FrontHooks hooks;
-        hooks.configuration = [configuration] { return configuration; };
+        hooks.configuration = [this, configuration] { return m_isConfigured ? configuration : nullptr; };
         hooks.execute = wrapper ? wrapper(home.executeHook()) : home.executeHook();
         hooks.cancel = home.cancelHook();
         hooks.observe = [this](const RequestObservation &observation) {
@@ -90,6 +91,12 @@
         }
     }
 
+    void setConfigured(bool isConfigured)
+    {
+        m_isConfigured = isConfigured;
+        front->resumeStartups();
+    }
+
     std::vector<RequestObservation> observations() const
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -118,6 +125,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_acceptWork;
     std::vector<asio::executor_work_guard<asio::io_context::executor_type>> m_work;
     std::vector<std::thread> m_threads;
+    std::atomic<bool> m_isConfigured{true};
     mutable std::mutex m_mutex;
     std::vector<RequestObservation> m_observations;
 };
@@ -259,6 +267,47 @@
     BOOST_TEST(caller.message().find("elsewhere") != std::string::npos);
 }
 
+// Guards against callers that are refused by all hosts of a fleet which has just started, and have no
+// attempt left when its hosts are configured some tenths of a second later.
+BOOST_AUTO_TEST_CASE(HoldsCallersUntilThereIsAConfiguration)
+{
+    FrontOptions options;
+    options.startupHold = std::chrono::seconds(20);
+    RunningFront running(options);
+    running.setConfigured(false);
+    std::vector<std::future<bool>> connected;
+    for (int i = 0; i < 8; ++i) {
+        connected.push_back(std::async(std::launch::async, [&running] { return Caller(running).isConnected(); }));
+    }
+    BOOST_TEST_REQUIRE(running.waitForConnections(8));
+    running.setConfigured(true);
+    for (auto &each : connected) {
+        BOOST_TEST(each.get());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(HoldsNoMoreCallersThanItMay)
+{
+    FrontOptions options;
+    options.startupHold = std::chrono::seconds(20);
+    options.maxHeldStartups = 0;
+    RunningFront running(options);
+    running.setConfigured(false);
+    BOOST_TEST(!Caller(running).isConnected());
+}
+
+BOOST_AUTO_TEST_CASE(HoldsNobodyOnceItLeaves)
+{
+    FrontOptions options;
+    options.startupHold = std::chrono::seconds(20);
+    RunningFront running(options);
+    running.setConfigured(false);
+    auto connected = std::async(std::launch::async, [&running] { return Caller(running).isConnected(); });
+    BOOST_TEST_REQUIRE(running.waitForConnections(1));
+    running.front->beginDrain();
+    BOOST_TEST(!connected.get());
+}
+
 BOOST_AUTO_TEST_CASE(RefusesWithoutAConfigurationAndSaysWhenToRetry)
 {
     const RunningFront running({}, nullptr);
--- a/tests/runtime/membershipdriver_test.cpp
+++ b/tests/runtime/membershipdriver_test.cpp
@@ -128,7 +128,7 @@
     hooks.catalogAdvertised = [](const std::string &, const CatalogVersion &) {};
     hooks.isStoreReader = [] { return false; };
     MembershipDriver *started = nullptr;
-    hooks.zoneListed = [&](std::size_t, bool isCurrent) {
+    hooks.zoneListed = [&](const std::vector<ListedHost> &, bool isCurrent) {
         current.push_back(isCurrent);
         if (isCurrent) {
             started->stop();
--- a/tests/runtime/storefleet.h
+++ b/tests/runtime/storefleet.h
@@ -296,6 +296,17 @@
         newest = version;
     }
 
+    // A host that starts is given the list of all hosts of the zone. Its source is told so, as the
+    // daemon does when the store has answered.
+    void listAt(const std::string &name)
+    {
+        std::vector<std::string> names;
+        for (const auto &[host, entry] : m_hosts) {
+            names.push_back(host);
+        }
+        m_hosts.at(name)->source->onZoneListed(names, true);
+    }
+
     void restart(const std::string &name)
     {
         m_hosts.at(name)->source->stop();
@@ -380,6 +391,8 @@
     boost::asio::io_context context{1};
     SharedStore store{context};
     std::uint64_t newest = 0;
+    // False while hosts have not found the others of their zone, as just after a start.
+    bool zonesAreKnown = true;
     // The percentages of messages that are lost and that are delayed.
     int lossPercent = 0;
     int delayPercent = 0;
@@ -474,7 +487,7 @@
     ZoneHosts zoneOf(const std::string &self) const
     {
         ZoneHosts zone;
-        zone.known = true;
+        zone.known = zonesAreKnown;
         for (const auto &[name, host] : m_hosts) {
             if (!host->frozen) {
                 zone.candidates.push_back(name);
