--- a/src/runtime/host/hostdaemonimpl.h
+++ b/src/runtime/host/hostdaemonimpl.h
@@ -138,6 +138,7 @@
     void rebuildRoutes();
     void updateKeptQuotas();
     void joinWhenDue();
+    void notifyZoneOfPartition();
     void scheduleRecordLog();
     bool isStoreReader() const;
     ZoneHosts zoneHosts() const;
