--- a/scripts/whatbinds.py
+++ b/scripts/whatbinds.py
@@ -1,14 +1,14 @@
 #!/usr/bin/env python3
 """Summarizes, from the log lines of a deployment's hosts, what limits its performance.
 
-    scripts/whatbinds.py LOG [--from SECONDS] [--to SECONDS] [--ids N] [--summary]
+    scripts/whatbinds.py LOG [--from SECONDS] [--to SECONDS] [--ids N] [--summary] [--causes SECONDS]
 
 LOG contains the hosts' JSON lines, each alone or preceded by a time and the host's name ("12.34
 front-a-1 {...}"); other lines are ignored. Prints the users' two main figures (the share
 of reads by replicas with the reasons for reads by the primary, and every interval without writes),
 failed requests grouped by attempts and reason, and per second, with ids for `egrettidectl
 explain`, and the steps of promotions and planned changes. The totals of reads cover the whole
-log, also with --from and --to."""
+log, also with --from and --to. With --causes it prints failed requests by cause and interval instead."""
 
 import argparse
 import collections
@@ -62,6 +62,32 @@
     return re.sub(r"\d+", "N", re.sub(r"'[^']*'", "X", reason))[:70]
 
 
+def cause_of(event):
+    """Returns why a request failed, in a few words that do not depend on names and numbers."""
+    error, reason = event["error"], event["reason"]
+    last = event.get("tried", "").split()[-1:]
+    if error == "overloaded" and "that counts" in reason:
+        return "quota: keeper silent"
+    if error == "overloaded":
+        at_primary = bool(last) and last[0].startswith(event["primary"] + ":")
+        place = "primary" if at_primary else "replica"
+        return f"overloaded {place}: " + normalize_reason(reason.removeprefix("Not run: ").split(",")[0])
+    detail = re.search(r"\((\w+)", reason) if error == "not_fresh" else None
+    return f"{error}: {detail[1] if detail else normalize_reason(reason)[:50]}"
+
+
+def print_causes(events, interval):
+    """Prints one line a cause, with a column for each interval of so many seconds."""
+    table = collections.defaultdict(collections.Counter)
+    for second, event in events:
+        table[cause_of(event)][int(second // interval * interval)] += 1
+    columns = sorted({column for counts in table.values() for column in counts})
+    print(f"{'failed requests by cause, from second':58} {'all':>6}" + "".join(f"{column:6d}" for column in columns))
+    for cause, counts in sorted(table.items(), key=lambda item: -item[1].total()):
+        cells = "".join(f"{counts[column] or '':>6}" for column in columns)
+        print(f"{cause[:58]:58} {counts.total():6d}{cells}")
+
+
 class ServedTotals:
     """Totals of the `served` events. A process reports its counts since its own start, so the counts of
     processes that have ended are added to those of running ones."""
@@ -132,11 +158,13 @@
     parser.add_argument("--ids", type=int, default=2)
     parser.add_argument("--summary", action="store_true",
                         help="print only the share of reads by replicas and the intervals without writes")
+    parser.add_argument("--causes", type=float, metavar="SECONDS", help="print failed requests by cause and interval only")
     options = parser.parse_args()
     served = ServedTotals()
     outages, steps = [], []
     failures = collections.defaultdict(list)
     by_second = collections.defaultdict(collections.Counter)
+    failed = []
     for second, host, event in read_events(options.log):
         served.add(host, event)
         if not options.begin <= second <= options.end:
@@ -147,8 +175,12 @@
         elif name == "request_failed":
             failures[event["kind"], event["error"], format_attempts(event), normalize_reason(event["reason"])].append(event)
             by_second[int(second)][event["error"]] += 1
+            failed.append((second, event))
         elif name.startswith(STEP_EVENTS):
             steps.append((second, host, event))
+    if options.causes:
+        print_causes(failed, options.causes)
+        return
     print_summary(served.total(), outages)
     if options.summary:
         return
