Join when nearly all listed hosts of a large zone are known

Cause: after the configuration was there by 12.73 s at all of 138 hosts that started together, homes were taken until 13.25 s: their hosts waited for the last of 49 listed hosts of their zone, or for 0.3 s without a new one.

Change: a host joins at once when it knows all but one in eight of the listed hosts. Zones of fewer than eight hosts are as before.

--- a/include/egrettide/core/joingate.h
+++ b/include/egrettide/core/joingate.h
@@ -53,6 +53,8 @@
     TimePoint joinsAt() const;
 
 private:
+    bool knowsNearlyAll() const;
+
     const std::string m_zone;
     const JoinOptions m_options;
     const TimePoint m_startedAt;
--- a/src/core/fleet/joingate.cpp
+++ b/src/core/fleet/joingate.cpp
@@ -8,6 +8,14 @@
 namespace egrettide
 {
 
+namespace
+{
+
+// A host that knows all but one in so many listed hosts of its zone need not wait for the rest.
+constexpr std::size_t maxUnknownPart = 8;
+
+} // namespace
+
 JoinGate::JoinGate(std::string zone, JoinOptions options, TimePoint startedAt)
     : m_zone(std::move(zone))
     , m_options(options)
@@ -52,13 +60,22 @@
     const bool seemsAlone = m_listIsOutdated && m_zoneHosts.size() <= 1;
     if (!view.trusted || knowsFew || seemsAlone) {
         m_joinsAt = m_latestJoin;
-    } else if (hasDiscoveredZone) {
+    } else if (hasDiscoveredZone || knowsNearlyAll()) {
         m_joinsAt = std::min(m_joinsAt, now);
     } else if (hasChanged) {
         m_joinsAt = std::min(now + m_options.settleTime, m_latestJoin);
     }
 }
 
+// With one host of eight unknown, hardly any upstream of the zone has another home than with all of
+// them. In a large zone the last ones become known several tenths of a second after the others, and
+// some of the listed ones may be gone.
+bool JoinGate::knowsNearlyAll() const
+{
+    const std::size_t inZone = m_listedHosts + 1;
+    return m_hasCurrentList && m_zoneHosts.size() * maxUnknownPart >= inZone * (maxUnknownPart - 1);
+}
+
 TimePoint JoinGate::joinsAt() const
 {
     return m_joinsAt;
--- a/tests/core/joingate_test.cpp
+++ b/tests/core/joingate_test.cpp
@@ -110,6 +110,27 @@
     }
 }
 
+// Guards against homes that are taken 0.3 s and more after the configuration is there, since the last
+// of the listed hosts are not known yet or are gone.
+BOOST_AUTO_TEST_CASE(JoinsAtOnceWhenItKnowsNearlyAllOfALargeZone)
+{
+    const JoinOptions options;
+    for (const std::size_t hosts : {9U, 46U, 164U}) {
+        JoinGate gate("here", options, start);
+        gate.onListed(hosts - 1, true, start + milliseconds{10});
+        const std::size_t unknown = hosts / 8;
+        gate.onView(viewOf(std::vector<std::string>(hosts - unknown - 1, "host"), true), false, start + milliseconds{60});
+        BOOST_TEST(sinceStart(gate.joinsAt()).count() == 60 + options.settleTime.count());
+        gate.onView(viewOf(std::vector<std::string>(hosts - unknown, "host"), true), false, start + milliseconds{80});
+        BOOST_TEST(sinceStart(gate.joinsAt()).count() == 80);
+    }
+    // In a small zone each host matters.
+    JoinGate gate("here", options, start);
+    gate.onListed(6, true, start + milliseconds{10});
+    gate.onView(viewOf(std::vector<std::string>(6, "host"), true), false, start + milliseconds{60});
+    BOOST_TEST(sinceStart(gate.joinsAt()).count() == 60 + options.settleTime.count());
+}
+
 // Guards against a host that starts with its whole fleet, takes a list from before that for the
 // fleet, and becomes the home of all upstreams.
 BOOST_AUTO_TEST_CASE(DoesNotTakeItselfForAloneByAnOutdatedList)
