--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -190,9 +190,13 @@
         self.log, self.held_term, self.running = [], 0, True
         self.registers = True
         self.draining = False
+        # While deaf, a replica receives nothing.
+        self.deaf = False
         self.slots, self.queue = asyncio.Semaphore(slots), 0
         self.slot_count, self.sequence = slots, 0
         self.connections = set()
+        # Hosts that this backend is partitioned from.
+        self.cut_hosts = set()
 
     @property
     def address(self):
@@ -232,13 +236,31 @@
             connection.abort()
 
     def restart(self):
+        """Comes back with its log, as a replica if another backend was promoted."""
         self.running = True
+        self.held_term = 0
+        self.service.replicate(self)
+
+    def cut_from(self, host):
+        """Partitions this backend from one host: what is sent either way is lost."""
+        self.cut_hosts.add(host)
+        for connection in self.connections:
+            connection.lost = connection.lost or connection.host is host
+
+    def heal(self):
+        """The partition ends. Connections that it has held up stay silent and end, as their far ends were dark."""
+        self.cut_hosts.clear()
+        for connection in list(self.connections):
+            if connection.lost:
+                connection.abort()
 
     async def serve(self, reader, writer):
         if not self.running:
             writer.transport.abort()
             return
         connection = BackendConnection(self, reader, writer)
+        connection.host = self.service.host_of(writer.get_extra_info("peername")[1])
+        connection.lost = connection.host in self.cut_hosts
         self.connections.add(connection)
         try:
             await connection.run()
@@ -260,6 +282,7 @@
         self.backend, self.service, self.reader, self.writer = backend, backend.service, reader, writer
         BackendConnection.last_number += 1
         self.number = BackendConnection.last_number
+        self.host, self.lost = None, False
         self.state, self.read_only, self.lead_term = "I", False, 0
         self.writes, self.values, self.prepared = [], {}, {}
         self.statements, self.transaction = [], 0
@@ -268,11 +291,14 @@
         self.writer.transport.abort()
 
     def send(self, lines):
-        if self.backend.running:
+        if self.backend.running and not self.lost:
             self.writer.write("".join(line + "\r\n" for line in lines).encode())
 
     async def line(self):
-        return (await self.reader.readuntil(b"\n")).decode("utf-8", "replace").rstrip("\r\n")
+        line = (await self.reader.readuntil(b"\n")).decode("utf-8", "replace").rstrip("\r\n")
+        while self.lost:
+            await asyncio.sleep(0.05)
+        return line
 
     async def run(self):
         words = (await self.line()).split(" ")
@@ -298,20 +324,24 @@
 
     def note(self, identity, text, outcome):
         inside = f" transaction={self.number}.{self.transaction}" if self.state != "I" else ""
+        inside += f" AFTER {text_of(self.after)}" if self.after else ""
         self.service.ran.append((self.backend.name, self.number, self.transaction if self.state != "I" else None,
                                  identity, text, outcome, dict(self.values)))
         self.service.record.add(f"backend {self.backend.name} connection={self.number}{inside} id={identity} {text} -> {outcome}")
 
     async def statement(self, identity, text):
         verb, _, rest = text.partition(" ")
-        after = None
+        after = self.after = None
         if verb == "AFTER":
             mark, _, text = rest.partition(" ")
             after = tuple(int(part) for part in mark.split("."))
             verb, _, rest = text.partition(" ")
+            self.after = after
         if self.state == "E" and verb not in ("COMMIT", "ROLLBACK"):
             return ["ERROR MALFORMED the transaction failed"]
         if after is not None and self.backend.position < after:
+            self.service.record.add(f"backend {self.backend.name} connection={self.number} id={identity} AFTER "
+                                    f"{text_of(after)} {text} -> LAGGING at {text_of(self.backend.position)}")
             return ["ERROR LAGGING the log lacks the position"]
         if verb == "SET":
             name, _, value = rest.partition(" ")
@@ -365,7 +395,7 @@
         backend.queue += 1
         try:
             async with backend.slots:
-                await asyncio.sleep(0.002 if verb == "STATUS" else 0.008)
+                await asyncio.sleep(0.002 if verb == "STATUS" else self.service.work_s)
                 return self.status() if verb == "STATUS" else self.execute(identity, verb, rest, text)
         finally:
             backend.queue -= 1
@@ -416,11 +446,13 @@
 class Service:
     """A primary and its replicas, with replication and promotion."""
 
-    def __init__(self, name, store, record, connections=33, lag_s=0.008, promote_s=0.6):
+    def __init__(self, name, store, record, connections=33, lag_s=0.008, promote_s=0.6, work_s=0.008):
         self.name, self.store, self.record, self.connections = name, store, record, connections
-        self.lag_s, self.promote_s = lag_s, promote_s
+        self.lag_s, self.promote_s, self.work_s = lag_s, promote_s, work_s
         self.backends, self.primary, self.term, self.ran = {}, None, 1, []
         self.terms = {}
+        # Returns the host that has a connection with this local port.
+        self.host_of = lambda port: None
 
     async def add(self, name, zone, slots=5):
         backend = Backend(self, name, zone, slots)
@@ -457,7 +489,7 @@
                 asyncio.get_running_loop().call_later(self.lag_s, self.replicate, other)
 
     def replicate(self, backend):
-        if backend is self.primary or backend.held_term or not backend.running or not self.primary.running:
+        if backend is self.primary or backend.held_term or backend.deaf or not backend.running or not self.primary.running:
             return
         backend.log, self.terms[backend.name] = list(self.primary.log), self.term
 
@@ -676,6 +708,7 @@
 
     async def add_service(self, name, zones, **options):
         service = Service(name, self.store, self.record, **options)
+        service.host_of = self.host_with_port
         self.services[name] = service
         for number, zone in enumerate(zones, start=1):
             await service.add(f"i-{name}-{number}", zone)
@@ -690,6 +723,23 @@
         host.start()
         return host
 
+    def host_with_port(self, port):
+        """The host whose process holds the socket with a local port."""
+        wanted = f":{port:04X}"
+        with open("/proc/net/tcp") as table:
+            rows = [line.split() for line in table][1:]
+        inodes = {f"socket:[{row[9]}]" for row in rows if row[1].endswith(wanted)}
+        for host in self.hosts.values():
+            if not host.alive():
+                continue
+            folder = f"/proc/{host.process.pid}/fd"
+            try:
+                if any(os.readlink(os.path.join(folder, each)) in inodes for each in os.listdir(folder)):
+                    return host
+            except OSError:
+                continue
+        return None
+
     async def wait_for(self, what, condition, timeout_s=30):
         end = time.monotonic() + timeout_s
         while time.monotonic() < end:
