--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -396,7 +396,13 @@
         try:
             async with backend.slots:
                 await asyncio.sleep(0.002 if verb == "STATUS" else self.service.work_s)
-                return self.status() if verb == "STATUS" else self.execute(identity, verb, rest, text)
+                if verb == "STATUS":
+                    return self.status()
+                length = len(backend.log)
+                answer = self.execute(identity, verb, rest, text)
+                if self.service.sync and len(backend.log) > length:
+                    await self.service.received_by_replicas(backend, len(backend.log))
+                return answer
         finally:
             backend.queue -= 1
 
@@ -446,9 +452,13 @@
 class Service:
     """A primary and its replicas, with replication and promotion."""
 
-    def __init__(self, name, store, record, connections=33, lag_s=0.008, promote_s=0.6, work_s=0.008):
+    def __init__(self, name, store, record, connections=33, lag_s=0.008, promote_s=0.6, work_s=0.008, sync=0):
         self.name, self.store, self.record, self.connections = name, store, record, connections
         self.lag_s, self.promote_s, self.work_s = lag_s, promote_s, work_s
+        # syncReplicas of the configuration: replicas that must have received a commit before it is acknowledged.
+        self.sync = sync
+        # Logs of the backends that were promoted, as they took the lead: (name, term, ids of the commits).
+        self.takeovers = []
         self.backends, self.primary, self.term, self.ran = {}, None, 1, []
         self.terms = {}
         # Returns the host that has a connection with this local port.
@@ -488,6 +498,15 @@
             if other is not backend:
                 asyncio.get_running_loop().call_later(self.lag_s, self.replicate, other)
 
+    async def received_by_replicas(self, primary, length):
+        """Waits until as many replicas as `sync` says have received the log up to a length. A primary that
+        loses the lead meanwhile never acknowledges the commit."""
+        def count():
+            replicas = [each for each in self.backends.values() if each is not primary]
+            return sum(len(each.log) >= length and each.log[length - 1] == primary.log[length - 1] for each in replicas)
+        while self.primary is not primary or not primary.running or len(primary.log) < length or count() < self.sync:
+            await asyncio.sleep(0.002)
+
     def replicate(self, backend):
         if backend is self.primary or backend.held_term or backend.deaf or not backend.running or not self.primary.running:
             return
@@ -504,6 +523,7 @@
     def take_lead(self, backend):
         if not backend.running or backend is self.primary:
             return
+        self.takeovers.append((backend.name, self.term + 1, {identity for _, _, identity in backend.log}))
         self.primary, self.term = backend, self.term + 1
         for other in self.backends.values():
             other.held_term = 0
