Give transaction ids that are unique among all homes of a process

What callers saw: a caller that paused in a transaction, while the home of its upstream moved away and back, got success for a write and a COMMIT that ran in the transaction of another caller.

Cause: UpstreamHome numbered its transactions from settings.firstTransaction, which a process draws once, and a process creates a new home each time it becomes the home of an upstream again. The host's record of a transaction's home and the links' sets of open transactions are keyed by the id alone too, and homes of two upstreams in one process also gave the same ids.

Evidence: the two new tests of home_test. On the code before, AreNotFoundAgainAtALaterHomeOfTheirUpstream failed with "a statement ran in another caller's transaction", and OfTwoUpstreamsAtOneHostHaveDifferentIds with [1000 == 1000]. The home's check of the front is no defence, since both callers used one front.

Change: TransactionIds, shared by all homes of a process, gives the ids; it starts at a random number. An id that a home has forgotten is therefore found nowhere, and the statement is refused as not run. Both tests pass.

--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -178,7 +178,7 @@
         settings.home.scheduler.limitPolicy = LimitPolicy::Fixed;
     }
     settings.home.upstreamUser = m_settings.upstreamUser;
-    settings.home.firstTransaction = (m_random() >> 2U) | 1U;
+    settings.home.transactionIds = std::make_shared<TransactionIds>(m_random() >> 2U);
     m_mechanisms.applyTo(settings);
     m_homes = std::make_unique<HomeService>(m_control, trafficContexts(), settings, std::move(hooks));
     m_switchovers = std::make_unique<SwitchoverService>(
--- a/src/runtime/upstreams/upstreamhome.cpp
+++ b/src/runtime/upstreams/upstreamhome.cpp
@@ -63,7 +63,6 @@
              budgetOptions(settings, upstream), planOptions(settings), settings.openTimeout,
              UpstreamPool::Hooks{[this] { makeProgress(); }, [this](const Error &) { makeProgress(); }})
     , m_scheduler(schedulerOptions())
-    , m_nextTransaction(std::max<std::uint64_t>(1, settings.firstTransaction))
     , m_timer(context)
 {
     m_pool.budget().becomeHome(Clock::now());
--- a/src/runtime/upstreams/upstreamhome.h
+++ b/src/runtime/upstreams/upstreamhome.h
@@ -16,6 +16,7 @@
 #include "egrettide/core/types.h"
 #include "runtime/host/timer.h"
 #include "runtime/upstreams/homerequest.h"
+#include "runtime/upstreams/transactionids.h"
 #include "runtime/upstreams/upstreamdialect.h"
 #include "runtime/upstreams/upstreampool.h"
 #include "runtime/upstreams/upstreamview.h"
@@ -50,8 +51,8 @@
 // Limits and timeouts of a home.
 struct UpstreamHomeSettings {
     std::string upstreamUser = "egrettide";
-    // Transaction ids of different runs of a host must not coincide: pass a random number.
-    std::uint64_t firstTransaction = 1;
+    // Shared by all homes of a process, also by those created later. Never null.
+    std::shared_ptr<TransactionIds> transactionIds = std::make_shared<TransactionIds>();
     // A transaction without a request for this long is rolled back, since it holds locks
     // and a connection.
     milliseconds idleTransactionTimeout{60000};
@@ -235,7 +236,6 @@
     SlotScheduler m_scheduler;
 
     Ticket m_lastTicket = 0;
-    std::uint64_t m_nextTransaction = 1;
     RequestMap m_pending;
     // Tickets that hold a slot and wait to be sent, in order of admission. May contain
     // tickets of requests that have ended.
--- a/src/runtime/upstreams/upstreamhomeanswers.cpp
+++ b/src/runtime/upstreams/upstreamhomeanswers.cpp
@@ -197,7 +197,7 @@
 // A transaction has begun: reserves the connection for it until it ends.
 void UpstreamHome::bindTransaction(HomeRequest &pending)
 {
-    const std::uint64_t id = m_nextTransaction++;
+    const std::uint64_t id = m_settings.transactionIds->next();
     HomeTransaction transaction;
     transaction.frontKey = pending.frontKey;
     transaction.className = pending.request.className;
--- a/tests/runtime/home_test.cpp
+++ b/tests/runtime/home_test.cpp
@@ -352,6 +352,41 @@
         "the rollback of an idle transaction");
 }
 
+// Guards against a statement running in the transaction that another caller opened at a later home.
+BOOST_AUTO_TEST_CASE(AreNotFoundAgainAtALaterHomeOfTheirUpstream)
+{
+    ClusterOptions options;
+    options.settings.home.idleTransactionTimeout = milliseconds{300};
+    Cluster cluster(options);
+    cluster.createTable();
+    const StatementReply rested = cluster.run("a", StatementKind::Begin, "BEGIN");
+    BOOST_REQUIRE_MESSAGE(!rested.error, textOf(rested));
+    cluster.leaveHome("a");
+    cluster.takeHomeAgain("a");
+    const StatementReply other = cluster.run("a", StatementKind::Begin, "BEGIN");
+    BOOST_REQUIRE_MESSAGE(!other.error, textOf(other));
+    StatementRequest late = cluster.request("a", StatementKind::Write, insert(1));
+    late.transaction = rested.transaction;
+    const StatementReply reply = cluster.run(late);
+    BOOST_REQUIRE_MESSAGE(reply.error.has_value(), "a statement ran in another caller's transaction");
+    BOOST_TEST((outcomeOf(reply.error->kind) == Outcome::NotRun));
+    BOOST_TEST(!reply.sent);
+}
+
+// Guards against a host ending its record of one upstream's transaction with that of another's.
+BOOST_AUTO_TEST_CASE(OfTwoUpstreamsAtOneHostHaveDifferentIds)
+{
+    ClusterOptions options;
+    options.hosts = 1;
+    Cluster cluster(options);
+    const StatementReply first = cluster.run("a", StatementKind::Begin, "BEGIN");
+    const StatementReply second = cluster.run("b", StatementKind::BeginReadOnly, "BEGIN READ ONLY");
+    BOOST_REQUIRE_MESSAGE(!first.error, textOf(first));
+    BOOST_REQUIRE_MESSAGE(!second.error, textOf(second));
+    BOOST_TEST(first.transaction != 0U);
+    BOOST_TEST(first.transaction != second.transaction);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Requests)
--- a/tests/runtime/homecluster.h
+++ b/tests/runtime/homecluster.h
@@ -21,6 +21,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <string>
@@ -210,10 +211,26 @@
     {
         m_configuration = std::make_shared<Configuration>(next);
         for (std::size_t i = 0; i < m_hosts.size(); ++i) {
-            m_hosts[i]->service->update(m_configuration, predicate(i));
+            updateHost(i);
         }
     }
 
+    // Makes the host of an upstream leave its home, and waits until the home is removed. Only for
+    // a host that is home of no other upstream.
+    void leaveHome(const std::string &upstreamName)
+    {
+        m_left.insert(upstreamName);
+        updateHost(homeIndex(upstreamName));
+        awaitTrue([&] { return !home(upstreamName).snapshot(databaseName); }, "the end of the home");
+    }
+
+    void takeHomeAgain(const std::string &upstreamName)
+    {
+        m_left.erase(upstreamName);
+        updateHost(homeIndex(upstreamName));
+        awaitSnapshot(isWhole, "a confirmed primary that all members follow");
+    }
+
     // Blocks the control thread of every host, as if the process were suspended.
     void blockControlThreads(milliseconds time)
     {
@@ -404,7 +421,14 @@
 
     HomePredicate predicate(std::size_t host) const
     {
-        return [this, host](const DatabaseSpec &, const UpstreamSpec &upstream) { return homeIndex(upstream.name) == host; };
+        return [this, host](const DatabaseSpec &, const UpstreamSpec &upstream) {
+            return homeIndex(upstream.name) == host && !m_left.contains(upstream.name);
+        };
+    }
+
+    void updateHost(std::size_t host)
+    {
+        m_hosts.at(host)->service->update(m_configuration, predicate(host));
     }
 
     void startHost(int index)
@@ -413,7 +437,7 @@
         HomeServiceSettings settings = m_options.settings;
         settings.observer.incarnation = "host-" + std::to_string(index);
         settings.observer.seed = static_cast<std::uint64_t>(index) + 1;
-        settings.home.firstTransaction = 1000U * (static_cast<std::uint64_t>(index) + 1);
+        settings.home.transactionIds = std::make_shared<TransactionIds>(1000U * (static_cast<std::uint64_t>(index) + 1));
         host.service = std::make_unique<HomeService>(
             host.control.context(), std::vector<boost::asio::io_context *>{&host.traffic.context()}, settings, hooks(index));
         host.service->update(m_configuration, predicate(static_cast<std::size_t>(index)));
@@ -461,6 +485,8 @@
     std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
     std::shared_ptr<const Configuration> m_configuration;
     std::vector<std::unique_ptr<Host>> m_hosts;
+    // Upstreams whose host has left their home.
+    std::set<std::string> m_left;
     std::atomic<std::uint64_t> m_lastId{0};
     std::mutex m_storeMutex;
     VersionedRecord m_record;
