Give announced primaries to the monitor, and take watermarks of one term only

Cause: GroupObserver::publish() put a view together from two terms: term and primary of the announcement, watermarks of the monitor's own probes under the term before. FreshnessGate::markOfFloor() replaces a session's position of an earlier term by the newest watermark, which it takes for one of the new term; it was an older one of the replaced primary, so a replica without the write passed the check.

The same cause on related paths: GroupMonitor::tryProof() and onStatementAnswer() took a watermark from a late answer of an earlier term's primary after the term had changed. And an answer from before the promotion withdrew a primary that had been announced.

Evidence: on the code before, the four new tests failed: "a mark of the replaced primary counts for the announced one"; two watermarks in place of one; mark 1:11 in place of 3:20; primary "" in place of "b".

Change: announcements go to the monitor, the one place that changes the term, which drops the watermarks with it. addWatermark() takes the term that a mark was proven under and drops those of another one where primaries prove themselves; StatementProof carries the term that the statement was sent under. The view is still published at once, so that writes reach the new primary as early as before. The tests pass.

--- a/include/egrettide/core/groupmonitor.h
+++ b/include/egrettide/core/groupmonitor.h
@@ -104,6 +104,8 @@
     TimePoint sentAt;
     // True when an upstream that is not the primary would have refused the statement.
     bool leads = false;
+    // The term that the sender had observed when it sent the statement.
+    Term sentUnder = 0;
 };
 
 // The driver has to send one status probe to each of `upstreams`, now.
@@ -255,7 +257,7 @@
     bool split() const;
     void watchSplit(TimePoint now);
     void tryProof(RoundId id, Round &round, TimePoint now);
-    void addWatermark(const Watermark &watermark);
+    void addWatermark(Term provenUnder, const Watermark &watermark);
     void thinWatermarks();
     void invalidateSnapshot();
 
@@ -270,6 +272,9 @@
     std::map<RoundId, Round> m_rounds;
     // The newest round that confirmed a primary; 0 if none has.
     RoundId m_provenRound = 0;
+    // The newest round that had begun when the primary was announced. Answers to rounds up to it
+    // may be from before the change, so they do not withdraw the announced primary.
+    RoundId m_announcedRound = 0;
     // The highest term known to have had a primary, and that primary; m_primary is empty
     // while the primary is lost.
     Term m_term = 0;
@@ -285,7 +290,8 @@
     // Set while the members' promises are split.
     std::optional<TimePoint> m_splitSince;
     Term m_highestPromised = 0;
-    // Sorted by sentAt; marks never decrease.
+    // Sorted by sentAt; marks never decrease. If the primary proves itself, all were proven under
+    // m_term.
     std::vector<Watermark> m_watermarks;
     // Null when the view has changed since the snapshot was last built.
     mutable std::shared_ptr<const GroupSnapshot> m_snapshot;
--- a/include/egrettide/core/types.h
+++ b/include/egrettide/core/types.h
@@ -101,7 +101,8 @@
     std::string primary;
     // True while the last completed round confirmed `primary` at a majority.
     bool primaryConfirmed = false;
-    // Oldest first; marks never fall within a term.
+    // Oldest first; marks never fall within a term. Where a primary proves itself, all were proven
+    // by the primary of `term`: one of an earlier term says nothing about later commits.
     std::vector<Watermark> watermarks;
     std::vector<MemberView> members;
 };
--- a/src/core/group/groupmonitor.cpp
+++ b/src/core/group/groupmonitor.cpp
@@ -140,6 +140,7 @@
         return;
     }
     adoptPrimary(term, primary, now);
+    m_announcedRound = m_lastRound;
     invalidateSnapshot();
 }
 
@@ -364,7 +365,7 @@
     if (m_primary.empty()) {
         return;
     }
-    const bool steppedDown = status.upstream == m_primary && newest && !leads(status);
+    const bool steppedDown = status.upstream == m_primary && newest && id > m_announcedRound && !leads(status);
     if (steppedDown || majorityPromisedAbove(m_term)) {
         withdrawPrimary(now);
     }
--- a/src/core/group/groupmonitorproof.cpp
+++ b/src/core/group/groupmonitorproof.cpp
@@ -40,9 +40,9 @@
     }
     if (!isPrimary) {
         answering->lastAnswerSentAt = proof.sentAt;
-    } else if (proof.leads) {
+    } else if (proof.leads && proof.sentUnder == m_term) {
         answering->lastAnswerSentAt = proof.sentAt;
-        addWatermark({proof.sentAt, proof.status.received});
+        addWatermark(proof.sentUnder, {proof.sentAt, proof.status.received});
         m_confirmed = true;
         // Earlier rounds without a proof must not withdraw this confirmation.
         m_provenRound = std::max(m_provenRound, m_lastRound);
@@ -76,7 +76,7 @@
             continue;
         }
         round.proven = true;
-        addWatermark({m_options.faults.watermarkAtAnswer ? now : round.sentAt, status.received});
+        addWatermark(term, {m_options.faults.watermarkAtAnswer ? now : round.sentAt, status.received});
         if (term == m_term && upstream == m_primary && id > m_provenRound) {
             m_provenRound = id;
             m_confirmed = true;
@@ -86,9 +86,13 @@
 }
 
 // Keeps the list sorted and free of redundant proofs: the same or a lower mark at a later
-// time implies the proof of an earlier time.
-void GroupMonitor::addWatermark(const Watermark &watermark)
+// time implies the proof of an earlier time. A late answer of a replaced primary is dropped: its
+// mark covers no commit of the current term and may be below one that the term inherited.
+void GroupMonitor::addWatermark(Term provenUnder, const Watermark &watermark)
 {
+    if (m_options.primaryProvesItself && provenUnder != m_term) {
+        return;
+    }
     const bool implied = std::ranges::any_of(
         m_watermarks, [&](const Watermark &known) { return known.sentAt >= watermark.sentAt && known.mark <= watermark.mark; });
     if (implied) {
--- a/src/runtime/group/groupobserver.cpp
+++ b/src/runtime/group/groupobserver.cpp
@@ -161,7 +161,7 @@
 
 void GroupObserver::Impl::onAnnounce(Term term, const std::string &primary)
 {
-    learnAnnounced(term, primary);
+    adoptAnnounced(term, primary);
     m_roundNow = true;
     tick();
 }
--- a/src/runtime/group/groupobserverimpl.h
+++ b/src/runtime/group/groupobserverimpl.h
@@ -72,7 +72,7 @@
     void processView(TimePoint now);
     void logPrimaryChange(const GroupSnapshot &view) const;
     void publish();
-    void learnAnnounced(Term term, const std::string &primary);
+    void adoptAnnounced(Term term, const std::string &primary);
     void arm();
 
     // Commits.
@@ -151,9 +151,6 @@
 
     // The view that was last processed.
     std::shared_ptr<const GroupSnapshot> m_seen;
-    // The highest announced term and its primary.
-    Term m_announcedTerm = 0;
-    std::string m_announcedPrimary;
     mutable std::mutex m_publishedMutex;
     std::shared_ptr<const GroupSnapshot> m_published;
 
--- a/src/runtime/group/groupobserverpromotion.cpp
+++ b/src/runtime/group/groupobserverpromotion.cpp
@@ -128,7 +128,7 @@
 
 void GroupObserver::Impl::carryOut(const Announce &action)
 {
-    learnAnnounced(action.term, action.primary);
+    adoptAnnounced(action.term, action.primary);
     m_roundNow = true;
     if (m_hooks.announce) {
         m_hooks.announce(m_database.name, action.term, action.primary);
--- a/src/runtime/group/groupobserverrounds.cpp
+++ b/src/runtime/group/groupobserverrounds.cpp
@@ -10,8 +10,6 @@
 namespace egrettide
 {
 
-using detail::namesOf;
-
 // Runs everything that is due by now and arms the timer again.
 void GroupObserver::Impl::tick()
 {
@@ -161,19 +159,9 @@
     }
 }
 
-// Publishes the monitor's view. Until a round observes an announced term, the view
-// names the announced primary, unconfirmed: writes reach it at once, and a member
-// that is not the primary refuses them.
 void GroupObserver::Impl::publish()
 {
-    std::shared_ptr<const GroupSnapshot> view = m_monitor.snapshot();
-    if (m_announcedTerm > view->term) {
-        const auto patched = std::make_shared<GroupSnapshot>(*view);
-        patched->term = m_announcedTerm;
-        patched->primary = m_announcedPrimary;
-        patched->primaryConfirmed = false;
-        view = patched;
-    }
+    const std::shared_ptr<const GroupSnapshot> view = m_monitor.snapshot();
     {
         const std::scoped_lock lock(m_publishedMutex);
         m_published = view;
@@ -183,17 +171,12 @@
     }
 }
 
-void GroupObserver::Impl::learnAnnounced(Term term, const std::string &primary)
+// Published immediately, so that writes reach the announced primary before a round has observed
+// it; a member that is not the primary refuses them.
+void GroupObserver::Impl::adoptAnnounced(Term term, const std::string &primary)
 {
-    const auto names = namesOf(m_database);
-    if (term <= m_announcedTerm || std::ranges::find(names, primary) == names.end()) {
-        return;
-    }
-    m_announcedTerm = term;
-    m_announcedPrimary = primary;
-    if (term > m_monitor.snapshot()->term) {
-        publish();
-    }
+    m_monitor.onAnnounced(term, primary, Clock::now());
+    publish();
 }
 
 void GroupObserver::Impl::arm()
--- a/src/runtime/group/groupobserverswitchover.cpp
+++ b/src/runtime/group/groupobserverswitchover.cpp
@@ -141,7 +141,7 @@
 
 void GroupObserver::Impl::carryOut(const HandOver &action)
 {
-    learnAnnounced(action.term, action.primary);
+    adoptAnnounced(action.term, action.primary);
     resumeWrites();
 }
 
--- a/src/runtime/upstreams/upstreamhomeanswers.cpp
+++ b/src/runtime/upstreams/upstreamhomeanswers.cpp
@@ -92,7 +92,7 @@
         return;
     }
     due = now + answerReportInterval;
-    m_hooks.answered(StatementProof{*answer.status, pending.sentAt, leads});
+    m_hooks.answered(StatementProof{*answer.status, pending.sentAt, leads, pending.sentUnder});
 }
 
 void UpstreamHome::onWholeAnswer(Ticket ticket, BatchAnswer answer)
--- a/tests/core/groupmonitor_test.cpp
+++ b/tests/core/groupmonitor_test.cpp
@@ -416,6 +416,31 @@
     BOOST_TEST(monitor.snapshot()->watermarks.size() == 1U);
 }
 
+// Guards against reads that are served below their floor because the view names an older mark.
+BOOST_AUTO_TEST_CASE(ProveNothingByALateAnswerFromBeforeTheirReplacement)
+{
+    monitor.onStatus(monitor.beginRound(at(0)).id, primary("a", 1, 90), at(2));
+    const RoundId late = monitor.beginRound(at(10)).id;
+    monitor.onStatus(monitor.beginRound(at(20)).id, primary("b", 2, 100), at(22));
+    monitor.onStatus(late, primary("a", 1, 95), at(30));
+    BOOST_REQUIRE_EQUAL(monitor.snapshot()->watermarks.size(), 1U);
+    BOOST_TEST((monitor.newestWatermark()->mark == LogMark{2, 100}));
+}
+
+// Guards against an announced primary being dropped by an answer from before its promotion.
+BOOST_AUTO_TEST_CASE(ThatAreAnnouncedStayUntilALaterRoundContradicts)
+{
+    monitor.onStatus(monitor.beginRound(at(0)).id, primary("a", 1, 90), at(2));
+    const RoundId before = monitor.beginRound(at(10)).id;
+    monitor.onAnnounced(2, "b", at(11));
+    BOOST_TEST(monitor.snapshot()->watermarks.empty());
+    monitor.onStatus(before, status("b", 1, {1, 90}), at(12));
+    BOOST_TEST(monitor.snapshot()->primary == "b");
+    monitor.onStatus(monitor.beginRound(at(20)).id, status("b", 1, {1, 90}), at(22));
+    BOOST_TEST(monitor.snapshot()->primary.empty());
+    BOOST_TEST(monitor.snapshot()->term == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(StayInForceWhileReplicasAreFenced)
 {
     const RoundId round = monitor.beginRound(at(0)).id;
--- a/tests/core/statementproof_test.cpp
+++ b/tests/core/statementproof_test.cpp
@@ -64,10 +64,10 @@
         }
     }
 
-    void answer(const std::string &upstream, int sentAt, Position position, bool leads)
+    void answer(const std::string &upstream, int sentAt, Position position, bool leads, Term sentUnder = 1)
     {
         const auto role = upstream == "a" ? UpstreamRole::Primary : UpstreamRole::Replica;
-        monitor.onStatementAnswer({statusOf(upstream, role, {1, position}), at(sentAt), leads}, at(sentAt + 3));
+        monitor.onStatementAnswer({statusOf(upstream, role, {1, position}), at(sentAt), leads, sentUnder}, at(sentAt + 3));
     }
 
     // The members probed until `milliseconds`, while only statements of the primary are
@@ -108,6 +108,17 @@
     BOOST_TEST(monitor.snapshot()->primaryConfirmed);
 }
 
+// Guards against a late answer of a primary proving a state under the later term that it leads.
+BOOST_AUTO_TEST_CASE(FromAnEarlierTermOfThePrimaryProveNothing)
+{
+    monitor.onStatus(monitor.beginRound(at(100)).id, statusOf("b", UpstreamRole::Primary, {2, 12}), at(102));
+    monitor.onStatus(monitor.beginRound(at(200)).id, statusOf("a", UpstreamRole::Primary, {3, 20}), at(202));
+    BOOST_REQUIRE((monitor.newestWatermark()->mark == LogMark{3, 20}));
+    answer("a", 201, 11, true, 1);
+    BOOST_TEST((monitor.newestWatermark()->mark == LogMark{3, 20}));
+    BOOST_TEST((monitor.newestWatermark()->sentAt == at(200)));
+}
+
 BOOST_AUTO_TEST_CASE(SpareThePrimaryAndLeaveOthersToTheirHomes)
 {
     const auto asked = askedUntil(20000, true);
--- a/tests/runtime/groupobserver_test.cpp
+++ b/tests/runtime/groupobserver_test.cpp
@@ -159,6 +159,18 @@
     requireAllPresent(cluster, writer.acknowledged);
 }
 
+// Guards against reads that miss the session's own write after an announced primary.
+BOOST_AUTO_TEST_CASE(AnAnnouncedPrimaryIsPublishedWithoutMarksOfTheReplacedOne)
+{
+    ClusterOptions options;
+    options.settings.observer.monitor.primaryProvesItself = true;
+    Cluster cluster(options);
+    BOOST_REQUIRE(!cluster.view(2)->watermarks.empty());
+    cluster.home("c").onAnnounce(databaseName, 2, "b");
+    Cluster::awaitTrue([&] { return cluster.view(2)->term == 2; }, "the announced term");
+    BOOST_TEST(cluster.view(2)->watermarks.empty(), "a mark of the replaced primary counts for the announced one");
+}
+
 BOOST_AUTO_TEST_CASE(AFailedReplicaDoesNotChangeThePrimary)
 {
     Cluster cluster;
