Record an order to promote before it is given, and bind all who may order

Cause: an order that a third party accepted or did not answer may still be carried out, and nobody kept that. Promoter::setMembers(), onClockGap(), a time-out of the answer and a promoter made anew all forgot the order, other hosts never knew of it, and the next attempt ordered whoever was the most advanced by then. Both candidates led, one after the other.

Evidence: with the mechanism switched off (PromoterFaults::ignorePendingOrder, which is the code before), AreWaitedForWhenTheMembersChange fails with "an accepted order was given up", and ThatAreUnansweredBindLaterAttemptsUntilTheyExpire, AreRepeatedForTheSameCandidateUntilItIsRefused and OfAnotherHostBindThisOne fail too.

Change: the order (candidate, term it replaces, the candidate's mark, attempt) is written to the group's record first, and its fencing token is the version of that write. PendingOrder decides whether it may still be carried out; until then only its candidate is ordered again, and only if nobody who answered holds more. The outcome of a promotion no longer erases a later claim or order. A change of members keeps an attempt whose order is out.

--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "egrettide/core/groupmonitor.h"
+#include "egrettide/core/promotionorder.h"
 #include "egrettide/core/types.h"
 
 #include <cstddef>
@@ -29,9 +30,10 @@
 // it; answers to earlier attempts are dropped.
 using AttemptId = std::uint64_t;
 
-// The persistent hint about a group in the store. It tells a newly started host where to
-// begin and keeps two promoters from repeatedly outbidding each other; no safety property
-// relies on it.
+// The persistent record of a group in the store. It tells a newly started host where to begin and
+// keeps two promoters from repeatedly outbidding each other. With PromoteBy::Member no safety
+// property relies on it; with PromoteBy::ThirdParty the recorded order keeps two candidates from
+// leading one after the other.
 struct GroupRecord {
     // The last announced primary.
     Term term = 0;
@@ -42,6 +44,8 @@
     // The term that the claim is to end. A claim on an earlier term than the one in
     // question is over, even if its holder never recorded the end.
     Term claimedOver = 0;
+    // The last order to a third party, recorded before it was given.
+    std::optional<PromotionOrder> order;
 };
 
 // The record at one version of the store's object; version 0 means that it does not exist.
@@ -84,8 +88,8 @@
     std::string upstream;
     Term term = 0;
     std::string token;
-    // The version of the claim's record, which rises with every claim and is unique to it.
-    // 0 without a claim.
+    // The version of the record that names the order, which rises with every write of the record
+    // and is unique to it. 0 without a record.
     std::uint64_t fencingToken = 0;
 };
 
@@ -128,6 +132,8 @@
     PrimaryReturned,
     // No claim could be made in the store, and a claim is required (PromoteBy::ThirdParty).
     NoClaim,
+    // An earlier order may still be carried out, and its candidate may lack acknowledged writes.
+    OrderPending,
 };
 
 // The attempt has ended without a promotion; suspicions are ignored until `until`.
@@ -177,6 +183,8 @@
     bool secondCandidateSameTerm = false;
     // Acts without the opinions of other homes.
     bool withoutOpinions = false;
+    // Orders the most advanced member although another one's order may still be carried out.
+    bool ignorePendingOrder = false;
 };
 
 // Which component receives the order to promote.
@@ -185,9 +193,9 @@
     // idempotent for one token and are sent again while unanswered.
     Member,
     // A third party that checks a fencing token and carries the order out asynchronously.
-    // The token is the version of the claim, so a claim is required. An order is sent once
-    // per claim, since an unanswered one may still be carried out, and its completion is
-    // visible only in the state of the group.
+    // The order is recorded in the store first, and the token is the version of that record, so a
+    // claim is required. An order is sent once per claim, since an unanswered one may still be
+    // carried out, and its completion is visible only in the state of the group.
     ThirdParty,
 };
 
@@ -209,6 +217,9 @@
     // the first) takes a tenth of that. With 2.5 s for both, a group was without a primary
     // for 1.6 s after one lost answer.
     milliseconds orderAnswerTimeout{400};
+    // The longest time after which a third party carries out an order that it did not answer, and a
+    // second for the promotion itself.
+    milliseconds orderBound{13'000};
     milliseconds resendInterval{50};
     // How long to wait, after a majority has promised, for promises of members that may be
     // more advanced.
@@ -226,6 +237,9 @@
     // promoter's claim: each attempt costs calls to the store, and their results do not
     // change sooner.
     milliseconds claimBackoff{200};
+    // Backoff while an earlier order may still be carried out. Longer than a third party takes for an
+    // accepted order, so that the host that gave the order can claim in between.
+    milliseconds orderBackoff{3000};
     // The interval between follow orders to a member that does not follow yet.
     milliseconds followInterval{200};
     // How long a member may keep a promise above the primary's term, left by an aborted
@@ -286,7 +300,8 @@
     // Sets the upstreams whose home is this host; its own home always counts. While one of
     // them is the primary, this promoter sends the orders to follow.
     void setHomes(std::set<std::string> homes);
-    // Applies a configuration with other members; a running attempt is dropped.
+    // Applies a configuration with other members. A running attempt is dropped, unless a third
+    // party already has its order.
     PromoterActions setMembers(std::vector<MemberSpec> members, TimePoint now);
 
     // When onTimer has to be called; unset while no timer is set.
@@ -302,9 +317,23 @@
     // The members that have promised the running attempt's term, with the status that they
     // reported.
     const std::map<std::string, MemberStatus> &promises() const;
+    // What this promoter knows of the last order; passed on to the promoter that replaces it.
+    const PendingOrder &pendingOrder() const;
+    void setPendingOrder(const PendingOrder &pending);
 
 private:
-    enum class Phase { Idle, AskingOpinions, ReadingRecord, Claiming, ReadingBack, Fencing, Promoting };
+    enum class Phase {
+        Idle,
+        AskingOpinions,
+        ReadingRecord,
+        Claiming,
+        ReadingBack,
+        Fencing,
+        // Only with PromoteBy::ThirdParty.
+        RecordingOrder,
+        ReadingOrderBack,
+        Promoting
+    };
 
     struct Order {
         std::string upstream;
@@ -330,7 +359,7 @@
     PromoterActions evaluateRecord(const VersionedRecord &current, TimePoint now);
     bool foreignClaimStands(const VersionedRecord &current, TimePoint now);
     PromoterActions withoutClaim(TimePoint now);
-    PromoterActions claim(std::uint64_t expectedVersion);
+    PromoterActions claim(std::uint64_t expectedVersion, TimePoint now);
     PromoterActions beginFence(TimePoint now);
     PromoterActions sendFences() const;
     PromoterActions evaluatePromises(TimePoint now);
@@ -339,6 +368,13 @@
     const MemberStatus *chooseCandidate() const;
     bool isBetterCandidate(const MemberStatus &candidate, const MemberStatus &best) const;
     PromoterActions sendPromote(TimePoint now);
+    PromoterActions recordOrder(const MemberStatus &chosen, TimePoint now);
+    const PromotionOrder *bindingOrder(TimePoint now) const;
+    bool holdsAll(const PromotionOrder &pending, const MemberStatus &mostAdvanced) const;
+    PromoterActions onOrderRecorded(const ClaimAnswer &answer, TimePoint now);
+    PromoterActions giveOrder(TimePoint now);
+    bool isOrdered() const;
+    bool ordersThirdParty() const;
     PromoterActions candidateLost(TimePoint now);
     PromoterActions succeed(TimePoint now);
     PromoterActions giveUp(GiveUpReason reason, TimePoint now);
@@ -377,6 +413,9 @@
     // The record as last read, claimed, or returned by a conflict.
     std::optional<VersionedRecord> m_record;
     std::optional<ForeignClaim> m_foreignClaim;
+    PendingOrder m_pendingOrder;
+    // The latest term known to have had a primary.
+    Term m_latestTerm = 0;
     // Members that promised m_term, with their status at the promise or later.
     std::map<std::string, MemberStatus> m_promises;
     // Members that promised m_term or a higher term to another promoter.
@@ -385,6 +424,8 @@
     std::set<std::string> m_failed;
     // The candidate that the order to promote names; at most one per term.
     std::string m_candidate;
+    // True once a third party has accepted the order.
+    bool m_isAccepted = false;
     std::optional<TimePoint> m_phaseDeadline;
     std::optional<TimePoint> m_resendAt;
     // Set once a majority has promised.
--- a/src/core/group/promoter.cpp
+++ b/src/core/group/promoter.cpp
@@ -29,13 +29,19 @@
 } // namespace
 
 Promoter::Promoter(PromoterIdentity identity, std::vector<MemberSpec> members, std::uint64_t seed, const PromoterOptions &options)
-    : m_identity(std::move(identity)), m_homes{m_identity.home}, m_members(std::move(members)), m_options(options), m_random(seed)
+    : m_identity(std::move(identity))
+    , m_homes{m_identity.home}
+    , m_members(std::move(members))
+    , m_options(options)
+    , m_random(seed)
+    , m_pendingOrder(options.orderBound)
 {
 }
 
 PromoterActions Promoter::onSuspicion(const Suspicion &suspicion, Term highestPromised, TimePoint now)
 {
     noteSuspicion(suspicion, now);
+    m_latestTerm = std::max(m_latestTerm, suspicion.term);
     if (running() || now < m_backoffUntil) {
         return {};
     }
@@ -60,7 +66,7 @@
     m_suspicion = Suspicion{};
     m_preferred = preferred;
     if (m_options.promoteBy == PromoteBy::ThirdParty) {
-        m_suspicion.term = highestPromised;
+        m_suspicion.term = m_latestTerm;
         return startClaim(now);
     }
     // A claim would only prolong the pause of writes: a planned change that meets another
@@ -85,17 +91,26 @@
 
 PromoterActions Promoter::onRecordRead(AttemptId attempt, const std::optional<VersionedRecord> &record, TimePoint now)
 {
-    if (!current(attempt, Phase::ReadingRecord) && !current(attempt, Phase::ReadingBack)) {
+    const bool readsOrderBack = current(attempt, Phase::ReadingOrderBack);
+    if (!current(attempt, Phase::ReadingRecord) && !current(attempt, Phase::ReadingBack) && !readsOrderBack) {
         return {};
     }
     if (!record) {
         return withoutClaim(now);
     }
+    if (readsOrderBack) {
+        const auto &order = record->record.order;
+        const bool recorded = order && order->token == m_token;
+        return onOrderRecorded({recorded ? ClaimResult::Claimed : ClaimResult::Conflict, *record}, now);
+    }
     return evaluateRecord(*record, now);
 }
 
 PromoterActions Promoter::onClaim(AttemptId attempt, const ClaimAnswer &answer, TimePoint now)
 {
+    if (current(attempt, Phase::RecordingOrder)) {
+        return onOrderRecorded(answer, now);
+    }
     if (!current(attempt, Phase::Claiming)) {
         return {};
     }
@@ -119,7 +134,7 @@
 PromoterActions Promoter::withoutClaim(TimePoint now)
 {
     m_record.reset();
-    return m_options.promoteBy == PromoteBy::ThirdParty ? giveUp(GiveUpReason::NoClaim, now) : beginFence(now);
+    return ordersThirdParty() ? giveUp(GiveUpReason::NoClaim, now) : beginFence(now);
 }
 
 PromoterActions Promoter::onFence(AttemptId attempt, const ControlAnswer &answer, TimePoint now)
@@ -149,10 +164,12 @@
     const MemberStatus &status = answer.status;
     m_highestPromised = std::max(m_highestPromised, status.promisedTerm);
     if (!answer.granted) {
+        m_pendingOrder.onVoid(m_token);
         return giveUp(GiveUpReason::Outbid, now);
     }
-    if (m_options.promoteBy == PromoteBy::ThirdParty) {
+    if (ordersThirdParty()) {
         // The order is accepted; its completion will be visible in the state of the group.
+        m_isAccepted = true;
         m_phaseDeadline = now + m_options.promoteTimeout;
         return {};
     }
@@ -182,8 +199,12 @@
 PromoterActions Promoter::onGroup(const GroupSnapshot &snapshot, const std::vector<MemberStatus> &statuses, TimePoint now)
 {
     PromoterActions actions;
-    const bool promoted = m_phase == Phase::Promoting && snapshot.term == m_term && snapshot.primary == m_candidate;
+    m_latestTerm = std::max(m_latestTerm, snapshot.term);
+    // A third party numbers the terms itself.
+    const bool isNext = ordersThirdParty() ? snapshot.term > m_suspicion.term : snapshot.term == m_term;
+    const bool promoted = m_phase == Phase::Promoting && isNext && snapshot.primary == m_candidate;
     if (promoted) {
+        m_term = snapshot.term;
         actions = succeed(now); // only the answer to the order was lost
     } else if (const auto reason = running() ? overtaken(snapshot) : std::nullopt) {
         actions = giveUp(*reason, now);
@@ -251,7 +272,11 @@
 {
     m_members = std::move(members);
     m_orders.clear();
-    return running() ? giveUp(GiveUpReason::NoMajority, now) : PromoterActions{};
+    // An order that had to be waited for may have lost its candidate.
+    m_backoffUntil = std::min(m_backoffUntil, now + m_options.claimBackoff);
+    // Another candidate must not be ordered while this order may be carried out.
+    const bool stays = ordersThirdParty() && m_phase == Phase::Promoting && !m_options.faults.ignorePendingOrder;
+    return running() && !stays ? giveUp(GiveUpReason::NoMajority, now) : PromoterActions{};
 }
 
 std::optional<TimePoint> Promoter::nextTimerAt() const
@@ -293,6 +318,16 @@
     return m_promises;
 }
 
+const PendingOrder &Promoter::pendingOrder() const
+{
+    return m_pendingOrder;
+}
+
+void Promoter::setPendingOrder(const PendingOrder &pending)
+{
+    m_pendingOrder = pending;
+}
+
 // Where a fencing token keeps the group safe, leaving members do not count. An upstream
 // that is being removed and its replacement are in the same zone. If the leaving one
 // counted and that zone were cut off, two of four members would be unreachable and a
@@ -390,6 +425,7 @@
     m_refusing.clear();
     m_failed.clear();
     m_candidate.clear();
+    m_isAccepted = false;
 }
 
 PromoterActions Promoter::startClaim(TimePoint now)
@@ -405,6 +441,7 @@
 PromoterActions Promoter::evaluateRecord(const VersionedRecord &current, TimePoint now)
 {
     m_record = current;
+    m_pendingOrder.onRecord(current.record.order, now);
     if (m_phase == Phase::ReadingBack && current.record.claimToken == m_token) {
         return beginFence(now);
     }
@@ -412,7 +449,7 @@
         m_record.reset(); // read again by the next attempt
         return giveUp(GiveUpReason::ClaimedElsewhere, now);
     }
-    return claim(current.version);
+    return claim(current.version, now);
 }
 
 // A claim has no expiry time, since clocks of hosts are not compared: it is respected until
@@ -430,13 +467,16 @@
     return now - m_foreignClaim->firstSeenAt < m_options.foreignClaimTimeout;
 }
 
-PromoterActions Promoter::claim(std::uint64_t expectedVersion)
+PromoterActions Promoter::claim(std::uint64_t expectedVersion, TimePoint now)
 {
     m_phase = Phase::Claiming;
     GroupRecord record = m_record->record;
     record.claimToken = m_token;
     record.claimHolder = m_identity.incarnation;
     record.claimedOver = m_suspicion.term;
+    if (!bindingOrder(now)) {
+        record.order.reset();
+    }
     return {ClaimInStore{m_attempt, expectedVersion, std::move(record)}};
 }
 
@@ -545,18 +585,86 @@
     if (!chosen) {
         return giveUp(GiveUpReason::PromotionUnanswered, now);
     }
+    if (ordersThirdParty()) {
+        return recordOrder(*chosen, now);
+    }
     m_phase = Phase::Promoting;
     m_candidate = chosen->upstream;
     m_graceUntil.reset();
     m_phaseDeadline = now + m_options.promoteTimeout;
     m_resendAt = now + m_options.resendInterval;
-    if (m_options.promoteBy == PromoteBy::ThirdParty) {
-        m_phaseDeadline = now + m_options.orderAnswerTimeout;
-        m_resendAt.reset();
-    }
     return {SendPromote{m_attempt, m_candidate, m_term, m_token, m_record ? m_record->version : 0}};
 }
 
+// While an earlier order may still be carried out, only its candidate is ordered again, and only if
+// no member is known to hold more.
+PromoterActions Promoter::recordOrder(const MemberStatus &chosen, TimePoint now)
+{
+    PromotionOrder order{chosen.upstream, m_suspicion.term, chosen.received, m_token};
+    const PromotionOrder *const pending = bindingOrder(now);
+    if (pending && pending->upstream != chosen.upstream) {
+        if (planned() || !holdsAll(*pending, chosen)) {
+            return giveUp(GiveUpReason::OrderPending, now);
+        }
+        order.upstream = pending->upstream;
+        order.mark = pending->mark;
+    }
+    m_phase = Phase::RecordingOrder;
+    m_candidate = order.upstream;
+    m_graceUntil.reset();
+    m_resendAt.reset();
+    m_phaseDeadline = now + m_options.claimTimeout;
+    GroupRecord record = m_record->record;
+    record.order = std::move(order);
+    return {ClaimInStore{m_attempt, m_record->version, std::move(record)}};
+}
+
+// The recorded order that may still be carried out. An upstream that is no member any more is not
+// running, so an order for it is not carried out.
+const PromotionOrder *Promoter::bindingOrder(TimePoint now) const
+{
+    const PromotionOrder *const pending = m_pendingOrder.outstanding(m_suspicion.term, now);
+    return pending && isMember(pending->upstream) && !m_options.faults.ignorePendingOrder ? pending : nullptr;
+}
+
+bool Promoter::holdsAll(const PromotionOrder &pending, const MemberStatus &mostAdvanced) const
+{
+    const auto promise = m_promises.find(pending.upstream);
+    return mostAdvanced.received <= (promise == m_promises.end() ? pending.mark : promise->second.received);
+}
+
+PromoterActions Promoter::onOrderRecorded(const ClaimAnswer &answer, TimePoint now)
+{
+    switch (answer.result) {
+    case ClaimResult::Claimed:
+        m_record = answer.current;
+        m_pendingOrder.onRecord(m_record->record.order, now);
+        return giveOrder(now);
+    case ClaimResult::Conflict:
+        // Another promoter has claimed meanwhile.
+        m_record.reset();
+        return giveUp(GiveUpReason::ClaimedElsewhere, now);
+    case ClaimResult::LostAnswer:
+        m_phase = Phase::ReadingOrderBack;
+        return {ReadRecord{m_attempt}};
+    case ClaimResult::Unavailable:
+        break;
+    }
+    return withoutClaim(now);
+}
+
+PromoterActions Promoter::giveOrder(TimePoint now)
+{
+    m_phase = Phase::Promoting;
+    m_phaseDeadline = now + m_options.orderAnswerTimeout;
+    return {SendPromote{m_attempt, m_candidate, m_term, m_token, m_record->version}};
+}
+
+bool Promoter::ordersThirdParty() const
+{
+    return m_options.promoteBy == PromoteBy::ThirdParty;
+}
+
 // A second candidate is never promoted in the same term. The first one may have been
 // promoted with its answer lost, or the order may still be on its way; both would lead the
 // same term, and their writes could not be told apart. A new term costs one round of fences
@@ -569,7 +677,10 @@
     }
     // With a third party, a second order under the same fencing token could be overtaken by
     // the first.
-    if (m_retries >= retryLimit || m_options.promoteBy == PromoteBy::ThirdParty) {
+    if (m_isAccepted) {
+        m_pendingOrder.onVoid(m_token);
+    }
+    if (m_retries >= retryLimit || ordersThirdParty()) {
         m_record.reset();
         return giveUp(GiveUpReason::PromotionUnanswered, now);
     }
@@ -606,7 +717,7 @@
 PromoterActions Promoter::giveUp(GiveUpReason reason, TimePoint now)
 {
     m_backoffUntil = now + backoff(reason);
-    const bool fenced = m_phase == Phase::Fencing || m_phase == Phase::Promoting;
+    const bool fenced = m_phase == Phase::Fencing || isOrdered();
     m_unfinished = fenced && !planned() && reason != GiveUpReason::ClockGap;
     endAttempt();
     return {GiveUp{m_attempt, reason, m_backoffUntil}};
@@ -623,6 +734,9 @@
     if (reason == GiveUpReason::ClaimedElsewhere || reason == GiveUpReason::NoClaim) {
         return m_options.claimBackoff;
     }
+    if (reason == GiveUpReason::OrderPending) {
+        return m_options.orderBackoff;
+    }
     const milliseconds span = std::min(m_options.backoffCeiling, m_options.backoffFloor * (1 << m_failures));
     std::uniform_int_distribution<milliseconds::rep> draw(span.count() / 2, span.count());
     return milliseconds(draw(m_random));
@@ -664,6 +778,12 @@
     return {SendPromote{m_attempt, m_candidate, m_term, m_token, m_record ? m_record->version : 0}};
 }
 
+// True from the choice of the candidate to the end of the attempt.
+bool Promoter::isOrdered() const
+{
+    return m_phase == Phase::RecordingOrder || m_phase == Phase::ReadingOrderBack || m_phase == Phase::Promoting;
+}
+
 // Whether the monitor's view makes the running attempt obsolete.
 std::optional<GiveUpReason> Promoter::overtaken(const GroupSnapshot &snapshot) const
 {
@@ -690,8 +810,7 @@
         stranded = stranded || status.promisedTerm > m_leaderTerm;
         const bool follows =
             status.role == UpstreamRole::Replica && status.followingTerm == m_leaderTerm && status.promisedTerm <= m_leaderTerm;
-        const bool released = m_options.promoteBy == PromoteBy::ThirdParty && m_strandedSince
-            && now - *m_strandedSince >= m_options.strandedTimeout;
+        const bool released = ordersThirdParty() && m_strandedSince && now - *m_strandedSince >= m_options.strandedTimeout;
         const bool refuses = status.promisedTerm > m_leaderTerm && !released;
         const auto order = std::ranges::find(m_orders, status.upstream, &Order::upstream);
         if ((follows || refuses) && order != m_orders.end()) {
--- a/src/runtime/group/groupcoordination.cpp
+++ b/src/runtime/group/groupcoordination.cpp
@@ -15,13 +15,36 @@
 constexpr milliseconds recordTimeout{2000};
 constexpr int recordAttempts = 5;
 
+nlohmann::json toJson(const PromotionOrder &order)
+{
+    return {{"upstream", order.upstream},
+            {"over", order.over},
+            {"markTerm", order.mark.term},
+            {"markPosition", order.mark.position},
+            {"token", order.token}};
+}
+
 nlohmann::json toJson(const GroupRecord &record)
 {
-    return {{"term", record.term},
-            {"primary", record.primary},
-            {"claimToken", record.claimToken},
-            {"claimHolder", record.claimHolder},
-            {"claimedOver", record.claimedOver}};
+    nlohmann::json value = {{"term", record.term},
+                            {"primary", record.primary},
+                            {"claimToken", record.claimToken},
+                            {"claimHolder", record.claimHolder},
+                            {"claimedOver", record.claimedOver}};
+    if (record.order) {
+        value["order"] = toJson(*record.order);
+    }
+    return value;
+}
+
+PromotionOrder promotionOrderFrom(const nlohmann::json &value)
+{
+    PromotionOrder order;
+    order.upstream = value.value("upstream", std::string());
+    order.over = value.value("over", Term{0});
+    order.mark = LogMark{value.value("markTerm", Term{0}), value.value("markPosition", Position{0})};
+    order.token = value.value("token", std::string());
+    return order;
 }
 
 // Treats a malformed record as an absent one, because records are only hints.
@@ -34,12 +57,31 @@
         record.claimToken = value.value("claimToken", std::string());
         record.claimHolder = value.value("claimHolder", std::string());
         record.claimedOver = value.value("claimedOver", Term{0});
+        if (value.contains("order")) {
+            record.order = promotionOrderFrom(value.at("order"));
+        }
     } catch (const nlohmann::json::exception &) {
         return GroupRecord{};
     }
     return record;
 }
 
+// The outcome of a promotion ends the claims and orders of earlier terms, not those that are meant to
+// replace the primary that it names.
+GroupRecord withOutcome(const GroupRecord &standing, const GroupRecord &outcome)
+{
+    GroupRecord next = outcome;
+    if (!standing.claimToken.empty() && standing.claimedOver >= outcome.term) {
+        next.claimToken = standing.claimToken;
+        next.claimHolder = standing.claimHolder;
+        next.claimedOver = standing.claimedOver;
+    }
+    if (standing.order && standing.order->over >= outcome.term) {
+        next.order = standing.order;
+    }
+    return next;
+}
+
 using StoreAnswer = tl::expected<VersionedObject, StoreError>;
 
 // Returns nothing when the store did not answer; an absent record has version 0.
@@ -160,7 +202,7 @@
         if (standing->record.term > record.term) {
             return;
         }
-        m_store.write(groupRecordKey(database), toJson(record), standing->version, deadline,
+        m_store.write(groupRecordKey(database), toJson(withOutcome(standing->record, record)), standing->version, deadline,
                       [=, this](const StoreAnswer &written) {
                           if (!written) {
                               writeRecord(database, record, attemptsLeft - 1);
--- a/src/runtime/group/grouplog.cpp
+++ b/src/runtime/group/grouplog.cpp
@@ -36,6 +36,8 @@
         return "clock_gap";
     case GiveUpReason::PrimaryReturned:
         return "primary_returned";
+    case GiveUpReason::OrderPending:
+        return "order_pending";
     case GiveUpReason::NoClaim:
         break;
     }
@@ -104,6 +106,7 @@
                   {{"database", m_database},
                    {"attempt", claim->attempt},
                    {"expected_version", claim->expectedVersion},
+                   {"order_for", claim->record.order ? claim->record.order->upstream : std::string()},
                    {"over_term", claim->record.claimedOver}});
     } else if (const auto *fence = std::get_if<SendFence>(&action)) {
         if (std::exchange(m_fencedAttempt, fence->attempt) != fence->attempt) {
--- a/src/runtime/group/groupobserverpromotion.cpp
+++ b/src/runtime/group/groupobserverpromotion.cpp
@@ -15,7 +15,11 @@
 {
     m_promoterHome = m_homes.empty() ? std::string{} : *m_homes.begin();
     PromoterIdentity identity{m_database.name, m_promoterHome, m_settings.incarnation + "/" + m_promoterHome};
-    m_promoter = std::make_unique<Promoter>(std::move(identity), membersOf(m_database), m_settings.seed, m_settings.promoter);
+    auto next = std::make_unique<Promoter>(std::move(identity), membersOf(m_database), m_settings.seed, m_settings.promoter);
+    if (m_promoter) {
+        next->setPendingOrder(m_promoter->pendingOrder());
+    }
+    m_promoter = std::move(next);
 }
 
 void GroupObserver::Impl::perform(const PromoterActions &actions)
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -557,6 +557,11 @@
 
 struct OrderedFixture : Fixture {
     OrderedFixture()
+    {
+        makePromoter();
+    }
+
+    void makePromoter()
     {
         PromoterOptions options;
         options.promoteBy = PromoteBy::ThirdParty;
@@ -573,27 +578,82 @@
         return asked[0].attempt;
     }
 
-    // Runs an attempt up to the order to promote, under a claim of that version.
-    std::vector<SendPromote> order(std::uint64_t version, int milliseconds = 0)
+    // Runs an attempt to its fences, over the record as it stands in the store.
+    void fence(int milliseconds = 0)
     {
         const AttemptId asked = agreed(milliseconds);
-        const auto claims = only<ClaimInStore>(ordered->onRecordRead(asked, VersionedRecord{version - 1, {}}, at(milliseconds)));
+        const auto claims = only<ClaimInStore>(ordered->onRecordRead(asked, store, at(milliseconds)));
+        BOOST_REQUIRE_EQUAL(claims.size(), 1U);
+        storeAttempt(ordered->onClaim(asked, write(claims[0]), at(milliseconds)));
+    }
+
+    // Answers a write of the record by carrying it out.
+    ClaimAnswer write(const ClaimInStore &claim)
+    {
+        BOOST_REQUIRE_EQUAL(claim.expectedVersion, store.version);
+        store = VersionedRecord{store.version + 1, claim.record};
+        return ClaimAnswer{ClaimResult::Claimed, store};
+    }
+
+    // Answers the fences, and the write of the order that follows.
+    PromoterActions promise(const std::vector<ControlAnswer> &promises, const std::string &silent, int milliseconds)
+    {
+        for (const ControlAnswer &answer : promises) {
+            ordered->onFence(attempt, answer, at(milliseconds));
+        }
+        PromoterActions actions = ordered->onMemberFailed(attempt, silent, at(milliseconds + 1));
+        if (actions.empty()) {
+            actions = ordered->onTimer(at(milliseconds + 58));
+        }
+        const auto recorded = only<ClaimInStore>(actions);
+        return recorded.empty() ? actions : ordered->onClaim(attempt, write(recorded[0]), at(milliseconds + 1));
+    }
+
+    // Runs an attempt up to the order to promote, whose record has that version.
+    std::vector<SendPromote> order(std::uint64_t version, int milliseconds = 0)
+    {
+        store.version = version - 2;
+        fence(milliseconds);
+        return only<SendPromote>(promise({granted("b", {4, 10}), granted("c", {4, 11})}, "a", milliseconds + 2));
+    }
+
+    // Runs the attempt that repeats the last one to its fences.
+    void fenceAgain(int milliseconds)
+    {
+        const auto asked = only<AskOpinions>(ordered->onTimer(at(milliseconds)));
+        BOOST_REQUIRE_EQUAL(asked.size(), 1U);
+        const AttemptId next = asked[0].attempt;
+        PromoterActions actions = ordered->onOpinion(next, "c", true, at(milliseconds));
+        if (!only<ReadRecord>(actions).empty()) {
+            actions = ordered->onRecordRead(next, store, at(milliseconds));
+        }
+        const auto claims = only<ClaimInStore>(actions);
         BOOST_REQUIRE_EQUAL(claims.size(), 1U);
-        ClaimAnswer claimed{ClaimResult::Claimed, VersionedRecord{version, claims[0].record}};
-        storeAttempt(ordered->onClaim(asked, claimed, at(milliseconds)));
-        ordered->onFence(attempt, granted("b", {4, 10}), at(milliseconds + 2));
-        ordered->onFence(attempt, granted("c", {4, 11}), at(milliseconds + 2));
-        return only<SendPromote>(ordered->onMemberFailed(attempt, "a", at(milliseconds + 3)));
+        storeAttempt(ordered->onClaim(next, write(claims[0]), at(milliseconds)));
+    }
+
+    void accept(const SendPromote &order)
+    {
+        ControlAnswer accepted;
+        accepted.granted = true;
+        accepted.status.upstream = order.upstream;
+        ordered->onPromote(order.attempt, accepted, at(10));
+    }
+
+    static std::vector<MemberSpec> withNewcomer()
+    {
+        return {{"a", "zone-a", true}, {"b", "zone-b", false}, {"c", "zone-c", false}, {"d", "zone-a", false}};
     }
 
     std::unique_ptr<Promoter> ordered;
+    VersionedRecord store;
 };
 
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(OrdersToAThirdParty, OrderedFixture)
 
-BOOST_AUTO_TEST_CASE(CarryTheVersionOfTheClaim)
+BOOST_AUTO_TEST_CASE(CarryTheVersionOfTheirRecord)
 {
     const auto orders = order(41);
     BOOST_REQUIRE_EQUAL(orders.size(), 1U);
@@ -631,16 +691,7 @@
     // then cut off. The two members outside are no majority of four, so if a leaving member
     // counted, the group would have no primary until the cut ends.
     ordered->setMembers({{"a", "zone-a", true}, {"b", "zone-b", false}, {"c", "zone-c", false}, {"d", "zone-a", false}}, at(0));
-    const AttemptId asked = agreed();
-    const auto claims = only<ClaimInStore>(ordered->onRecordRead(asked, VersionedRecord{40, {}}, at(1)));
-    BOOST_REQUIRE_EQUAL(claims.size(), 1U);
-    storeAttempt(ordered->onClaim(asked, ClaimAnswer{ClaimResult::Claimed, VersionedRecord{41, claims[0].record}}, at(1)));
-    ordered->onFence(attempt, granted("b", {4, 10}), at(2));
-    ordered->onFence(attempt, granted("c", {4, 11}), at(2));
-    auto orders = only<SendPromote>(ordered->onMemberFailed(attempt, "a", at(3)));
-    if (orders.empty()) {
-        orders = only<SendPromote>(ordered->onTimer(at(60)));
-    }
+    const auto orders = order(41);
     BOOST_REQUIRE_EQUAL(orders.size(), 1U);
     BOOST_TEST(orders[0].upstream == "c");
 }
@@ -695,4 +746,136 @@
     BOOST_TEST(only<SendFollow>(late).size() == 1U, "a member fenced by a failed promoter was not ordered to follow");
 }
 
+// Guards against two candidates leading one after the other when a member joins.
+BOOST_AUTO_TEST_CASE(AreWaitedForWhenTheMembersChange)
+{
+    const auto orders = order(41);
+    accept(orders[0]);
+    BOOST_TEST(ordered->setMembers(withNewcomer(), at(300)).empty(), "an accepted order was given up");
+    BOOST_TEST(ordered->awaitsPromotion());
+    GroupSnapshot snapshot;
+    snapshot.term = 5;
+    snapshot.primary = "c";
+    BOOST_TEST(only<Announce>(ordered->onGroup(snapshot, {}, at(800))).size() == 1U);
+}
+
+// Guards against ordering another candidate while an unanswered order may still be carried out.
+BOOST_AUTO_TEST_CASE(ThatAreUnansweredBindLaterAttemptsUntilTheyExpire)
+{
+    order(41);
+    ordered->onTimer(at(420));
+    ordered->setMembers(withNewcomer(), at(450));
+    fenceAgain(1000);
+    const std::vector<ControlAnswer> promises{granted("b", {4, 10}), granted("c", {4, 11}), granted("d", {4, 20})};
+    const auto refused = only<GiveUp>(promise(promises, "a", 1002));
+    BOOST_REQUIRE_EQUAL(refused.size(), 1U);
+    BOOST_TEST((refused[0].reason == GiveUpReason::OrderPending));
+    fenceAgain(13'100);
+    const auto orders =
+        only<SendPromote>(promise({granted("b", {4, 10}), granted("c", {4, 11}), granted("d", {4, 20})}, "a", 13'102));
+    BOOST_REQUIRE_EQUAL(orders.size(), 1U);
+    BOOST_TEST(orders[0].upstream == "d");
+}
+
+// Guards against a group without a primary because the candidate of an unanswered order has died.
+BOOST_AUTO_TEST_CASE(AreRepeatedForTheSameCandidateUntilItIsRefused)
+{
+    order(41);
+    ordered->onTimer(at(420));
+    fenceAgain(1000);
+    const auto again = only<SendPromote>(promise({granted("a", {4, 9}), granted("b", {4, 10})}, "c", 1002));
+    BOOST_REQUIRE_EQUAL(again.size(), 1U);
+    BOOST_TEST(again[0].upstream == "c");
+    ControlAnswer conflict;
+    conflict.status.upstream = "c";
+    ordered->onPromote(attempt, conflict, at(1010));
+    fenceAgain(2000);
+    const auto next = only<SendPromote>(promise({granted("a", {4, 9}), granted("b", {4, 10})}, "c", 2002));
+    BOOST_REQUIRE_EQUAL(next.size(), 1U);
+    BOOST_TEST(next[0].upstream == "b");
+}
+
+// Guards against a group without a primary because an accepted order was not carried out.
+BOOST_AUTO_TEST_CASE(ThatWereAcceptedAndNotCarriedOutBindNobody)
+{
+    accept(order(41)[0]);
+    ordered->onTimer(at(310));
+    fenceAgain(1000);
+    const auto next = only<SendPromote>(promise({granted("a", {4, 12}), granted("b", {4, 10})}, "c", 1002));
+    BOOST_REQUIRE_EQUAL(next.size(), 1U);
+    BOOST_TEST(next[0].upstream == "a");
+}
+
+// Guards against waiting for a candidate that has left the group.
+BOOST_AUTO_TEST_CASE(ForAnUpstreamThatIsNoMemberAnyMoreBindNobody)
+{
+    order(41);
+    ordered->onTimer(at(420));
+    ordered->setMembers({{"a", "zone-a", false}, {"b", "zone-b", false}, {"d", "zone-c", false}}, at(450));
+    const auto asked = only<AskOpinions>(ordered->onTimer(at(1000)));
+    BOOST_REQUIRE_EQUAL(asked.size(), 1U);
+    ordered->onOpinion(asked[0].attempt, "a", true, at(1000));
+    const auto claims = only<ClaimInStore>(ordered->onRecordRead(asked[0].attempt, store, at(1000)));
+    BOOST_REQUIRE_EQUAL(claims.size(), 1U);
+    BOOST_TEST(!claims[0].record.order.has_value(), "an order that cannot be carried out any more stays in the record");
+    storeAttempt(ordered->onClaim(claims[0].attempt, write(claims[0]), at(1000)));
+    const auto next = only<SendPromote>(promise({granted("b", {4, 10}), granted("d", {4, 12})}, "a", 1002));
+    BOOST_REQUIRE_EQUAL(next.size(), 1U);
+    BOOST_TEST(next[0].upstream == "d");
+}
+
+// Guards against a promoter that is replaced, as its home moves, and forgets or prolongs the bound.
+BOOST_AUTO_TEST_CASE(BindThePromoterThatReplacesThisOneForTheRestOfTheirTime)
+{
+    order(41);
+    const PendingOrder passedOn = ordered->pendingOrder();
+    makePromoter();
+    ordered->setPendingOrder(passedOn);
+    fence(12'900);
+    const auto refused = only<GiveUp>(promise({granted("a", {4, 9}), granted("b", {4, 12})}, "c", 12'902));
+    BOOST_REQUIRE_EQUAL(refused.size(), 1U);
+    BOOST_TEST((refused[0].reason == GiveUpReason::OrderPending));
+    fenceAgain(16'000);
+    BOOST_TEST(only<SendPromote>(promise({granted("a", {4, 9}), granted("b", {4, 12})}, "c", 16'002)).size() == 1U);
+}
+
+// Guards against hosts that each order another candidate.
+BOOST_AUTO_TEST_CASE(OfAnotherHostBindThisOne)
+{
+    store.record.order = PromotionOrder{"c", 4, {4, 8}, "10.0.0.3/1/c/1"};
+    fence();
+    const auto ended = only<GiveUp>(promise({granted("a", {4, 9}), granted("b", {4, 10})}, "c", 2));
+    BOOST_REQUIRE_EQUAL(ended.size(), 1U);
+    BOOST_TEST((ended[0].reason == GiveUpReason::OrderPending));
+}
+
+// Guards against an order under a token that another host's order has passed.
+BOOST_AUTO_TEST_CASE(AreNotGivenWhenAnotherHostClaimsBeforeTheyAreRecorded)
+{
+    fence();
+    ordered->onFence(attempt, granted("b", {4, 10}), at(2));
+    ordered->onFence(attempt, granted("c", {4, 11}), at(2));
+    const auto recorded = only<ClaimInStore>(ordered->onMemberFailed(attempt, "a", at(3)));
+    BOOST_REQUIRE_EQUAL(recorded.size(), 1U);
+    const auto actions = ordered->onClaim(attempt, ClaimAnswer{ClaimResult::Conflict, {9, {}}}, at(5));
+    BOOST_TEST(only<SendPromote>(actions).empty());
+    BOOST_TEST(only<GiveUp>(actions).size() == 1U);
+}
+
+// Guards against an order whose record may not stand, or that is recorded and never given.
+BOOST_AUTO_TEST_CASE(WhoseRecordGetsNoAnswerAreReadBack)
+{
+    fence();
+    ordered->onFence(attempt, granted("b", {4, 10}), at(2));
+    ordered->onFence(attempt, granted("c", {4, 11}), at(2));
+    const auto recorded = only<ClaimInStore>(ordered->onMemberFailed(attempt, "a", at(3)));
+    BOOST_REQUIRE_EQUAL(recorded.size(), 1U);
+    write(recorded[0]);
+    const auto reads = only<ReadRecord>(ordered->onClaim(attempt, ClaimAnswer{ClaimResult::LostAnswer, {}}, at(5)));
+    BOOST_REQUIRE_EQUAL(reads.size(), 1U);
+    const auto orders = only<SendPromote>(ordered->onRecordRead(attempt, store, at(9)));
+    BOOST_REQUIRE_EQUAL(orders.size(), 1U);
+    BOOST_TEST(orders[0].fencingToken == store.version);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/runtime/groupcoordination_test.cpp
+++ b/tests/runtime/groupcoordination_test.cpp
@@ -90,6 +90,31 @@
     BOOST_TEST(platform.object(groupRecordKey("d"))->value.at("primary") == "newer");
 }
 
+// Guards against the end of a promotion erasing the order that replaces its primary.
+BOOST_FIXTURE_TEST_CASE(KeepsAnOrderAndItsClaimThatReplaceTheRecordedPrimary, Fixture)
+{
+    GroupRecord standing;
+    standing.claimToken = "later";
+    standing.claimedOver = 4;
+    standing.order = PromotionOrder{"c", 4, {4, 11}, "later"};
+    std::optional<VersionedRecord> seen;
+    hooks.claimRecord("d", 0, standing, Clock::now() + 30s, [](const ClaimAnswer &) {});
+    BOOST_TEST_REQUIRE(runUntil([&] { return platform.object(groupRecordKey("d")).has_value(); }));
+    GroupRecord outcome;
+    outcome.term = 4;
+    outcome.primary = "p";
+    hooks.writeRecord("d", outcome);
+    BOOST_TEST_REQUIRE(runUntil([&] { return platform.object(groupRecordKey("d"))->value.at("primary") == "p"; }));
+    hooks.readRecord("d", Clock::now() + 30s, [&](const std::optional<VersionedRecord> &record) { seen = record; });
+    BOOST_TEST_REQUIRE(runUntil([&] { return seen.has_value(); }));
+    BOOST_TEST((seen->record.order == standing.order));
+    BOOST_TEST(seen->record.claimToken == "later");
+    outcome.term = 5;
+    hooks.writeRecord("d", outcome);
+    BOOST_TEST(runUntil([&] { return !platform.object(groupRecordKey("d"))->value.contains("order"); }),
+               "an order that a later term has ended stays in the record");
+}
+
 BOOST_FIXTURE_TEST_CASE(WritesTheRecordOnceTheStoreIsBack, Fixture)
 {
     platform.failNextCalls(2);
