End a promotion once a later term has had a primary

What callers saw: a primary that had led for three seconds was replaced by the one before it.

Cause: an attempt acted on what its host knew when it began. (1) The monitor took a term only from a member that leads, so a host that reached replicas alone claimed over term 0, which others took for an ended claim. (2) Neither the record's term nor those of the members that answered the fences were compared with the term that the attempt was begun for. (3) Promoter::overtaken() compared the view's term with the attempt's next one, which lies above every promise left behind, so an attempt that fenced outlived the news of a later primary and was repeated after it.

Evidence: with the mechanism switched off (PromoterFaults::ignoreLaterTerm, the code before) the three cases of LaterTerms fail; without the replicas' terms AreKnownToHaveLedByTheReplicasThatFollowThem fails with [0 != 4].

Change: with orders to a third party, an attempt for term T ends in any phase and does not begin again once a primary of a later term is known to the view, the record or a member that answered. The monitor takes the term from a replica that follows it, and from the record. Attempts at a member itself are unchanged; there the majority's promise ends what a term between could acknowledge.

--- a/include/egrettide/core/groupmonitor.h
+++ b/include/egrettide/core/groupmonitor.h
@@ -162,6 +162,9 @@
     // A promoter announced a primary. It is used immediately and confirmed by the next
     // rounds, which follow soon.
     void onAnnounced(Term term, const std::string &primary, TimePoint now);
+    // The store or a member shows that `term` has had a primary. If `primary` is empty or no
+    // member, the group has no known primary until a round finds one.
+    void onTermLearned(Term term, const std::string &primary, TimePoint now);
     // A request to a member was reset or refused: the next round is due immediately, so
     // that the loss of an upstream under load is detected before the next idle round.
     // Raises no suspicion by itself.
--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -108,6 +108,12 @@
     std::string primary;
 };
 
+// A record or a member shows that `term` has had a primary; `primary` is empty if it is not known.
+struct LearnTerm {
+    Term term = 0;
+    std::string primary;
+};
+
 // Write the outcome to the store unless it holds a record of a higher term: read, compare,
 // replace conditionally, and repeat after a conflict. A failure does not affect safety,
 // since the next promotion reads the state of the group itself.
@@ -132,6 +138,8 @@
     PrimaryReturned,
     // No claim could be made in the store, and a claim is required (PromoteBy::ThirdParty).
     NoClaim,
+    // A later term than the one in question has had a primary.
+    Superseded,
     // An earlier order may still be carried out, and its candidate may lack acknowledged writes.
     OrderPending,
 };
@@ -143,8 +151,8 @@
     TimePoint until;
 };
 
-using PromoterAction =
-    std::variant<AskOpinions, ReadRecord, ClaimInStore, SendFence, SendPromote, SendFollow, Announce, RecordInStore, GiveUp>;
+using PromoterAction = std::variant<AskOpinions, ReadRecord, ClaimInStore, SendFence, SendPromote, SendFollow, Announce,
+                                    LearnTerm, RecordInStore, GiveUp>;
 using PromoterActions = std::vector<PromoterAction>;
 
 // How the store answered a conditional write.
@@ -185,6 +193,8 @@
     bool withoutOpinions = false;
     // Orders the most advanced member although another one's order may still be carried out.
     bool ignorePendingOrder = false;
+    // Goes on with a promotion after a later term has had a primary.
+    bool ignoreLaterTerm = false;
 };
 
 // Which component receives the order to promote.
@@ -374,6 +384,7 @@
     PromoterActions onOrderRecorded(const ClaimAnswer &answer, TimePoint now);
     PromoterActions giveOrder(TimePoint now);
     bool isOrdered() const;
+    PromoterActions supersede(Term term, const std::string &primary, TimePoint now);
     bool ordersThirdParty() const;
     PromoterActions candidateLost(TimePoint now);
     PromoterActions succeed(TimePoint now);
--- a/src/core/group/groupmonitor.cpp
+++ b/src/core/group/groupmonitor.cpp
@@ -144,6 +144,17 @@
     invalidateSnapshot();
 }
 
+void GroupMonitor::onTermLearned(Term term, const std::string &primary, TimePoint now)
+{
+    onAnnounced(term, primary, now);
+    if (term <= m_term) {
+        return;
+    }
+    adoptPrimary(term, {}, now);
+    m_noPrimarySince = now;
+    invalidateSnapshot();
+}
+
 void GroupMonitor::onRequestFailed(TimePoint now)
 {
     m_troubleAt = now;
@@ -361,6 +372,10 @@
     const bool returned = m_primary.empty() && newest && status.followingTerm == m_term && !majorityPromisedAbove(m_term);
     if (leads(status) && (status.followingTerm > m_term || returned)) {
         adoptPrimary(status.followingTerm, status.upstream, now);
+    } else if (m_options.primaryProvesItself && status.followingTerm > m_term) {
+        // A replica follows a term only once it has had a primary. Without this, an observer that
+        // reaches replicas alone would take the group for one that never had a primary.
+        onTermLearned(status.followingTerm, {}, now);
     }
     if (m_primary.empty()) {
         return;
--- a/src/core/group/promoter.cpp
+++ b/src/core/group/promoter.cpp
@@ -45,6 +45,10 @@
     if (running() || now < m_backoffUntil) {
         return {};
     }
+    if (ordersThirdParty() && suspicion.term < m_latestTerm && !m_options.faults.ignoreLaterTerm) {
+        m_unfinished = false;
+        return {};
+    }
     beginAttempt(highestPromised, now);
     m_suspicion = suspicion;
     if (m_agreeing.size() >= majority() || m_options.faults.withoutOpinions) {
@@ -144,6 +148,9 @@
     }
     const MemberStatus &status = answer.status;
     m_highestPromised = std::max(m_highestPromised, status.promisedTerm);
+    if (ordersThirdParty() && status.followingTerm > m_suspicion.term && !m_options.faults.ignoreLaterTerm) {
+        return supersede(status.followingTerm, status.role == UpstreamRole::Primary ? status.upstream : std::string(), now);
+    }
     const bool promised =
         answer.granted && status.promisedTerm == m_term && (status.promisedTo == m_token || m_options.faults.sharedToken);
     if (promised) {
@@ -442,6 +449,9 @@
 {
     m_record = current;
     m_pendingOrder.onRecord(current.record.order, now);
+    if (ordersThirdParty() && current.record.term > m_suspicion.term && !m_options.faults.ignoreLaterTerm) {
+        return supersede(current.record.term, current.record.primary, now);
+    }
     if (m_phase == Phase::ReadingBack && current.record.claimToken == m_token) {
         return beginFence(now);
     }
@@ -660,6 +670,17 @@
     return {SendPromote{m_attempt, m_candidate, m_term, m_token, m_record->version}};
 }
 
+// A primary of a later term may have acknowledged writes that no member in reach has received, so the
+// attempt ends for good: the later term has to be suspected first.
+PromoterActions Promoter::supersede(Term term, const std::string &primary, TimePoint now)
+{
+    m_latestTerm = std::max(m_latestTerm, term);
+    m_record.reset();
+    PromoterActions actions = giveUp(GiveUpReason::Superseded, now);
+    actions.emplace_back(LearnTerm{term, primary});
+    return actions;
+}
+
 bool Promoter::ordersThirdParty() const
 {
     return m_options.promoteBy == PromoteBy::ThirdParty;
@@ -718,7 +739,7 @@
 {
     m_backoffUntil = now + backoff(reason);
     const bool fenced = m_phase == Phase::Fencing || isOrdered();
-    m_unfinished = fenced && !planned() && reason != GiveUpReason::ClockGap;
+    m_unfinished = fenced && !planned() && reason != GiveUpReason::ClockGap && reason != GiveUpReason::Superseded;
     endAttempt();
     return {GiveUp{m_attempt, reason, m_backoffUntil}};
 }
@@ -787,6 +808,11 @@
 // Whether the monitor's view makes the running attempt obsolete.
 std::optional<GiveUpReason> Promoter::overtaken(const GroupSnapshot &snapshot) const
 {
+    if (ordersThirdParty() && snapshot.term > m_suspicion.term && !m_options.faults.ignoreLaterTerm) {
+        // While the primary of the later term is not known, it may be the candidate.
+        const bool mayBeCandidate = m_phase == Phase::Promoting && snapshot.primary.empty();
+        return mayBeCandidate ? std::nullopt : std::optional(GiveUpReason::Superseded);
+    }
     if (m_phase == Phase::Fencing || m_phase == Phase::Promoting) {
         const bool outbid =
             snapshot.term > m_term || (snapshot.term == m_term && !snapshot.primary.empty() && m_candidate != snapshot.primary);
--- a/src/runtime/group/grouplog.cpp
+++ b/src/runtime/group/grouplog.cpp
@@ -36,6 +36,8 @@
         return "clock_gap";
     case GiveUpReason::PrimaryReturned:
         return "primary_returned";
+    case GiveUpReason::Superseded:
+        return "superseded";
     case GiveUpReason::OrderPending:
         return "order_pending";
     case GiveUpReason::NoClaim:
--- a/src/runtime/group/groupobserverimpl.h
+++ b/src/runtime/group/groupobserverimpl.h
@@ -103,6 +103,7 @@
     ControlHandler controlHandler(AttemptId attempt, const std::string &upstream, AnswerFunction onAnswer);
     void carryOut(const SendFollow &action);
     void carryOut(const Announce &action);
+    void carryOut(const LearnTerm &action);
     void carryOut(const RecordInStore &action);
     void carryOut(const GiveUp &);
 
--- a/src/runtime/group/groupobserverpromotion.cpp
+++ b/src/runtime/group/groupobserverpromotion.cpp
@@ -140,6 +140,12 @@
     perform(m_switchover.onAnnounced(action.term, action.primary, Clock::now()));
 }
 
+void GroupObserver::Impl::carryOut(const LearnTerm &action)
+{
+    m_monitor.onTermLearned(action.term, action.primary, Clock::now());
+    m_roundNow = true;
+}
+
 void GroupObserver::Impl::carryOut(const RecordInStore &action)
 {
     if (m_hooks.writeRecord) {
--- a/testing/support/groupworld.h
+++ b/testing/support/groupworld.h
@@ -761,6 +761,11 @@
         performSwitch(index, home.switchover->onAnnounced(announcement.term, announcement.primary, now));
     }
 
+    void act(std::size_t index, const LearnTerm &learnt)
+    {
+        m_homes[index]->monitor->onTermLearned(learnt.term, learnt.primary, localNow(index));
+    }
+
     void act(std::size_t index, const RecordInStore &outcome)
     {
         carry(m_homeStoreCut[index] > 0, [=, this] {
--- a/tests/core/groupmonitor_test.cpp
+++ b/tests/core/groupmonitor_test.cpp
@@ -427,6 +427,30 @@
     BOOST_TEST((monitor.newestWatermark()->mark == LogMark{2, 100}));
 }
 
+// Guards against an observer that reaches replicas alone and claims over term 0.
+BOOST_AUTO_TEST_CASE(AreKnownToHaveLedByTheReplicasThatFollowThem)
+{
+    const RoundId round = monitor.beginRound(at(0)).id;
+    monitor.onStatus(round, status("b", 4, {4, 90}), at(2));
+    monitor.onProbeFailed(round, "a", ProbeFailure::Refused, at(2));
+    BOOST_TEST(monitor.snapshot()->term == 4U);
+    const auto suspicion = monitor.suspicion(at(1000));
+    BOOST_REQUIRE(suspicion.has_value());
+    BOOST_TEST(suspicion->term == 4U);
+}
+
+// Guards against a removed primary hiding that its term has had one.
+BOOST_AUTO_TEST_CASE(ThatAreNoMembersAnyMoreLeaveTheirTerm)
+{
+    monitor.onStatus(monitor.beginRound(at(0)).id, primary("a", 1, 90), at(2));
+    monitor.onTermLearned(3, "removed", at(10));
+    BOOST_TEST(monitor.snapshot()->term == 3U);
+    BOOST_TEST(monitor.snapshot()->primary.empty());
+    BOOST_TEST(monitor.snapshot()->watermarks.empty());
+    monitor.onTermLearned(2, "b", at(11));
+    BOOST_TEST(monitor.snapshot()->term == 3U);
+}
+
 // Guards against an announced primary being dropped by an answer from before its promotion.
 BOOST_AUTO_TEST_CASE(ThatAreAnnouncedStayUntilALaterRoundContradicts)
 {
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -879,3 +879,55 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(LaterTerms, OrderedFixture)
+
+void requireSuperseded(Fixture &, const PromoterActions &actions)
+{
+    const auto ended = only<GiveUp>(actions);
+    BOOST_REQUIRE_EQUAL(ended.size(), 1U);
+    BOOST_TEST((ended[0].reason == GiveUpReason::Superseded));
+}
+
+// Guards against replacing a primary that leads by a promotion begun for an earlier term.
+BOOST_AUTO_TEST_CASE(InTheRecordEndAnAttemptBeforeItsClaim)
+{
+    store = VersionedRecord{7, {}};
+    store.record.term = 5;
+    store.record.primary = "c";
+    const auto actions = ordered->onRecordRead(agreed(), store, at(1));
+    requireSuperseded(*this, actions);
+    const auto learnt = only<LearnTerm>(actions);
+    BOOST_REQUIRE_EQUAL(learnt.size(), 1U);
+    BOOST_TEST(learnt[0].term == 5U);
+    BOOST_TEST(learnt[0].primary == "c");
+    BOOST_TEST(ordered->onSuspicion(suspicion, 4, at(5000)).empty(), "the suspicion of the earlier term began another attempt");
+}
+
+// Guards against choosing among members while one of them follows a later primary.
+BOOST_AUTO_TEST_CASE(OfAMemberEndAnAttemptThatFences)
+{
+    fence();
+    ControlAnswer later = granted("c", {5, 3});
+    later.status.followingTerm = 5;
+    const auto actions = ordered->onFence(attempt, later, at(2));
+    requireSuperseded(*this, actions);
+    BOOST_TEST(only<LearnTerm>(actions).size() == 1U);
+}
+
+// Guards against an attempt that outlives the news of a later primary, or begins again after it.
+BOOST_AUTO_TEST_CASE(InTheViewEndAnAttemptForGood)
+{
+    const AttemptId asked = only<AskOpinions>(ordered->onSuspicion(suspicion, 7, at(0))).at(0).attempt;
+    ordered->onOpinion(asked, "c", true, at(0));
+    const auto claims = only<ClaimInStore>(ordered->onRecordRead(asked, store, at(0)));
+    storeAttempt(ordered->onClaim(asked, write(claims.at(0)), at(0)));
+    BOOST_REQUIRE_EQUAL(term, 8U);
+    GroupSnapshot snapshot;
+    snapshot.term = 5;
+    snapshot.primary = "c";
+    requireSuperseded(*this, ordered->onGroup(snapshot, {}, at(5)));
+    BOOST_TEST(ordered->onTimer(at(5000)).empty(), "the attempt began again");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
