End new work at a leaving upstream, also while it is the primary

"No new work" was checked for replicas alone, and on arrival only.

Change: each host notes when it first saw that an upstream is leaving (HomeService::noteLeaving). New requests end a second before leavingBoundMs after that, also at a primary; an upstream that is promoted while it leaves gets none. The check is repeated when a request leaves the queue. Writes are refused at once as without a primary, reads go elsewhere.

--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -178,6 +178,7 @@
         settings.home.scheduler.limitPolicy = LimitPolicy::Fixed;
     }
     settings.home.upstreamUser = m_settings.upstreamUser;
+    settings.leavingBound = m_settings.leavingBound;
     settings.home.transactionIds = std::make_shared<TransactionIds>(m_random() >> 2U);
     m_mechanisms.applyTo(settings);
     m_homes = std::make_unique<HomeService>(m_control, trafficContexts(), settings, std::move(hooks));
--- a/src/runtime/host/settings.cpp
+++ b/src/runtime/host/settings.cpp
@@ -42,7 +42,8 @@
     "quotaWindowSeconds": {"type": "number", "minimum": 0.1, "maximum": 600},
     "quotaTolerance": {"type": "number", "minimum": 0, "maximum": 10},
     "quotaSlack": {"type": "number", "minimum": 0, "maximum": 1000000},
-    "stopBoundMs": {"type": "integer", "minimum": 100, "maximum": 600000}
+    "stopBoundMs": {"type": "integer", "minimum": 100, "maximum": 600000},
+    "leavingBoundMs": {"type": "integer", "minimum": 2000, "maximum": 600000}
   }
 }
 )json";
@@ -82,6 +83,7 @@
     settings.quota.overage = document.value("quotaTolerance", settings.quota.overage);
     settings.quota.slack = document.value("quotaSlack", settings.quota.slack);
     settings.stopBound = milliseconds(document.value("stopBoundMs", settings.stopBound.count()));
+    settings.leavingBound = milliseconds(document.value("leavingBoundMs", settings.leavingBound.count()));
     return settings;
 }
 
@@ -116,6 +118,7 @@
     compare(difference.needRestart, "maxCallers", running.maxCallers, next.maxCallers);
     compare(difference.needRestart, "balancerMisses", running.balancerMisses, next.balancerMisses);
     compare(difference.needRestart, "linkMbps", running.linkMbps, next.linkMbps);
+    compare(difference.needRestart, "leavingBoundMs", running.leavingBound, next.leavingBound);
     compare(difference.needRestart, "quotaWindowSeconds", running.quota.window, next.quota.window);
     compare(difference.needRestart, "quotaTolerance", running.quota.overage, next.quota.overage);
     compare(difference.needRestart, "quotaSlack", running.quota.slack, next.quota.slack);
--- a/src/runtime/host/settings.h
+++ b/src/runtime/host/settings.h
@@ -56,6 +56,9 @@
     QuotaBounds quota;
     // The maximum duration of a graceful stop; work that is still open then is aborted.
     milliseconds stopBound{30000};
+    // The longest time for which an upstream that leaves gets new requests, also a primary that has no
+    // successor by then.
+    milliseconds leavingBound{10000};
     // "adaptive", or "baseline" as a reference for measurements.
     std::string routingPolicy = "adaptive";
     // For measurements by experts; see Mechanisms. Empty in production.
--- a/src/runtime/upstreams/homeerrors.cpp
+++ b/src/runtime/upstreams/homeerrors.cpp
@@ -15,6 +15,12 @@
     return {ErrorKind::Leaving, "The upstream '" + upstream + "' is leaving; use another one.", retrySoon};
 }
 
+Error primaryLeaving(const std::string &database)
+{
+    return {ErrorKind::NoPrimary, "The primary of '" + database + "' is leaving and has no successor yet; retry shortly.",
+            retrySoon};
+}
+
 Error noPrimary(const std::string &database)
 {
     return {ErrorKind::NoPrimary, "No primary of '" + database + "' is known yet; retry shortly.", retrySoon};
--- a/src/runtime/upstreams/homeerrors.h
+++ b/src/runtime/upstreams/homeerrors.h
@@ -20,6 +20,7 @@
 // Nothing was sent: the upstream is being removed.
 Error upstreamLeaving(const std::string &upstream);
 // Nothing was sent: no primary is known.
+Error primaryLeaving(const std::string &database);
 Error noPrimary(const std::string &database);
 // Nothing was sent: another upstream is the primary.
 Error primaryElsewhere(const std::string &database, const std::string &primary);
--- a/src/runtime/upstreams/homeservice.cpp
+++ b/src/runtime/upstreams/homeservice.cpp
@@ -39,6 +39,9 @@
     bool draining = false;
 };
 
+// For the time until this host has seen that an upstream is leaving, and for requests under way.
+constexpr milliseconds leavingNewsMargin{1000};
+
 Error movedError(const std::string &upstream)
 {
     return Error{ErrorKind::Moved, "This host is not the home of '" + upstream + "'; ask the host that is.", milliseconds{0}};
@@ -94,6 +97,8 @@
     void updateObservers(const Configuration &configuration, const std::map<std::string, std::set<std::string>> &homes);
     ObserverPointer makeObserver(const DatabaseSpec &database, const std::set<std::string> &homes);
     void updateHome(const HomeKey &key, const std::shared_ptr<const Configuration> &configuration);
+    void noteLeaving(const Configuration &configuration);
+    std::optional<TimePoint> newWorkEndsAt(const HomeKey &key) const;
     void startDrain(const HomeKey &key, const HomeEntry &entry, std::function<void()> drained);
     void removeDrained(const HomeKey &key, const std::shared_ptr<UpstreamHome> &home);
     std::shared_ptr<UpstreamHome> makeHome(const HomeKey &key, asio::io_context &context,
@@ -128,6 +133,9 @@
     // Guards the two maps, but not the objects that they point to.
     mutable std::mutex m_mutex;
     std::map<HomeKey, HomeEntry> m_homes;
+    // When this host first saw that an upstream is leaving, whoever is its home. Guarded by
+    // m_updateMutex.
+    std::map<HomeKey, TimePoint> m_leavingSince;
     // One for each database with at least one home on this host, draining homes included.
     std::map<std::string, ObserverPointer> m_observers;
 };
@@ -148,6 +156,7 @@
             }
         }
     }
+    noteLeaving(*configuration);
     updateObservers(*configuration, homes);
     for (const auto &[database, upstreams] : homes) {
         for (const std::string &upstream : upstreams) {
@@ -163,6 +172,29 @@
     }
 }
 
+void HomeService::Impl::noteLeaving(const Configuration &configuration)
+{
+    const TimePoint now = Clock::now();
+    std::map<HomeKey, TimePoint> leaving;
+    for (const DatabaseSpec &database : configuration.databases) {
+        for (const UpstreamSpec &upstream : database.upstreams) {
+            const HomeKey key{database.name, upstream.name};
+            const auto known = m_leavingSince.find(key);
+            if (upstream.leaving) {
+                leaving[key] = known == m_leavingSince.end() ? now : known->second;
+            }
+        }
+    }
+    m_leavingSince = std::move(leaving);
+}
+
+std::optional<TimePoint> HomeService::Impl::newWorkEndsAt(const HomeKey &key) const
+{
+    const auto found = m_leavingSince.find(key);
+    return found == m_leavingSince.end() ? std::nullopt
+                                         : std::optional(found->second + m_settings.leavingBound - leavingNewsMargin);
+}
+
 // An observer whose homes on this host are all draining is kept for them, but promotes
 // no upstream.
 void HomeService::Impl::updateObservers(const Configuration &configuration,
@@ -239,10 +271,11 @@
         if (returns) {
             log::info("home_taken_back", {{"database", key.database}, {"upstream", key.upstream}});
         }
-        onHome(entry, [configuration, returns](UpstreamHome &home) {
+        onHome(entry, [configuration, returns, end = newWorkEndsAt(key)](UpstreamHome &home) {
             if (returns) {
                 home.takeBack();
             }
+            home.endNewWorkAt(end);
             home.update(configuration);
         });
         return;
@@ -256,7 +289,10 @@
     const ObserverPointer observer = m_observers.at(key.database);
     log::info("home_taken", {{"database", key.database}, {"upstream", key.upstream}});
     HomeEntry entry{makeHome(key, context, configuration, observer), &context, address, false};
-    onHome(entry, [view = observer->snapshot()](UpstreamHome &home) { home.onSnapshot(view); });
+    onHome(entry, [view = observer->snapshot(), end = newWorkEndsAt(key)](UpstreamHome &home) {
+        home.endNewWorkAt(end);
+        home.onSnapshot(view);
+    });
     m_homes.emplace(key, std::move(entry));
 }
 
--- a/src/runtime/upstreams/homeservice.h
+++ b/src/runtime/upstreams/homeservice.h
@@ -30,6 +30,8 @@
 struct HomeServiceSettings {
     UpstreamHomeSettings home;
     GroupObserverSettings observer;
+    // The longest time for which an upstream that leaves gets new requests.
+    milliseconds leavingBound{10000};
 };
 
 struct HomeServiceHooks {
--- a/src/runtime/upstreams/upstreamhome.cpp
+++ b/src/runtime/upstreams/upstreamhome.cpp
@@ -147,12 +147,22 @@
     if (request.transaction != 0) {
         return std::nullopt;
     }
-    if (m_upstream.leaving && !m_view.isPrimary()) {
-        return homeerrors::upstreamLeaving(m_upstream.name);
+    if (auto refusal = leavingRefusal(request)) {
+        return refusal;
     }
     return runsOnReplicas(request) ? std::nullopt : primaryRefusal();
 }
 
+std::optional<Error> UpstreamHome::leavingRefusal(const StatementRequest &request) const
+{
+    const bool ended = m_newWorkEndsAt && Clock::now() >= *m_newWorkEndsAt;
+    if (!ended && (!m_upstream.leaving || m_view.isPrimary())) {
+        return std::nullopt;
+    }
+    const bool needsThisOne = m_view.isPrimary() && !runsOnReplicas(request);
+    return needsThisOne ? homeerrors::primaryLeaving(m_database.name) : homeerrors::upstreamLeaving(m_upstream.name);
+}
+
 std::optional<Error> UpstreamHome::transactionRefusal(const StatementRequest &request, const std::string &frontKey) const
 {
     const auto found = m_transactions.find(request.transaction);
@@ -325,6 +335,10 @@
     if (pending.request.transaction != 0) {
         return true;
     }
+    if (const auto refusal = leavingRefusal(pending.request)) {
+        refuse(ticket, *refusal);
+        return false;
+    }
     if (!runsOnReplicas(pending.request)) {
         const auto refusal = primaryRefusal();
         if (refusal) {
@@ -390,9 +404,15 @@
     if (!snapshot || m_closed) {
         return;
     }
+    const bool wasReplica = m_view.observed() && !m_view.isPrimary();
+    const Term termBefore = m_view.term();
     if (m_view.onSnapshot(*snapshot)) {
         leaveReplacedPrimary();
     }
+    if (wasReplica && m_upstream.leaving && m_view.isPrimary() && m_view.term() > termBefore) {
+        // Promoted only for its log: a successor that stays is promoted next.
+        m_newWorkEndsAt = Clock::now();
+    }
     const auto waiting = std::exchange(m_rechecks, {});
     for (const auto &[recheckAt, ticket] : waiting) {
         decideFreshness(ticket);
--- a/src/runtime/upstreams/upstreamhome.h
+++ b/src/runtime/upstreams/upstreamhome.h
@@ -125,6 +125,9 @@
     void onSnapshot(const std::shared_ptr<const GroupSnapshot> &snapshot);
     // Applies a configuration. If it no longer contains the upstream, the home ends its work.
     void update(std::shared_ptr<const Configuration> configuration);
+    // An upstream that leaves gets no new request from then on, also while it is the primary. One that
+    // is promoted while it leaves gets none at all. Unset for an upstream that stays.
+    void endNewWorkAt(std::optional<TimePoint> end);
 
     // Queues new writes until resumeWrites. `progress` receives the number of writes and
     // transactions still in progress, now and after each change.
@@ -155,6 +158,7 @@
     std::optional<Error> refusalOf(const StatementRequest &request) const;
     std::optional<Error> transactionRefusal(const StatementRequest &request, const std::string &frontKey) const;
     std::optional<Error> primaryRefusal() const;
+    std::optional<Error> leavingRefusal(const StatementRequest &request) const;
     void decideFreshness(Ticket ticket);
     GateDecision gateDecision(const HomeRequest &pending, TimePoint now) const;
     void awaitFreshness(Ticket ticket, TimePoint until);
@@ -254,6 +258,8 @@
     TimePoint m_armedFor = TimePoint::max();
     // When the outstanding writes of a replaced primary are given up.
     TimePoint m_replacedPrimaryDeadline = TimePoint::max();
+    // Set while the upstream is leaving.
+    std::optional<TimePoint> m_newWorkEndsAt;
     // Set while writes are paused.
     std::function<void(std::size_t)> m_progress;
     std::optional<std::size_t> m_reportedOpen;
--- a/src/runtime/upstreams/upstreamhomeupkeep.cpp
+++ b/src/runtime/upstreams/upstreamhomeupkeep.cpp
@@ -203,6 +203,11 @@
     makeProgress();
 }
 
+void UpstreamHome::endNewWorkAt(std::optional<TimePoint> end)
+{
+    m_newWorkEndsAt = end && m_newWorkEndsAt ? std::min(*end, *m_newWorkEndsAt) : end;
+}
+
 void UpstreamHome::pauseWrites(std::function<void(std::size_t open)> progress)
 {
     m_progress = std::move(progress);
--- a/tests/runtime/home_test.cpp
+++ b/tests/runtime/home_test.cpp
@@ -29,6 +29,16 @@
     return count;
 }
 
+void leaveAll(Cluster &cluster)
+{
+    Configuration next = *cluster.currentConfiguration();
+    ++next.version;
+    for (UpstreamSpec &upstream : next.databases.front().upstreams) {
+        upstream.leaving = true;
+    }
+    cluster.configure(next);
+}
+
 StatementRequest readWithFloor(Cluster &cluster, const std::string &upstream, const std::string &sql,
                                std::optional<LogMark> floor)
 {
@@ -500,4 +510,43 @@
     BOOST_TEST((reply.error && reply.error->kind == ErrorKind::Leaving), textOf(reply));
 }
 
+// Guards against a primary that gets requests until it ends because no successor can be found.
+BOOST_AUTO_TEST_CASE(ALeavingPrimaryWithoutSuccessorGetsNothingNewAfterItsBound)
+{
+    ClusterOptions options;
+    options.settings.leavingBound = milliseconds{1300};
+    Cluster cluster(options);
+    cluster.createTable();
+    leaveAll(cluster);
+    BOOST_TEST(!cluster.run("a", StatementKind::Write, insert(1)).error.has_value());
+    StatementReply reply;
+    Cluster::awaitTrue(
+        [&] {
+            reply = cluster.run("a", StatementKind::Write, "SELECT 1");
+            return reply.error.has_value();
+        },
+        "the refusal of a leaving primary");
+    BOOST_TEST((reply.error->kind == ErrorKind::NoPrimary), textOf(reply));
+    BOOST_TEST(!reply.sent);
+}
+
+// Guards against requests that wait in the queue of a leaving upstream and run there after its bound.
+BOOST_AUTO_TEST_CASE(ALeavingUpstreamRunsNothingThatWaitedBeyondItsBound)
+{
+    ClusterOptions options;
+    options.slots = 1;
+    options.serviceTime = milliseconds{400};
+    options.settings.leavingBound = milliseconds{1050};
+    Cluster cluster(options);
+    std::vector<std::future<StatementReply>> reads;
+    for (int i = 0; i < 6; ++i) {
+        reads.push_back(cluster.send(cluster.request("a", StatementKind::Read, "SELECT 1")));
+    }
+    leaveAll(cluster);
+    const StatementReply last = Cluster::await(std::move(reads.back()));
+    BOOST_REQUIRE_MESSAGE(last.error.has_value(), "a read that waited ran at an upstream that is leaving");
+    BOOST_TEST((last.error->kind == ErrorKind::Leaving), textOf(last));
+    BOOST_TEST(!last.sent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
