--- a/src/core/group/promoter.cpp
+++ b/src/core/group/promoter.cpp
@@ -696,11 +696,12 @@
         m_promises.erase(m_candidate);
         return sendPromote(now);
     }
-    // With a third party, a second order under the same fencing token could be overtaken by
-    // the first.
     if (m_isAccepted) {
+        // An accepted order is carried out within the time that has passed, or not at all.
         m_pendingOrder.onVoid(m_token);
     }
+    // With a third party, a second order under the same fencing token could be overtaken by
+    // the first.
     if (m_retries >= retryLimit || ordersThirdParty()) {
         m_record.reset();
         return giveUp(GiveUpReason::PromotionUnanswered, now);
