--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -230,6 +230,11 @@
         self.hidden = False
         # How many times longer it works on everything.
         self.slowness = 1
+        # Receives nothing from the primary.
+        self.deaf = False
+        # Partitioned from the other backends, and from the entry hosts whose process ids are in `cut_hosts`.
+        self.cut_off = False
+        self.cut_hosts = set()
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
@@ -268,7 +273,11 @@
         self.ran = []
         # Share of the requests that fail, as of a backend that is grey.
         self.failing = {}
+        # The process ids of the entry hosts.
+        self.host_ids = []
         self.promotions = []
+        # Of each read: its id, when it ran, where, and the log that it ran on.
+        self.reads = []
         threading.Thread(target=self.replicate, daemon=True).start()
         threading.Thread(target=self.beat, args=(heartbeat_s,), daemon=True).start()
 
@@ -305,11 +314,14 @@
 
     def receives(self, member):
         leader = self.leader
-        cut = member.dark.is_set() or member.gone or leader.dark.is_set() or leader.gone
-        return member is not leader and not member.held and not cut
+        cut = any(each.dark.is_set() or each.gone or each.cut_off for each in (member, leader))
+        return member is not leader and not member.held and not member.deaf and not cut
 
     def receive(self, member, now):
         entries = self.leader.log
+        while member.log and (len(member.log) > len(entries) or member.log[-1] is not entries[len(member.log) - 1]):
+            # What the new primary doesn't have is rolled back.
+            member.log.pop()
         while len(member.log) < len(entries) and entries[len(member.log)][2][member.id] <= now:
             member.log.append(entries[len(member.log)])
 
@@ -325,7 +337,7 @@
         def carry_out():
             with self.lock:
                 member = next(m for m in self.members if m.id == identity)
-                if member is self.leader or member.dark.is_set():
+                if member is self.leader or member.dark.is_set() or member.cut_off:
                     return
                 before = self.leader
                 self.term += 1
@@ -336,7 +348,8 @@
                                   f"{self.name_of(before)} had {len(before.log)}")
                 for each in self.members:
                     each.held = 0
-                    each.log = each.log[:len(member.log)]
+                    if not each.dark.is_set() and not each.cut_off:
+                        each.log = each.log[:len(member.log)]
                 self.lock.notify_all()
             self.tell(before)
             self.tell(member)
@@ -374,6 +387,15 @@
         self.state, self.read_only, self.begun_in = "I", False, 0
         self.values, self.prepared, self.writes = {}, {}, []
         self.closed = False
+        self.host = None
+
+    def is_cut(self):
+        """True while nothing passes on this connection."""
+        if self.member.dark.is_set():
+            return True
+        if self.member.cut_hosts and self.host is None:
+            self.host = process_of(self.link.getpeername(), self.group.host_ids)
+        return self.host in self.member.cut_hosts
 
     def drop(self):
         self.closed = True
@@ -389,7 +411,7 @@
         try:
             lines = read_lines(self.link)
             for line in lines:
-                while self.member.dark.is_set():
+                while self.is_cut():
                     time.sleep(0.01)
                     if self.closed:
                         return
@@ -402,8 +424,10 @@
             self.drop()
 
     def send(self, text):
-        while self.member.dark.is_set():
+        while self.is_cut():
             time.sleep(0.01)
+            if self.closed:
+                raise OSError("closed")
         self.link.sendall(text.encode("latin-1"))
 
     def take(self, line):
@@ -518,6 +542,7 @@
                 return self.finish(pending)
             item, _, data = rest.partition(" ")
             if verb == "READ":
+                self.group.reads.append((identity, time.monotonic(), self.member.id, list(self.member.log)))
                 return f"DATAROW {self.value_of(item)}\r\nCOMPLETE {self.signature()}\r\n"
             if verb == "WRITE":
                 self.writes.append((identity, item, data))
@@ -548,6 +573,23 @@
         return f"{self.group.term}.{random.getrandbits(64):016x}"
 
 
+def process_of(address, process_ids):
+    """Which of the processes holds the socket with this local address, by /proc."""
+    wanted = f":{address[1]:04X}"
+    with open("/proc/net/tcp") as file:
+        inodes = {fields[9] for fields in map(str.split, file) if fields[1].endswith(wanted)}
+    for process in process_ids:
+        folder = f"/proc/{process}/fd"
+        for entry in os.listdir(folder):
+            try:
+                link = os.readlink(os.path.join(folder, entry))
+            except OSError:
+                continue
+            if link.startswith("socket:[") and link[8:-1] in inodes:
+                return process
+    return 0
+
+
 def read_lines(link):
     buffered = b""
     while True:
@@ -695,6 +737,7 @@
         log = open(os.path.join(self.temporary.name, f"host-{number}.log"), "w")
         process = subprocess.Popen([os.path.join(REPOSITORY, "target", "egrettided"), "--settings", path], cwd=REPOSITORY,
                                    stdin=subprocess.DEVNULL, stdout=log, stderr=log)
+        self.group.host_ids.append(process.pid)
         self.hosts.append({"process": process, "front": f"{ip}:8784", "ready": f"{ip}:8785", "log": log.name, "zone": zone})
 
     def is_ready(self, host):
