Rank members on a branch that a promotion left below the others

Cause: the promoter compared positions as if a greater one contained a lesser one. A primary that was cut off while another one was promoted keeps entries that the promotion left. When the new primary crashed before the old one could be rolled back, the old one ranked above a member that was only behind, since both were of the older term.

Evidence: promotion_ordered over term 2 chose 1:60 from 1:60 and 1:52; where term 2 began (1:52) had been in the record and was dropped with the outcome.

Change: the group's record keeps where the latest terms began, exact once the new primary answered a status before its first commit. A member that leaves the log of the latest term ranks below those on it; if no other one answers it is waited for, 20 s at most.

--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -11,6 +11,7 @@
 
 #include "egrettide/core/groupmonitor.h"
 #include "egrettide/core/promotionorder.h"
+#include "egrettide/core/termhistory.h"
 #include "egrettide/core/types.h"
 
 #include <cstddef>
@@ -46,6 +47,8 @@
     Term claimedOver = 0;
     // The last order to a third party, recorded before it was given.
     std::optional<PromotionOrder> order;
+    // Where the latest terms began (PromoteBy::ThirdParty).
+    std::vector<TermBeginning> beginnings;
 };
 
 // The record at one version of the store's object; version 0 means that it does not exist.
@@ -142,6 +145,8 @@
     Superseded,
     // An earlier order may still be carried out, and its candidate may lack acknowledged writes.
     OrderPending,
+    // A majority has answered, but only members whose promotion would bring back abandoned entries.
+    AwaitsMembers,
 };
 
 // The attempt has ended without a promotion; suspicions are ignored until `until`.
@@ -195,6 +200,8 @@
     bool ignorePendingOrder = false;
     // Goes on with a promotion after a later term has had a primary.
     bool ignoreLaterTerm = false;
+    // Compares positions across promotions without regard to where terms began.
+    bool ignoreBranches = false;
 };
 
 // Which component receives the order to promote.
@@ -236,6 +243,10 @@
     milliseconds fenceGrace{10};
     // The same for a planned change, to include its successor.
     milliseconds successorGrace{100};
+    // How long a member of the latest term's log is waited for before one that holds abandoned entries
+    // is promoted. A crashed upstream is back with its log within seconds; after this time it is
+    // taken for lost.
+    milliseconds abandonedTimeout{20'000};
     // How long an unchanged claim of another promoter is respected.
     milliseconds foreignClaimTimeout{1000};
     // Backoff after a failed attempt. It doubles from floor to ceiling, and the delay is
@@ -330,6 +341,11 @@
     // What this promoter knows of the last order; passed on to the promoter that replaces it.
     const PendingOrder &pendingOrder() const;
     void setPendingOrder(const PendingOrder &pending);
+    // The same for the beginnings of terms.
+    const TermHistory &terms() const;
+    void setTerms(const TermHistory &terms);
+    // Whether the log of this member leads to the term that the running attempt is to end.
+    LogBranch branchOf(const MemberStatus &status) const;
 
 private:
     enum class Phase {
@@ -375,6 +391,7 @@
     PromoterActions evaluatePromises(TimePoint now);
     bool outbid() const;
     bool settled(TimePoint now) const;
+    bool mayChoose(TimePoint now);
     const MemberStatus *chooseCandidate() const;
     bool isBetterCandidate(const MemberStatus &candidate, const MemberStatus &best) const;
     PromoterActions sendPromote(TimePoint now);
@@ -425,6 +442,10 @@
     std::optional<VersionedRecord> m_record;
     std::optional<ForeignClaim> m_foreignClaim;
     PendingOrder m_pendingOrder;
+    TermHistory m_terms;
+    // When a majority without a member of the latest term's log was first seen, and over which term.
+    std::optional<TimePoint> m_abandonedSince;
+    Term m_abandonedOver = 0;
     // The latest term known to have had a primary.
     Term m_latestTerm = 0;
     // Members that promised m_term, with their status at the promise or later.
@@ -439,8 +460,9 @@
     bool m_isAccepted = false;
     std::optional<TimePoint> m_phaseDeadline;
     std::optional<TimePoint> m_resendAt;
-    // Set once a majority has promised.
+    // Set once a majority has promised, until the grace has elapsed.
     std::optional<TimePoint> m_graceUntil;
+    bool m_graceElapsed = false;
     TimePoint m_backoffUntil;
     // Consecutive attempts that reached the members and failed.
     std::size_t m_failures = 0;
--- a/src/core/group/promoter.cpp
+++ b/src/core/group/promoter.cpp
@@ -207,6 +207,9 @@
 {
     PromoterActions actions;
     m_latestTerm = std::max(m_latestTerm, snapshot.term);
+    if (ordersThirdParty()) {
+        std::ranges::for_each(statuses, [this](const MemberStatus &status) { m_terms.onStatus(status); });
+    }
     // A third party numbers the terms itself.
     const bool isNext = ordersThirdParty() ? snapshot.term > m_suspicion.term : snapshot.term == m_term;
     const bool promoted = m_phase == Phase::Promoting && isNext && snapshot.primary == m_candidate;
@@ -335,6 +338,21 @@
     m_pendingOrder = pending;
 }
 
+const TermHistory &Promoter::terms() const
+{
+    return m_terms;
+}
+
+void Promoter::setTerms(const TermHistory &terms)
+{
+    m_terms = terms;
+}
+
+LogBranch Promoter::branchOf(const MemberStatus &status) const
+{
+    return m_options.faults.ignoreBranches ? LogBranch::Current : m_terms.branchOf(status.received, m_suspicion.term);
+}
+
 // Where a fencing token keeps the group safe, leaving members do not count. An upstream
 // that is being removed and its replacement are in the same zone. If the leaving one
 // counted and that zone were cut off, two of four members would be unreachable and a
@@ -428,6 +446,7 @@
     m_phaseDeadline.reset();
     m_resendAt.reset();
     m_graceUntil.reset();
+    m_graceElapsed = false;
     m_promises.clear();
     m_refusing.clear();
     m_failed.clear();
@@ -449,6 +468,10 @@
 {
     m_record = current;
     m_pendingOrder.onRecord(current.record.order, now);
+    m_terms.add(current.record.beginnings);
+    if (const auto &order = current.record.order; order && order->over < m_suspicion.term) {
+        m_terms.add(TermBeginning{order->over + 1, order->mark, false});
+    }
     if (ordersThirdParty() && current.record.term > m_suspicion.term && !m_options.faults.ignoreLaterTerm) {
         return supersede(current.record.term, current.record.primary, now);
     }
@@ -484,6 +507,7 @@
     record.claimToken = m_token;
     record.claimHolder = m_identity.incarnation;
     record.claimedOver = m_suspicion.term;
+    record.beginnings = m_terms.beginnings();
     if (!bindingOrder(now)) {
         record.order.reset();
     }
@@ -498,6 +522,7 @@
     m_refusing.clear();
     m_failed.clear();
     m_graceUntil.reset();
+    m_graceElapsed = false;
     m_phaseDeadline = now + m_options.fenceTimeout;
     m_resendAt = now + m_options.resendInterval;
     return sendFences();
@@ -522,10 +547,10 @@
     if (m_promises.size() < (m_options.faults.withoutMajority ? 1 : majority())) {
         return {};
     }
-    if (!m_graceUntil) {
+    if (!m_graceUntil && !m_graceElapsed) {
         m_graceUntil = now + (planned() ? m_options.successorGrace : m_options.fenceGrace);
     }
-    return settled(now) ? sendPromote(now) : PromoterActions{};
+    return settled(now) && mayChoose(now) ? sendPromote(now) : PromoterActions{};
 }
 
 // Whether a majority is out of reach because members promised to another promoter. Neither
@@ -549,7 +574,7 @@
 // acknowledged write; a missing member may hold later ones.
 bool Promoter::settled(TimePoint now) const
 {
-    if (now >= *m_graceUntil || m_options.faults.withoutMajority) {
+    if (m_graceElapsed || now >= *m_graceUntil || m_options.faults.withoutMajority) {
         return true;
     }
     return std::ranges::all_of(m_members, [this](const MemberSpec &member) {
@@ -558,6 +583,23 @@
     });
 }
 
+// Whether the promises suffice to choose from. If every member that promised may hold entries that the
+// latest term does not have, promoting one of them would bring back what reads of that term missed and
+// drop what that term acknowledged, so the others are waited for.
+bool Promoter::mayChoose(TimePoint now)
+{
+    const MemberStatus *const best = chooseCandidate();
+    if (!best || branchOf(*best) == LogBranch::Current) {
+        m_abandonedSince.reset();
+        return true;
+    }
+    if (!m_abandonedSince || m_abandonedOver != m_suspicion.term) {
+        m_abandonedSince = now;
+        m_abandonedOver = m_suspicion.term;
+    }
+    return now - *m_abandonedSince >= m_options.abandonedTimeout;
+}
+
 const MemberStatus *Promoter::chooseCandidate() const
 {
     const MemberStatus *best = nullptr;
@@ -584,7 +626,7 @@
         // On a tie the former primary is preferred, which keeps its connections and
         // callers.
         const bool incumbent = status.upstream == m_suspicion.primary || status.role != UpstreamRole::Replica;
-        return std::tuple(status.received, preferred, staying, incumbent, status.replayed);
+        return std::tuple(branchOf(status), status.received, preferred, staying, incumbent, status.replayed);
     };
     return rank(candidate) > rank(best);
 }
@@ -640,6 +682,9 @@
 bool Promoter::holdsAll(const PromotionOrder &pending, const MemberStatus &mostAdvanced) const
 {
     const auto promise = m_promises.find(pending.upstream);
+    if (promise != m_promises.end() && branchOf(promise->second) < branchOf(mostAdvanced)) {
+        return false;
+    }
     return mostAdvanced.received <= (promise == m_promises.end() ? pending.mark : promise->second.received);
 }
 
@@ -719,6 +764,9 @@
     m_leaderToken = m_token;
     m_failures = 0;
     m_backoffUntil = now + settleTime;
+    if (ordersThirdParty() && m_record && m_record->record.order) {
+        m_terms.add(TermBeginning{m_leaderTerm, m_record->record.order->mark, false});
+    }
     m_record.reset();
     m_orders.clear();
     for (const MemberSpec &member : m_members) {
@@ -732,6 +780,7 @@
     GroupRecord outcome;
     outcome.term = m_leaderTerm;
     outcome.primary = m_leader;
+    outcome.beginnings = m_terms.beginnings();
     actions.push_back(RecordInStore{std::move(outcome)});
     return actions;
 }
@@ -750,8 +799,8 @@
 // finish undisturbed. Attempts that sent no fences do not increase it.
 milliseconds Promoter::backoff(GiveUpReason reason)
 {
-    const bool disturbed =
-        reason == GiveUpReason::Outbid || reason == GiveUpReason::NoMajority || reason == GiveUpReason::PromotionUnanswered;
+    const bool disturbed = reason == GiveUpReason::Outbid || reason == GiveUpReason::NoMajority
+        || reason == GiveUpReason::PromotionUnanswered || reason == GiveUpReason::AwaitsMembers;
     m_failures = disturbed ? std::min(m_failures + 1, doublingLimit) : 0;
     if (reason == GiveUpReason::ClaimedElsewhere || reason == GiveUpReason::NoClaim) {
         return m_options.claimBackoff;
@@ -776,10 +825,14 @@
 PromoterActions Promoter::onFenceTimer(TimePoint now)
 {
     if (m_graceUntil && now >= *m_graceUntil) {
-        return sendPromote(now);
+        m_graceUntil.reset();
+        m_graceElapsed = true;
+        if (mayChoose(now)) {
+            return sendPromote(now);
+        }
     }
     if (now >= *m_phaseDeadline) {
-        return giveUp(GiveUpReason::NoMajority, now);
+        return giveUp(m_graceElapsed ? GiveUpReason::AwaitsMembers : GiveUpReason::NoMajority, now);
     }
     if (now < *m_resendAt) {
         return {};
--- a/src/runtime/group/groupcoordination.cpp
+++ b/src/runtime/group/groupcoordination.cpp
@@ -24,6 +24,12 @@
             {"token", order.token}};
 }
 
+// Term, term and position of its mark, and whether it is exact.
+nlohmann::json toJson(const TermBeginning &beginning)
+{
+    return nlohmann::json::array({beginning.term, beginning.mark.term, beginning.mark.position, beginning.isExact});
+}
+
 nlohmann::json toJson(const GroupRecord &record)
 {
     nlohmann::json value = {{"term", record.term},
@@ -34,6 +40,9 @@
     if (record.order) {
         value["order"] = toJson(*record.order);
     }
+    for (const TermBeginning &each : record.beginnings) {
+        value["beginnings"].push_back(toJson(each));
+    }
     return value;
 }
 
@@ -60,6 +69,10 @@
         if (value.contains("order")) {
             record.order = promotionOrderFrom(value.at("order"));
         }
+        for (const nlohmann::json &each : value.value("beginnings", nlohmann::json::array())) {
+            const LogMark mark{each.at(1).get<Term>(), each.at(2).get<Position>()};
+            record.beginnings.push_back(TermBeginning{each.at(0).get<Term>(), mark, each.at(3).get<bool>()});
+        }
     } catch (const nlohmann::json::exception &) {
         return GroupRecord{};
     }
@@ -79,6 +92,10 @@
     if (standing.order && standing.order->over >= outcome.term) {
         next.order = standing.order;
     }
+    TermHistory terms;
+    terms.add(standing.beginnings);
+    terms.add(outcome.beginnings);
+    next.beginnings = terms.beginnings();
     return next;
 }
 
--- a/src/runtime/group/grouplog.cpp
+++ b/src/runtime/group/grouplog.cpp
@@ -40,6 +40,8 @@
         return "superseded";
     case GiveUpReason::OrderPending:
         return "order_pending";
+    case GiveUpReason::AwaitsMembers:
+        return "awaits_members";
     case GiveUpReason::NoClaim:
         break;
     }
@@ -78,13 +80,26 @@
     return "clock_gap";
 }
 
-// Lists the marks that the successor was chosen from, for example "m1 3:12, m2 3:14".
-std::string describe(const std::map<std::string, MemberStatus> &promises)
+std::string_view suffixOf(LogBranch branch)
+{
+    switch (branch) {
+    case LogBranch::Abandoned:
+        return " abandoned";
+    case LogBranch::Uncertain:
+        return " uncertain";
+    case LogBranch::Current:
+        break;
+    }
+    return "";
+}
+
+// Lists the marks that the successor was chosen from, for example "m1 3:12 abandoned, m2 3:10".
+std::string describePromises(const Promoter &promoter)
 {
     std::ostringstream text;
     std::string_view separator;
-    for (const auto &[upstream, status] : promises) {
-        text << std::exchange(separator, ", ") << upstream << ' ' << status.received;
+    for (const auto &[upstream, status] : promoter.promises()) {
+        text << std::exchange(separator, ", ") << upstream << ' ' << status.received << suffixOf(promoter.branchOf(status));
     }
     return text.str();
 }
@@ -121,7 +136,7 @@
                    {"upstream", order->upstream},
                    {"term", order->term},
                    {"fencing_token", order->fencingToken},
-                   {"chosen_from", describe(promoter.promises())}});
+                   {"chosen_from", describePromises(promoter)}});
     } else if (const auto *over = std::get_if<GiveUp>(&action)) {
         const std::uint64_t repeated = m_repeated;
         if (isRepeated(over->reason)) {
--- a/src/runtime/group/groupobserverpromotion.cpp
+++ b/src/runtime/group/groupobserverpromotion.cpp
@@ -18,6 +18,7 @@
     auto next = std::make_unique<Promoter>(std::move(identity), membersOf(m_database), m_settings.seed, m_settings.promoter);
     if (m_promoter) {
         next->setPendingOrder(m_promoter->pendingOrder());
+        next->setTerms(m_promoter->terms());
     }
     m_promoter = std::move(next);
 }
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -931,3 +931,89 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AbandonedBranches, OrderedFixture)
+
+void began(OrderedFixture &fixture, LogMark mark, bool isExact)
+{
+    fixture.store = VersionedRecord{7, {}};
+    fixture.store.record.term = 4;
+    fixture.store.record.primary = "b";
+    fixture.store.record.beginnings = {{4, mark, isExact}};
+    fixture.suspicion.primary = "b";
+}
+
+// Guards against promoting a former primary whose last commits were rolled back by another promotion.
+BOOST_AUTO_TEST_CASE(RankBelowMembersOfTheLatestTermsLog)
+{
+    began(*this, {1, 52}, true);
+    fence();
+    const auto orders = only<SendPromote>(promise({granted("a", {1, 60}), granted("c", {1, 50})}, "b", 2));
+    BOOST_REQUIRE_EQUAL(orders.size(), 1U);
+    BOOST_TEST(orders[0].upstream == "c");
+}
+
+// Guards against the same where only the order of the promotion is known.
+BOOST_AUTO_TEST_CASE(RankBelowWhenTheBeginningIsNotExact)
+{
+    began(*this, {}, true);
+    store.record.beginnings.clear();
+    store.record.order = PromotionOrder{"b", 3, {1, 52}, "another promoter"};
+    fence();
+    const auto orders = only<SendPromote>(promise({granted("a", {1, 60}), granted("c", {1, 50})}, "b", 2));
+    BOOST_REQUIRE_EQUAL(orders.size(), 1U);
+    BOOST_TEST(orders[0].upstream == "c");
+}
+
+// Guards against bringing back abandoned commits because the other members have not answered yet.
+BOOST_AUTO_TEST_CASE(WaitForAMemberThatHasNotAnswered)
+{
+    began(*this, {1, 52}, true);
+    ordered->setMembers({{"a", "zone-a", false}, {"b", "zone-b", false}, {"c", "zone-c", false}, {"d", "zone-a", true}}, at(0));
+    fence();
+    ordered->onFence(attempt, granted("a", {1, 60}), at(2));
+    ordered->onFence(attempt, granted("d", {1, 58}), at(2));
+    BOOST_TEST(only<ClaimInStore>(ordered->onTimer(at(60))).empty());
+    const auto recorded = only<ClaimInStore>(ordered->onFence(attempt, granted("c", {1, 51}), at(300)));
+    BOOST_REQUIRE_EQUAL(recorded.size(), 1U);
+    BOOST_REQUIRE(recorded[0].record.order.has_value());
+    BOOST_TEST(recorded[0].record.order->upstream == "c");
+}
+
+// Guards against a group without a primary for ever because the others are lost.
+BOOST_AUTO_TEST_CASE(LeadOnceTheOthersAreTakenForLost)
+{
+    began(*this, {1, 52}, true);
+    fence();
+    ordered->onFence(attempt, granted("a", {1, 60}), at(2));
+    ordered->onFence(attempt, granted("c", {1, 58}), at(2));
+    ordered->onTimer(at(60));
+    const auto ended = only<GiveUp>(ordered->onTimer(at(500)));
+    BOOST_REQUIRE_EQUAL(ended.size(), 1U);
+    BOOST_TEST((ended[0].reason == GiveUpReason::AwaitsMembers));
+    fenceAgain(20'100);
+    const auto orders = only<SendPromote>(promise({granted("a", {1, 60}), granted("c", {1, 58})}, "b", 20'102));
+    BOOST_REQUIRE_EQUAL(orders.size(), 1U);
+    BOOST_TEST(orders[0].upstream == "a");
+}
+
+// Guards against losing the beginning of a term with the outcome of its promotion.
+BOOST_AUTO_TEST_CASE(AreKnownFromTheRecordOfTheOutcome)
+{
+    const auto orders = order(41);
+    accept(orders[0]);
+    GroupSnapshot snapshot;
+    snapshot.term = 5;
+    snapshot.primary = "c";
+    MemberStatus leading;
+    leading.upstream = "c";
+    leading.role = UpstreamRole::Primary;
+    leading.followingTerm = 5;
+    leading.received = {4, 13};
+    const auto outcome = only<RecordInStore>(ordered->onGroup(snapshot, {leading}, at(200)));
+    BOOST_REQUIRE_EQUAL(outcome.size(), 1U);
+    const std::vector<TermBeginning> expected{{5, {4, 13}, true}};
+    BOOST_TEST((outcome[0].record.beginnings == expected));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/promotionorders_test.cpp
+++ b/tests/core/promotionorders_test.cpp
@@ -32,6 +32,16 @@
 struct CarriedOut {
     std::string upstream;
     Term over = 0;
+    // Whether the promoted log holds entries that an earlier promotion had rolled back.
+    bool bringsBackEntries = false;
+};
+
+// An entry of a log, unique in its schedule.
+struct Entry {
+    Term term = 0;
+    std::uint32_t id = 0;
+
+    friend bool operator==(const Entry &, const Entry &) = default;
 };
 
 class Schedule
@@ -71,9 +81,14 @@
 private:
     struct Member {
         Term term = 1;
-        LogMark received{1, 0};
+        std::vector<Entry> log;
         Term held = 0;
         bool receives = true;
+
+        LogMark received() const
+        {
+            return LogMark{log.empty() ? Term{1} : log.back().term, log.size()};
+        }
     };
 
     struct Host {
@@ -108,20 +123,32 @@
         return specs;
     }
 
-    // The primary acknowledges on its own; others receive while they are neither fenced nor cut off.
+    // The primary acknowledges on its own; others receive while they are neither fenced nor cut off,
+    // each with some lag.
     void write()
     {
         Member &primary = m_members.at(m_primary);
-        primary.received = LogMark{m_term, primary.received.position + 1};
+        primary.log.push_back(Entry{m_term, ++m_lastEntry});
         for (auto &[name, member] : m_members) {
-            if (name != m_primary && member.receives && member.held <= m_term) {
-                member.received = primary.received;
-                member.term = m_term;
+            if (name != m_primary && member.receives && member.held <= m_term && chance(0.7)) {
+                follow(member, primary);
             }
         }
         at(milliseconds{10}, [this] { write(); });
     }
 
+    // Rolls back what the primary does not have, and copies the rest.
+    void follow(Member &member, const Member &primary) const
+    {
+        while (!member.log.empty()
+               && (member.log.size() > primary.log.size() || member.log.back() != primary.log[member.log.size() - 1])) {
+            member.log.pop_back();
+        }
+        member.log.insert(member.log.end(), primary.log.begin() + static_cast<std::ptrdiff_t>(member.log.size()),
+                          primary.log.end());
+        member.term = m_term;
+    }
+
     // Every few seconds, cuts the primary off from some hosts and members, or lets a member join.
     void disturb()
     {
@@ -142,16 +169,33 @@
         if (m_members.size() < 5 && chance(0.6)) {
             at(between(300, 1500), [this] { join(); });
         }
-        at(between(2000, 7000), [this] {
+        at(between(2000, 7000), [this] { heal(); });
+        at(between(4000, 9000), [this] { disturb(); });
+    }
+
+    void heal()
+    {
+        for (const auto &host : m_hosts) {
+            host->cut.clear();
+        }
+        for (auto &[name, member] : m_members) {
+            member.receives = true;
+            member.held = 0;
+        }
+    }
+
+    // The new primary is lost soon, its replicas receive nothing, and the hosts reach the former one.
+    void loseSoon(const std::string &primary)
+    {
+        for (auto &[name, member] : m_members) {
+            member.receives = false;
+        }
+        at(between(300, 1500), [this, primary] {
             for (const auto &host : m_hosts) {
-                host->cut.clear();
-            }
-            for (auto &[name, member] : m_members) {
-                member.receives = true;
-                member.held = 0;
+                host->cut = {primary};
             }
         });
-        at(between(4000, 9000), [this] { disturb(); });
+        at(milliseconds{5000}, [this] { heal(); });
     }
 
     void join()
@@ -171,8 +215,8 @@
         MemberStatus status;
         status.upstream = name;
         status.role = name == m_primary ? UpstreamRole::Primary : UpstreamRole::Replica;
-        status.received = member.received;
-        status.replayed = member.received;
+        status.received = member.received();
+        status.replayed = status.received;
         status.followingTerm = member.term;
         status.promisedTerm = std::max(member.term, member.held);
         return status;
@@ -304,10 +348,13 @@
         if (order.upstream == m_primary) {
             return;
         }
-        m_promotions.push_back(CarriedOut{order.upstream, m_overOf.at(order.fencingToken)});
+        Member &member = m_members.at(order.upstream);
+        const bool bringsBack =
+            std::ranges::any_of(member.log, [this](const Entry &entry) { return m_rolledBack.contains(entry.id); });
+        m_promotions.push_back(CarriedOut{order.upstream, m_overOf.at(order.fencingToken), bringsBack});
+        noteRolledBack(member);
         ++m_term;
         m_primary = order.upstream;
-        Member &member = m_members.at(order.upstream);
         member.term = m_term;
         member.held = 0;
         for (const auto &host : m_hosts) {
@@ -315,11 +362,26 @@
                 host->cut.erase(m_primary);
             }
         }
+        if (chance(0.3)) {
+            loseSoon(m_primary);
+        }
+    }
+
+    // What others hold and the promoted member does not is rolled back for good.
+    void noteRolledBack(const Member &promoted)
+    {
+        for (const auto &[name, member] : m_members) {
+            for (std::size_t i = 0; i < member.log.size(); ++i) {
+                if (i >= promoted.log.size() || member.log[i] != promoted.log[i]) {
+                    m_rolledBack.insert(member.log[i].id);
+                }
+            }
+        }
     }
 
-    void act(std::size_t, const SendFollow &follow)
+    void act(std::size_t, const SendFollow &order)
     {
-        if (const auto found = m_members.find(follow.upstream); found != m_members.end()) {
+        if (const auto found = m_members.find(order.upstream); found != m_members.end()) {
             found->second.held = 0;
         }
     }
@@ -328,7 +390,11 @@
     {
         if (m_store.record.term < outcome.record.term) {
             const std::optional<PromotionOrder> order = m_store.record.order;
+            TermHistory terms;
+            terms.add(m_store.record.beginnings);
+            terms.add(outcome.record.beginnings);
             m_store = VersionedRecord{m_store.version + 1, outcome.record};
+            m_store.record.beginnings = terms.beginnings();
             if (order && order->over >= outcome.record.term) {
                 m_store.record.order = order;
             }
@@ -359,12 +425,17 @@
     std::map<std::uint64_t, Term> m_overOf;
     std::uint64_t m_highestToken = 0;
     std::vector<CarriedOut> m_promotions;
+    std::uint32_t m_lastEntry = 0;
+    std::set<std::uint32_t> m_rolledBack;
 };
 
 struct Totals {
     std::size_t promotions = 0;
     std::size_t broken = 0;
     std::uint64_t firstBroken = 0;
+    // Schedules in which a promotion brought back entries that an earlier one had rolled back.
+    std::size_t returned = 0;
+    std::uint64_t firstReturned = 0;
 };
 
 // A schedule is broken if two candidates were promoted over one term, or one over a term after which
@@ -393,9 +464,14 @@
             totals.firstBroken = totals.broken == 0 ? seed : totals.firstBroken;
             ++totals.broken;
         }
+        if (std::ranges::any_of(promotions, &CarriedOut::bringsBackEntries)) {
+            totals.firstReturned = totals.returned == 0 ? seed : totals.firstReturned;
+            ++totals.returned;
+        }
     }
     BOOST_TEST_MESSAGE(totals.promotions << " promotions in " << schedules << " schedules, " << totals.broken
-                                         << " broken, the first at seed " << totals.firstBroken);
+                                         << " broken, the first at seed " << totals.firstBroken << "; " << totals.returned
+                                         << " brought back entries, the first at seed " << totals.firstReturned);
     return totals;
 }
 
@@ -419,3 +495,21 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AbandonedEntries)
+
+// Guards against a promotion of a former primary with commits that reads of a later term missed.
+BOOST_AUTO_TEST_CASE(NeverComeBack)
+{
+    const Totals totals = play({});
+    BOOST_TEST(totals.returned == 0U, "seed " << totals.firstReturned);
+}
+
+BOOST_AUTO_TEST_CASE(WouldComeBackIfPositionsAloneWereCompared)
+{
+    PromoterFaults faults;
+    faults.ignoreBranches = true;
+    BOOST_TEST(play(faults).returned > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/runtime/groupcoordination_test.cpp
+++ b/tests/runtime/groupcoordination_test.cpp
@@ -115,6 +115,26 @@
                "an order that a later term has ended stays in the record");
 }
 
+// Guards against losing where earlier terms began when the outcome of a promotion is recorded.
+BOOST_FIXTURE_TEST_CASE(KeepsTheBeginningsOfTermsThatTheOutcomeDoesNotName, Fixture)
+{
+    GroupRecord standing;
+    standing.term = 4;
+    standing.beginnings = {{3, {2, 8}, true}, {4, {3, 11}, false}};
+    hooks.claimRecord("d", 0, standing, Clock::now() + 30s, [](const ClaimAnswer &) {});
+    BOOST_TEST_REQUIRE(runUntil([&] { return platform.object(groupRecordKey("d")).has_value(); }));
+    GroupRecord outcome;
+    outcome.term = 5;
+    outcome.beginnings = {{4, {3, 12}, true}, {5, {4, 20}, false}};
+    hooks.writeRecord("d", outcome);
+    BOOST_TEST_REQUIRE(runUntil([&] { return platform.object(groupRecordKey("d"))->value.at("term") == 5; }));
+    std::optional<VersionedRecord> seen;
+    hooks.readRecord("d", Clock::now() + 30s, [&](const std::optional<VersionedRecord> &record) { seen = record; });
+    BOOST_TEST_REQUIRE(runUntil([&] { return seen.has_value(); }));
+    const std::vector<TermBeginning> expected{{3, {2, 8}, true}, {4, {3, 12}, true}, {5, {4, 20}, false}};
+    BOOST_TEST((seen->record.beginnings == expected));
+}
+
 BOOST_FIXTURE_TEST_CASE(WritesTheRecordOnceTheStoreIsBack, Fixture)
 {
     platform.failNextCalls(2);
