End a line of the platform's protocol at CR LF alone

Cause: LineReader ended a line at each LF and dropped a CR before it. The upstreams' answers take the same reader, so rows were split as well. The stand-in and the test client split in the same way and could not show it.

Change: only CR LF ends a line, also over two reads; a lone CR or LF is data.

--- a/testing/platform/linegroup.cpp
+++ b/testing/platform/linegroup.cpp
@@ -214,17 +214,15 @@
 
 void Connection::readLine()
 {
-    asio::async_read_until(m_socket, m_input, '\n', [self = shared_from_this()](const error_code &error, std::size_t) {
+    asio::async_read_until(m_socket, m_input, "\r\n", [self = shared_from_this()](const error_code &error, std::size_t size) {
         if (error || self->m_closed) {
             self->close();
             return;
         }
-        std::istream stream(&self->m_input);
-        std::string line;
-        std::getline(stream, line);
-        if (!line.empty() && line.back() == '\r') {
-            line.pop_back();
-        }
+        // Only CR LF ends a line; a lone CR or LF is data.
+        const auto begin = asio::buffers_begin(self->m_input.data());
+        std::string line(begin, begin + static_cast<std::ptrdiff_t>(size) - 2);
+        self->m_input.consume(size);
         // A dark member discards what it receives.
         if (!self->m_member.dark) {
             self->handleLine(std::move(line));
--- a/tests/platform/host_test.cpp
+++ b/tests/platform/host_test.cpp
@@ -89,6 +89,24 @@
     }
 }
 
+// Guards against a lone line feed in data that lets its end run as a statement of its own.
+BOOST_AUTO_TEST_CASE(KeepALoneLineFeedInTheirTexts)
+{
+    PlatformSite site;
+    LineClient client(site.addresses[0]);
+    client.start("log");
+    const std::string data = "note\nQUERY fedc WRITE other smuggled";
+    BOOST_TEST(client.run("SET tz " + data).succeeded());
+    BOOST_TEST(client.run("WRITE item " + data).succeeded());
+    const std::string id = client.lastId;
+    BOOST_TEST(client.run("READ item").first() == "DATAROW " + data);
+    for (const standin::RanStatement &statement : site.group.ran()) {
+        BOOST_TEST(statement.id != "fedc", "a part of the data ran as a statement");
+        BOOST_TEST((statement.id != id || statement.text == "WRITE item " + data), "the text ran as '" << statement.text << "'");
+        BOOST_TEST((statement.id != id || statement.values.at("tz") == data));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ToUnknownDatabasesAreRefused)
 {
     PlatformSite site;
--- a/tests/platform/lineclient.h
+++ b/tests/platform/lineclient.h
@@ -9,7 +9,6 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
-#include <istream>
 #include <string>
 #include <vector>
 
@@ -75,15 +74,14 @@
         LineAnswer answer;
         for (;;) {
             boost::system::error_code failed;
-            boost::asio::read_until(m_socket, m_input, '\n', failed);
+            const std::size_t size = boost::asio::read_until(m_socket, m_input, "\r\n", failed);
             if (failed) {
                 answer.broken = true;
                 return answer;
             }
-            std::istream stream(&m_input);
-            std::string line;
-            std::getline(stream, line);
-            line.pop_back();
+            const auto begin = boost::asio::buffers_begin(m_input.data());
+            std::string line(begin, begin + static_cast<std::ptrdiff_t>(size) - 2);
+            m_input.consume(size);
             if (line.starts_with("READY ")) {
                 answer.state = line[6];
                 return answer;
--- a/tests/platform/linecodec_test.cpp
+++ b/tests/platform/linecodec_test.cpp
@@ -49,6 +49,31 @@
     }));
 }
 
+// Guards against a lone CR or LF in a caller's data, or in a row, ending a message.
+BOOST_AUTO_TEST_CASE(EndAtCarriageReturnAndLineFeedAlone)
+{
+    const std::vector<std::string> texts{"QUERY a WRITE i note\nQUERY b WRITE j smuggled", "\r", "x\r\r", "\n", ""};
+    std::string bytes;
+    for (const std::string &text : texts) {
+        bytes += text + "\r\n";
+    }
+    for (std::size_t size = 1; size <= bytes.size(); ++size) {
+        BOOST_TEST(linesOf(bytes, size) == texts, boost::test_tools::per_element());
+    }
+    BOOST_TEST(rc::check("lines of any bytes survive any cut", [] {
+        // A text without CR LF; mostly of the bytes that matter.
+        const auto byte = rc::gen::oneOf(rc::gen::element('\r', '\n', ' '), rc::gen::arbitrary<char>());
+        const auto text =
+            rc::gen::suchThat(rc::gen::container<std::string>(byte), [](const std::string &each) { return fitsOneLine(each); });
+        const auto lines = *rc::gen::container<std::vector<std::string>>(text);
+        std::string sent;
+        for (const std::string &line : lines) {
+            sent += line + "\r\n";
+        }
+        RC_ASSERT(linesOf(sent, *rc::gen::inRange<std::size_t>(1, 40)) == lines);
+    }));
+}
+
 BOOST_AUTO_TEST_CASE(LongerThanTheBoundAreRefused)
 {
     // Guards against a caller that exhausts the host's memory by never ending its line. The reader
