Release only the candidate while its order may still be carried out

Cause: an order to promote got no answer, the primary was back, and after 2 s its home released both fenced replicas. The recorded order bound only those who wanted to order, so a commit could be acknowledged by the receipt of the replica that the order does not name.

Ruled out: an order for the present primary, which replaces the new one if it comes last. Weighed and left: to finish the promotion (a gap in writes for each short darkness).

Nothing changes with syncReplicas 0.

--- a/include/egrettide/core/configuration.h
+++ b/include/egrettide/core/configuration.h
@@ -49,6 +49,9 @@
     std::string name;
     std::vector<UpstreamSpec> upstreams;
     Durability durability = Durability::Majority;
+    // How many replicas have received a commit before the upstream acknowledges it, where upstreams
+    // decide this themselves; 0: none. Any of the receiving replicas may be the one that did.
+    std::size_t acknowledgingReplicas = 0;
     // The default maximum age of the state that a read shows, in addition to the session's
     // floor (the mark that its reads must reach); unset: the floor only.
     std::optional<milliseconds> maxAge;
--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -16,6 +16,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <random>
@@ -31,6 +32,10 @@
 // it; answers to earlier attempts are dropped.
 using AttemptId = std::uint64_t;
 
+// The id of a read of the record that belongs to no attempt: it precedes the release of members that
+// another promoter may have fenced for an order that is still to be carried out.
+constexpr AttemptId releaseReadId = std::numeric_limits<AttemptId>::max();
+
 // The persistent record of a group in the store. It tells a newly started host where to begin and
 // keeps two promoters from repeatedly outbidding each other. With PromoteBy::Member no safety
 // property relies on it; with PromoteBy::ThirdParty the recorded order keeps two candidates from
@@ -202,6 +207,8 @@
     bool ignoreLaterTerm = false;
     // Compares positions across promotions without regard to where terms began.
     bool ignoreBranches = false;
+    // Releases fenced members although the order that they were fenced for may still be carried out.
+    bool releaseBeforeOrderEnds = false;
 };
 
 // Which component receives the order to promote.
@@ -266,6 +273,8 @@
     // How long a member may keep a promise above the primary's term, left by an aborted
     // promotion, before the term is renewed.
     milliseconds strandedTimeout{2000};
+    // The interval between reads of the record before the release of fenced members.
+    milliseconds releaseReadInterval{1000};
     PromoterFaults faults;
 };
 
@@ -338,6 +347,8 @@
     // The members that have promised the running attempt's term, with the status that they
     // reported.
     const std::map<std::string, MemberStatus> &promises() const;
+    // See DatabaseSpec::acknowledgingReplicas; PromoteBy::ThirdParty only.
+    void setAcknowledgingReplicas(std::size_t count);
     // What this promoter knows of the last order; passed on to the promoter that replaces it.
     const PendingOrder &pendingOrder() const;
     void setPendingOrder(const PendingOrder &pending);
@@ -411,7 +422,12 @@
     PromoterActions onFenceTimer(TimePoint now);
     PromoterActions onPromoteTimer(TimePoint now);
     std::optional<GiveUpReason> overtaken(const GroupSnapshot &snapshot) const;
-    void orderFollowers(const std::vector<MemberStatus> &statuses, TimePoint now);
+    PromoterActions orderFollowers(const std::vector<MemberStatus> &statuses, TimePoint now);
+    void noteStranded(const std::vector<MemberStatus> &statuses, TimePoint now);
+    bool isStrandedForLong(TimePoint now) const;
+    bool awaitsOrdersEnd() const;
+    bool mayRelease(const std::string &upstream, TimePoint now) const;
+    PromoterActions readBeforeRelease(TimePoint now);
     PromoterActions sendDueOrders(TimePoint now);
 
     PromoterIdentity m_identity;
@@ -480,7 +496,13 @@
     // Orders to members that are not known to follow the primary yet.
     std::vector<Order> m_orders;
     std::optional<TimePoint> m_strandedSince;
+    // The highest promise of a stranded member. A higher one is a new promotion, which gets its own time.
+    Term m_strandedTerm = 0;
+    // True once the record has been read for the present stranded members.
+    bool m_isReleaseRead = false;
+    TimePoint m_releaseReadAt;
     bool m_renewal = false;
+    std::size_t m_acknowledgingReplicas = 0;
 };
 
 } // namespace egrettide
--- a/src/core/configuration/configurationdiff.cpp
+++ b/src/core/configuration/configurationdiff.cpp
@@ -116,6 +116,7 @@
 {
     FieldChanges changes;
     changes.compare("durability", textOf(before.durability), textOf(after.durability));
+    changes.compare("acknowledgingReplicas", before.acknowledgingReplicas, after.acknowledgingReplicas);
     changes.compare("maxAge", textOf(before.maxAge), textOf(after.maxAge));
     changes.compare("replicaWait", textOf(before.replicaWait), textOf(after.replicaWait));
     return changes.text();
--- a/src/core/group/promoter.cpp
+++ b/src/core/group/promoter.cpp
@@ -95,6 +95,13 @@
 
 PromoterActions Promoter::onRecordRead(AttemptId attempt, const std::optional<VersionedRecord> &record, TimePoint now)
 {
+    if (attempt == releaseReadId) {
+        if (record) {
+            m_pendingOrder.onRecord(record->record.order, now);
+            m_isReleaseRead = true;
+        }
+        return {};
+    }
     const bool readsOrderBack = current(attempt, Phase::ReadingOrderBack);
     if (!current(attempt, Phase::ReadingRecord) && !current(attempt, Phase::ReadingBack) && !readsOrderBack) {
         return {};
@@ -236,7 +243,7 @@
             m_leaderToken = status.promisedTo;
         }
     }
-    orderFollowers(statuses, now);
+    append(actions, orderFollowers(statuses, now));
     append(actions, sendDueOrders(now));
     return actions;
 }
@@ -266,6 +273,7 @@
     m_orders.clear();
     m_leader.clear();
     m_strandedSince.reset();
+    m_isReleaseRead = false;
     m_renewal = false;
     m_unfinished = false;
     m_suspectedUntil = {};
@@ -338,6 +346,11 @@
     m_pendingOrder = pending;
 }
 
+void Promoter::setAcknowledgingReplicas(std::size_t count)
+{
+    m_acknowledgingReplicas = count;
+}
+
 const TermHistory &Promoter::terms() const
 {
     return m_terms;
@@ -880,18 +893,16 @@
     return returned || snapshot.term > m_suspicion.term ? std::optional(GiveUpReason::PrimaryReturned) : std::nullopt;
 }
 
-void Promoter::orderFollowers(const std::vector<MemberStatus> &statuses, TimePoint now)
+PromoterActions Promoter::orderFollowers(const std::vector<MemberStatus> &statuses, TimePoint now)
 {
-    bool stranded = false;
+    noteStranded(statuses, now);
     for (const MemberStatus &status : statuses) {
         if (status.upstream == m_leader) {
             continue;
         }
-        stranded = stranded || status.promisedTerm > m_leaderTerm;
         const bool follows =
             status.role == UpstreamRole::Replica && status.followingTerm == m_leaderTerm && status.promisedTerm <= m_leaderTerm;
-        const bool released = ordersThirdParty() && m_strandedSince && now - *m_strandedSince >= m_options.strandedTimeout;
-        const bool refuses = status.promisedTerm > m_leaderTerm && !released;
+        const bool refuses = status.promisedTerm > m_leaderTerm && !mayRelease(status.upstream, now);
         const auto order = std::ranges::find(m_orders, status.upstream, &Order::upstream);
         if ((follows || refuses) && order != m_orders.end()) {
             m_orders.erase(order);
@@ -899,14 +910,61 @@
             m_orders.push_back({status.upstream, now});
         }
     }
-    if (!stranded) {
+    // A third party keeps no promises, so none can block its orders.
+    m_renewal = !ordersThirdParty() && isStrandedForLong(now);
+    return readBeforeRelease(now);
+}
+
+void Promoter::noteStranded(const std::vector<MemberStatus> &statuses, TimePoint now)
+{
+    Term highest = 0;
+    for (const MemberStatus &status : statuses) {
+        if (status.upstream != m_leader && status.promisedTerm > m_leaderTerm) {
+            highest = std::max(highest, status.promisedTerm);
+        }
+    }
+    if (highest == 0) {
         m_strandedSince.reset();
-    } else if (!m_strandedSince) {
+    } else if (!m_strandedSince || (awaitsOrdersEnd() && highest > m_strandedTerm)) {
         m_strandedSince = now;
+        m_isReleaseRead = false;
     }
-    // A third party keeps no promises, so none can block its orders.
-    m_renewal =
-        m_options.promoteBy == PromoteBy::Member && m_strandedSince && now - *m_strandedSince >= m_options.strandedTimeout;
+    m_strandedTerm = highest;
+}
+
+bool Promoter::isStrandedForLong(TimePoint now) const
+{
+    return m_strandedSince && now - *m_strandedSince >= m_options.strandedTimeout;
+}
+
+// Whether a fenced member has to stay fenced until the order that it was fenced for has ended.
+bool Promoter::awaitsOrdersEnd() const
+{
+    return ordersThirdParty() && m_acknowledgingReplicas > 0 && !m_options.faults.releaseBeforeOrderEnds;
+}
+
+// If any other member than the candidate of an order received and acknowledged commits while the order
+// may still be carried out, the candidate would lead without them. So only the candidate is released
+// before the order ends, and what is acknowledged until then is in its log.
+bool Promoter::mayRelease(const std::string &upstream, TimePoint now) const
+{
+    if (!ordersThirdParty() || !isStrandedForLong(now)) {
+        return false;
+    }
+    if (!awaitsOrdersEnd()) {
+        return true;
+    }
+    const PromotionOrder *const pending = m_pendingOrder.outstanding(m_leaderTerm, now);
+    return m_isReleaseRead && (!pending || !isMember(pending->upstream) || pending->upstream == upstream);
+}
+
+PromoterActions Promoter::readBeforeRelease(TimePoint now)
+{
+    if (!awaitsOrdersEnd() || !isStrandedForLong(now) || m_isReleaseRead || now < m_releaseReadAt) {
+        return {};
+    }
+    m_releaseReadAt = now + m_options.releaseReadInterval;
+    return {ReadRecord{releaseReadId}};
 }
 
 PromoterActions Promoter::sendDueOrders(TimePoint now)
--- a/src/runtime/group/groupobserver.cpp
+++ b/src/runtime/group/groupobserver.cpp
@@ -108,6 +108,7 @@
         m_control.update(database);
         m_monitor.setMembers(membersOf(database));
     }
+    m_promoter->setAcknowledgingReplicas(database.acknowledgingReplicas);
     if (!promoterStays) {
         makePromoter();
     } else if (!sameMembers) {
--- a/src/runtime/group/groupobserverpromotion.cpp
+++ b/src/runtime/group/groupobserverpromotion.cpp
@@ -16,6 +16,7 @@
     m_promoterHome = m_homes.empty() ? std::string{} : *m_homes.begin();
     PromoterIdentity identity{m_database.name, m_promoterHome, m_settings.incarnation + "/" + m_promoterHome};
     auto next = std::make_unique<Promoter>(std::move(identity), membersOf(m_database), m_settings.seed, m_settings.promoter);
+    next->setAcknowledgingReplicas(m_database.acknowledgingReplicas);
     if (m_promoter) {
         next->setPendingOrder(m_promoter->pendingOrder());
         next->setTerms(m_promoter->terms());
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -1017,3 +1017,100 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ReturnedPrimaries, OrderedFixture)
+
+// A view in which b leads term 4 and the others are fenced for term 9.
+std::vector<MemberStatus> fenced(Term promised = 9)
+{
+    std::vector<MemberStatus> statuses;
+    for (const char *name : {"a", "c"}) {
+        MemberStatus status;
+        status.upstream = name;
+        status.followingTerm = 4;
+        status.promisedTerm = promised;
+        statuses.push_back(status);
+    }
+    return statuses;
+}
+
+GroupSnapshot ledByB()
+{
+    GroupSnapshot snapshot;
+    snapshot.term = 4;
+    snapshot.primary = "b";
+    return snapshot;
+}
+
+std::vector<std::string> released(const PromoterActions &actions)
+{
+    std::vector<std::string> names;
+    for (const SendFollow &each : only<SendFollow>(actions)) {
+        names.push_back(each.upstream);
+    }
+    return names;
+}
+
+// Runs until the members may be released, with this order in the record.
+void readRecordBeforeRelease(OrderedFixture &fixture)
+{
+    fixture.ordered->onGroup(ledByB(), fenced(), fixture.at(0));
+    const auto actions = fixture.ordered->onGroup(ledByB(), fenced(), fixture.at(2000));
+    BOOST_TEST(released(actions).empty(), "members were released before the record was read");
+    const auto reads = only<ReadRecord>(actions);
+    BOOST_REQUIRE_EQUAL(reads.size(), 1U);
+    fixture.ordered->onRecordRead(reads[0].attempt, fixture.store, fixture.at(2004));
+}
+
+// Guards against commits that only a released member acknowledged while the order for another one may
+// still be carried out.
+BOOST_AUTO_TEST_CASE(ReleaseTheCandidateAloneUntilTheOrderHasEnded)
+{
+    ordered->setAcknowledgingReplicas(1);
+    store.version = 7;
+    store.record.order = PromotionOrder{"c", 4, {4, 11}, "another host"};
+    readRecordBeforeRelease(*this);
+    const std::vector<std::string> candidate{"c"};
+    BOOST_TEST(released(ordered->onGroup(ledByB(), fenced(), at(2050))) == candidate, boost::test_tools::per_element());
+    BOOST_TEST(released(ordered->onGroup(ledByB(), fenced(), at(14'900))) == candidate, boost::test_tools::per_element());
+    const auto later = released(ordered->onGroup(ledByB(), fenced(), at(15'100)));
+    BOOST_TEST(std::ranges::count(later, "a") == 1, "a member stayed fenced after the order had ended");
+}
+
+BOOST_AUTO_TEST_CASE(ReleaseAllWithoutAnOrder)
+{
+    ordered->setAcknowledgingReplicas(1);
+    readRecordBeforeRelease(*this);
+    BOOST_TEST(released(ordered->onGroup(ledByB(), fenced(), at(2050))).size() == 2U);
+}
+
+// Guards against a release by what the record said before another promotion began.
+BOOST_AUTO_TEST_CASE(ReadTheRecordAgainForALaterFence)
+{
+    ordered->setAcknowledgingReplicas(1);
+    readRecordBeforeRelease(*this);
+    ordered->onGroup(ledByB(), fenced(10), at(2010));
+    BOOST_TEST(released(ordered->onGroup(ledByB(), fenced(10), at(3900))).empty());
+    BOOST_TEST(only<ReadRecord>(ordered->onGroup(ledByB(), fenced(10), at(4100))).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(KeepTheFenceWhileTheRecordIsNotAnswered)
+{
+    ordered->setAcknowledgingReplicas(1);
+    ordered->onGroup(ledByB(), fenced(), at(0));
+    BOOST_TEST(only<ReadRecord>(ordered->onGroup(ledByB(), fenced(), at(2000))).size() == 1U);
+    ordered->onRecordRead(releaseReadId, std::nullopt, at(2200));
+    BOOST_TEST(only<ReadRecord>(ordered->onGroup(ledByB(), fenced(), at(2300))).empty());
+    const auto again = ordered->onGroup(ledByB(), fenced(), at(3000));
+    BOOST_TEST(only<ReadRecord>(again).size() == 1U);
+    BOOST_TEST(released(again).empty());
+}
+
+BOOST_AUTO_TEST_CASE(ReleaseAllWhereNoReplicaAcknowledges)
+{
+    store.record.order = PromotionOrder{"c", 4, {4, 11}, "another host"};
+    ordered->onGroup(ledByB(), fenced(), at(0));
+    BOOST_TEST(released(ordered->onGroup(ledByB(), fenced(), at(2000))).size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
