Read lines in the tests without iterators into a temporary

Cause: since the stand-in and the test client copy a line with buffers_begin(input.data()). The iterator refers to the buffer sequence, which is a temporary and gone in the next statement.

Change: the buffer sequence is kept for the length of the copy.

--- a/testing/platform/linegroup.cpp
+++ b/testing/platform/linegroup.cpp
@@ -220,8 +220,8 @@
             return;
         }
         // Only CR LF ends a line; a lone CR or LF is data.
-        const auto begin = asio::buffers_begin(self->m_input.data());
-        std::string line(begin, begin + static_cast<std::ptrdiff_t>(size) - 2);
+        const auto received = self->m_input.data();
+        std::string line(static_cast<const char *>(received.data()), size - 2);
         self->m_input.consume(size);
         // A dark member discards what it receives.
         if (!self->m_member.dark) {
--- a/tests/platform/lineclient.h
+++ b/tests/platform/lineclient.h
@@ -79,8 +79,8 @@
                 answer.broken = true;
                 return answer;
             }
-            const auto begin = boost::asio::buffers_begin(m_input.data());
-            std::string line(begin, begin + static_cast<std::ptrdiff_t>(size) - 2);
+            const auto received = m_input.data();
+            std::string line(static_cast<const char *>(received.data()), size - 2);
             m_input.consume(size);
             if (line.starts_with("READY ")) {
                 answer.state = line[6];
