Stop repeating releases of fenced members once their primary is gone

Callers would see: with syncReplicas 1, acknowledged commits missing after a promotion.

Cause: the home of a primary that is back releases fenced members by follow orders and repeats those that are not answered. Nothing ended the repetition when the primary was lost again. A repeated order then released a member that a new attempt, here or at another host, had fenced and counted on, and its receipts acknowledged commits that the candidate lacked.

Change: where replicas acknowledge, outstanding follow orders are dropped when an attempt fences and when the view has no primary that this host answers for. Nothing changes with syncReplicas 0.

Tests: promoter_test ReturnedPrimaries/RepeatNoReleaseOnceTheyAreGone and RepeatNoReleaseDuringAnAttempt; both fail without the change. The schedules of promotionorders_test do not catch it.

--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -425,6 +425,7 @@
     PromoterActions orderFollowers(const std::vector<MemberStatus> &statuses, TimePoint now);
     void noteStranded(const std::vector<MemberStatus> &statuses, TimePoint now);
     bool isStrandedForLong(TimePoint now) const;
+    void dropReleases();
     bool awaitsOrdersEnd() const;
     bool mayRelease(const std::string &upstream, TimePoint now) const;
     PromoterActions readBeforeRelease(TimePoint now);
--- a/src/core/group/promoter.cpp
+++ b/src/core/group/promoter.cpp
@@ -234,6 +234,7 @@
     // majority promised that term, so following it is safe.
     const bool responsible = m_homes.contains(snapshot.primary) || snapshot.primary == m_leader;
     if (snapshot.primary.empty() || !responsible || snapshot.term < m_leaderTerm) {
+        dropReleases();
         return actions;
     }
     m_leader = snapshot.primary;
@@ -530,6 +531,7 @@
 PromoterActions Promoter::beginFence(TimePoint now)
 {
     m_phase = Phase::Fencing;
+    dropReleases();
     m_term = m_highestPromised + 1;
     m_promises.clear();
     m_refusing.clear();
@@ -915,6 +917,15 @@
     return readBeforeRelease(now);
 }
 
+// A follow order of a third party's group ends a fence. If it were repeated after a promotion has
+// begun, here or at another host, a member that the promotion counts on could acknowledge again.
+void Promoter::dropReleases()
+{
+    if (awaitsOrdersEnd()) {
+        m_orders.clear();
+    }
+}
+
 void Promoter::noteStranded(const std::vector<MemberStatus> &statuses, TimePoint now)
 {
     Term highest = 0;
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -1106,6 +1106,29 @@
     BOOST_TEST(released(again).empty());
 }
 
+// Guards against releasing a member that another host has fenced meanwhile.
+BOOST_AUTO_TEST_CASE(RepeatNoReleaseOnceTheyAreGone)
+{
+    ordered->setAcknowledgingReplicas(1);
+    readRecordBeforeRelease(*this);
+    BOOST_TEST(released(ordered->onGroup(ledByB(), fenced(), at(2050))).size() == 2U);
+    BOOST_TEST(released(ordered->onTimer(at(2300))).size() == 2U, "an unanswered release is repeated");
+    GroupSnapshot gone;
+    gone.term = 4;
+    ordered->onGroup(gone, fenced(10), at(2350));
+    BOOST_TEST(released(ordered->onTimer(at(4000))).empty());
+}
+
+// Guards against releasing a member that this attempt has fenced.
+BOOST_AUTO_TEST_CASE(RepeatNoReleaseDuringAnAttempt)
+{
+    ordered->setAcknowledgingReplicas(1);
+    readRecordBeforeRelease(*this);
+    BOOST_TEST(released(ordered->onGroup(ledByB(), fenced(), at(2050))).size() == 2U);
+    fence(2100);
+    BOOST_TEST(released(ordered->onTimer(at(2300))).empty());
+}
+
 BOOST_AUTO_TEST_CASE(ReleaseAllWhereNoReplicaAcknowledges)
 {
     store.record.order = PromotionOrder{"c", 4, {4, 11}, "another host"};
