Count the shared part of an abandoned branch where replicas acknowledge

Cause: ranks a member on an abandoned branch below all others. That suits syncReplicas 0, where the branch's end was acknowledged by its primary alone and rolled back. Where a replica has to receive a commit first, such a member may be the only one that holds the latest entries that its branch shares with the latest term, and a cut-off primary acknowledged nothing beyond them.

Change: TermHistory::sharedPart gives the last entry that a log shares with the latest term. Where replicas acknowledge, members are ranked by it, and entries beyond an inexact beginning by their position; on a tie the member of the latest term's log is preferred. An earlier order that binds is weighed in the same way.

Tests: promoter_test AcknowledgingReplicas/CountWhatABranchSharesWithTheLatestTerm and RankEntriesBeyondAnInexactBeginningByTheirPosition fail with the former rank; termhistory_test OnABranchShareTheLogUpToWhereItLeft is new with the function.

--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -22,6 +22,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -403,6 +404,7 @@
     bool outbid() const;
     bool settled(TimePoint now) const;
     bool mayChoose(TimePoint now);
+    std::pair<LogBranch, LogMark> worthOf(const MemberStatus &status) const;
     const MemberStatus *chooseCandidate() const;
     bool isBetterCandidate(const MemberStatus &candidate, const MemberStatus &best) const;
     PromoterActions sendPromote(TimePoint now);
--- a/include/egrettide/core/termhistory.h
+++ b/include/egrettide/core/termhistory.h
@@ -48,10 +48,14 @@
 
     // A term without a known beginning excludes nothing.
     LogBranch branchOf(LogMark received, Term latest) const;
+    // The last entry of that log that the latest term has too; `received` unless it is on an abandoned
+    // branch.
+    LogMark sharedPart(LogMark received, Term latest) const;
     // Ordered by term; at most `limit`.
     const std::vector<TermBeginning> &beginnings() const;
 
 private:
+    const TermBeginning *leftAt(LogMark received, Term latest) const;
     const TermBeginning *beginningOf(Term term) const;
 
     // Sorted by term, one for each.
--- a/src/core/group/promoter.cpp
+++ b/src/core/group/promoter.cpp
@@ -347,6 +347,19 @@
     m_pendingOrder = pending;
 }
 
+// What a member's log is worth as that of the next primary; the greater is the better.
+//
+// Where replicas acknowledge, a primary that was cut off acknowledged nothing alone, so only the part of
+// an abandoned branch that the latest term shares counts. Otherwise the rest was acknowledged and then
+// rolled back, and must not come back.
+std::pair<LogBranch, LogMark> Promoter::worthOf(const MemberStatus &status) const
+{
+    if (m_acknowledgingReplicas == 0 || m_options.faults.ignoreBranches) {
+        return {branchOf(status), status.received};
+    }
+    return {LogBranch::Current, m_terms.sharedPart(status.received, m_suspicion.term)};
+}
+
 void Promoter::setAcknowledgingReplicas(std::size_t count)
 {
     m_acknowledgingReplicas = count;
@@ -604,7 +617,7 @@
 bool Promoter::mayChoose(TimePoint now)
 {
     const MemberStatus *const best = chooseCandidate();
-    if (!best || branchOf(*best) == LogBranch::Current) {
+    if (!best || worthOf(*best).first == LogBranch::Current) {
         m_abandonedSince.reset();
         return true;
     }
@@ -641,7 +654,7 @@
         // On a tie the former primary is preferred, which keeps its connections and
         // callers.
         const bool incumbent = status.upstream == m_suspicion.primary || status.role != UpstreamRole::Replica;
-        return std::tuple(branchOf(status), status.received, preferred, staying, incumbent, status.replayed);
+        return std::tuple(worthOf(status), branchOf(status), preferred, staying, incumbent, status.replayed);
     };
     return rank(candidate) > rank(best);
 }
@@ -697,10 +710,9 @@
 bool Promoter::holdsAll(const PromotionOrder &pending, const MemberStatus &mostAdvanced) const
 {
     const auto promise = m_promises.find(pending.upstream);
-    if (promise != m_promises.end() && branchOf(promise->second) < branchOf(mostAdvanced)) {
-        return false;
-    }
-    return mostAdvanced.received <= (promise == m_promises.end() ? pending.mark : promise->second.received);
+    MemberStatus candidate;
+    candidate.received = pending.mark;
+    return worthOf(mostAdvanced) <= worthOf(promise == m_promises.end() ? candidate : promise->second);
 }
 
 PromoterActions Promoter::onOrderRecorded(const ClaimAnswer &answer, TimePoint now)
--- a/src/core/group/termhistory.cpp
+++ b/src/core/group/termhistory.cpp
@@ -40,20 +40,27 @@
     }
 }
 
-// Follows the log of the latest term backwards, from one term that it contains to the one before.
 LogBranch TermHistory::branchOf(LogMark received, Term latest) const
 {
-    for (Term term = latest; received.term < term;) {
-        const TermBeginning *const beginning = beginningOf(term);
-        if (!beginning) {
-            break;
-        }
-        if (received > beginning->mark) {
-            return beginning->isExact ? LogBranch::Abandoned : LogBranch::Uncertain;
-        }
-        term = beginning->mark.term;
+    const TermBeginning *const left = leftAt(received, latest);
+    if (!left) {
+        return LogBranch::Current;
+    }
+    return left->isExact ? LogBranch::Abandoned : LogBranch::Uncertain;
+}
+
+LogMark TermHistory::sharedPart(LogMark received, Term latest) const
+{
+    const TermBeginning *const left = leftAt(received, latest);
+    if (!left || !left->isExact) {
+        return received;
     }
-    return LogBranch::Current;
+    if (received.term == left->mark.term) {
+        return left->mark;
+    }
+    // The whole last term of that log is on the branch.
+    const TermBeginning *const own = beginningOf(received.term);
+    return own ? sharedPart(own->mark, latest) : left->mark;
 }
 
 const std::vector<TermBeginning> &TermHistory::beginnings() const
@@ -61,6 +68,20 @@
     return m_beginnings;
 }
 
+// Follows the log of the latest term backwards, from one term that it contains to the one before.
+// Returns the term before whose beginning the two logs part; null if they don't.
+const TermBeginning *TermHistory::leftAt(LogMark received, Term latest) const
+{
+    for (Term term = latest; received.term < term;) {
+        const TermBeginning *const beginning = beginningOf(term);
+        if (!beginning || received > beginning->mark) {
+            return beginning;
+        }
+        term = beginning->mark.term;
+    }
+    return nullptr;
+}
+
 const TermBeginning *TermHistory::beginningOf(Term term) const
 {
     const auto place = std::ranges::lower_bound(m_beginnings, term, {}, &TermBeginning::term);
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -1137,3 +1137,42 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AcknowledgingReplicas, OrderedFixture)
+
+// Guards against losing a commit that only a member on an abandoned branch holds besides the primary.
+BOOST_AUTO_TEST_CASE(CountWhatABranchSharesWithTheLatestTerm)
+{
+    ordered->setAcknowledgingReplicas(1);
+    store.record.beginnings = {{4, {3, 52}, true}};
+    suspicion.primary = "b";
+    fence();
+    const auto orders = only<SendPromote>(promise({granted("a", {3, 60}), granted("c", {3, 51})}, "b", 2));
+    BOOST_REQUIRE_EQUAL(orders.size(), 1U);
+    BOOST_TEST(orders[0].upstream == "a");
+}
+
+BOOST_AUTO_TEST_CASE(PreferAMemberOfTheLatestTermsLogIfBothShareAsMuch)
+{
+    ordered->setAcknowledgingReplicas(1);
+    store.record.beginnings = {{4, {3, 52}, true}};
+    suspicion.primary = "b";
+    fence();
+    const auto orders = only<SendPromote>(promise({granted("a", {3, 60}), granted("c", {3, 52})}, "b", 2));
+    BOOST_REQUIRE_EQUAL(orders.size(), 1U);
+    BOOST_TEST(orders[0].upstream == "c");
+}
+
+// Guards against losing acknowledged commits beyond the known part of a term's beginning.
+BOOST_AUTO_TEST_CASE(RankEntriesBeyondAnInexactBeginningByTheirPosition)
+{
+    ordered->setAcknowledgingReplicas(1);
+    store.record.beginnings = {{4, {3, 52}, false}};
+    suspicion.primary = "b";
+    fence();
+    const auto orders = only<SendPromote>(promise({granted("a", {3, 54}), granted("c", {3, 50})}, "b", 2));
+    BOOST_REQUIRE_EQUAL(orders.size(), 1U);
+    BOOST_TEST(orders[0].upstream == "a");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/termhistory_test.cpp
+++ b/tests/core/termhistory_test.cpp
@@ -46,6 +46,17 @@
     BOOST_TEST((terms.branchOf({1, 90}, 3) == LogBranch::Current));
 }
 
+BOOST_AUTO_TEST_CASE(OnABranchShareTheLogUpToWhereItLeft)
+{
+    TermHistory terms;
+    terms.add(TermBeginning{2, {1, 52}, true});
+    terms.add(TermBeginning{3, {1, 60}, true});
+    BOOST_TEST((terms.sharedPart({1, 70}, 3) == LogMark{1, 60}));
+    BOOST_TEST((terms.sharedPart({1, 58}, 3) == LogMark{1, 58}));
+    BOOST_TEST((terms.sharedPart({2, 90}, 3) == LogMark{1, 52}), "its own term began before the branch");
+    BOOST_TEST((terms.sharedPart({3, 61}, 3) == LogMark{3, 61}));
+}
+
 // Guards against excluding a member because the candidate had received more by the time it led.
 BOOST_AUTO_TEST_CASE(BeyondAnInexactBeginningAreUncertain)
 {
