Hear every replica that may alone hold an acknowledged commit

Cause: a majority of the staying members and 10 ms more settled the choice. A majority proves something only where a majority acknowledges; where any one replica does, each silent replica may alone hold an acknowledged commit. Here it was the leaving one, which counts toward syncReplicas until it ends and answered after 44 ms.

Change: where replicas acknowledge, no candidate is chosen while the primary and syncReplicas replicas or more are silent together; leaving members count. The fences are repeated until one of them answers or is no member any more. A planned change is exempt, since its successor has reached the primary's last mark. Nothing changes with syncReplicas 0, where a leaving member still doesn't hold a choice up.

--- a/include/egrettide/core/promoter.h
+++ b/include/egrettide/core/promoter.h
@@ -151,7 +151,8 @@
     Superseded,
     // An earlier order may still be carried out, and its candidate may lack acknowledged writes.
     OrderPending,
-    // A majority has answered, but only members whose promotion would bring back abandoned entries.
+    // A majority has answered, but a member that has not may alone hold acknowledged entries, or only
+    // members answered whose promotion would bring back abandoned ones.
     AwaitsMembers,
 };
 
@@ -210,6 +211,8 @@
     bool ignoreBranches = false;
     // Releases fenced members although the order that they were fenced for may still be carried out.
     bool releaseBeforeOrderEnds = false;
+    // Takes a majority of the staying members for enough although any replica acknowledges.
+    bool ignoreSilentReplicas = false;
 };
 
 // Which component receives the order to promote.
@@ -404,6 +407,8 @@
     bool outbid() const;
     bool settled(TimePoint now) const;
     bool mayChoose(TimePoint now);
+    bool mayChooseBranch(TimePoint now);
+    bool mayMissAcknowledged() const;
     std::pair<LogBranch, LogMark> worthOf(const MemberStatus &status) const;
     const MemberStatus *chooseCandidate() const;
     bool isBetterCandidate(const MemberStatus &candidate, const MemberStatus &best) const;
--- a/src/core/group/promoter.cpp
+++ b/src/core/group/promoter.cpp
@@ -384,7 +384,7 @@
 // that is being removed and its replacement are in the same zone. If the leaving one
 // counted and that zone were cut off, two of four members would be unreachable and a
 // majority of three out of reach, so the group would have no primary until the removed one
-// is gone: 5.5 s instead of 1.5 s.
+// is gone: 5.5 s instead of 1.5 s. The token protects no acknowledged entry: see mayMissAcknowledged.
 std::size_t Promoter::majority() const
 {
     if (m_options.promoteBy == PromoteBy::Member) {
@@ -611,10 +611,38 @@
     });
 }
 
-// Whether the promises suffice to choose from. If every member that promised may hold entries that the
-// latest term does not have, promoting one of them would bring back what reads of that term missed and
-// drop what that term acknowledged, so the others are waited for.
+// Whether the promises suffice to choose from.
 bool Promoter::mayChoose(TimePoint now)
+{
+    return !mayMissAcknowledged() && mayChooseBranch(now);
+}
+
+// Whether an acknowledged entry may be held by silent members alone: by the primary and as many
+// replicas as acknowledge. Members that leave count, since they receive until they end. A planned
+// change has seen its successor reach the primary's last mark.
+bool Promoter::mayMissAcknowledged() const
+{
+    if (!ordersThirdParty() || m_acknowledgingReplicas == 0 || planned() || m_options.faults.ignoreSilentReplicas) {
+        return false;
+    }
+    std::string primary = m_suspicion.primary;
+    if (primary.empty() && m_record && m_record->record.term == m_suspicion.term) {
+        primary = m_record->record.primary;
+    }
+    if (m_promises.contains(primary)) {
+        return false;
+    }
+    auto silent = static_cast<std::size_t>(
+        std::ranges::count_if(m_members, [this](const MemberSpec &member) { return !m_promises.contains(member.upstream); }));
+    // A primary that is no member any more, or is not known, is silent as well.
+    silent += isMember(primary) ? 0 : 1;
+    return silent > m_acknowledgingReplicas;
+}
+
+// If every member that promised may hold entries that the latest term does not have, promoting one of
+// them would bring back what reads of that term missed and drop what that term acknowledged, so the
+// others are waited for.
+bool Promoter::mayChooseBranch(TimePoint now)
 {
     const MemberStatus *const best = chooseCandidate();
     if (!best || worthOf(*best).first == LogBranch::Current) {
--- a/tests/core/promoter_test.cpp
+++ b/tests/core/promoter_test.cpp
@@ -1140,6 +1140,66 @@
 
 BOOST_FIXTURE_TEST_SUITE(AcknowledgingReplicas, OrderedFixture)
 
+// Guards against losing commits that only a replica which leaves had received.
+BOOST_AUTO_TEST_CASE(AreAllHeardWithoutThePrimaryAlsoThoseThatLeave)
+{
+    ordered->setAcknowledgingReplicas(1);
+    ordered->setMembers({{"a", "zone-a", false}, {"b", "zone-b", false}, {"c", "zone-c", false}, {"d", "zone-b", true}}, at(0));
+    fence();
+    ordered->onFence(attempt, granted("b", {4, 10}), at(2));
+    ordered->onFence(attempt, granted("c", {4, 11}), at(2));
+    BOOST_TEST(only<ClaimInStore>(ordered->onTimer(at(20))).empty(), "a silent replica may hold what was acknowledged");
+    const auto recorded = only<ClaimInStore>(ordered->onFence(attempt, granted("d", {4, 15}), at(44)));
+    BOOST_REQUIRE_EQUAL(recorded.size(), 1U);
+    BOOST_REQUIRE(recorded[0].record.order.has_value());
+    BOOST_TEST(recorded[0].record.order->upstream == "d");
+}
+
+BOOST_AUTO_TEST_CASE(AreWaitedForFromAttemptToAttempt)
+{
+    ordered->setAcknowledgingReplicas(1);
+    ordered->setMembers({{"a", "zone-a", false}, {"b", "zone-b", false}, {"c", "zone-c", false}, {"d", "zone-b", true}}, at(0));
+    fence();
+    ordered->onFence(attempt, granted("b", {4, 10}), at(2));
+    ordered->onFence(attempt, granted("c", {4, 11}), at(2));
+    ordered->onMemberFailed(attempt, "d", at(3));
+    ordered->onTimer(at(20));
+    const auto ended = only<GiveUp>(ordered->onTimer(at(500)));
+    BOOST_REQUIRE_EQUAL(ended.size(), 1U);
+    BOOST_TEST((ended[0].reason == GiveUpReason::AwaitsMembers));
+    BOOST_TEST((ended[0].until > at(500)));
+}
+
+// Guards against waiting for ever for a replica that is known not to run any more.
+BOOST_AUTO_TEST_CASE(ThatAreNoMembersAnyMoreAreNotWaitedFor)
+{
+    ordered->setAcknowledgingReplicas(1);
+    ordered->setMembers({{"b", "zone-b", false}, {"c", "zone-c", false}}, at(0));
+    fence();
+    ordered->onFence(attempt, granted("b", {4, 10}), at(2));
+    const auto recorded = only<ClaimInStore>(ordered->onFence(attempt, granted("c", {4, 11}), at(2)));
+    BOOST_TEST(recorded.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NeedNotAllBeHeardIfSeveralAcknowledge)
+{
+    ordered->setAcknowledgingReplicas(2);
+    ordered->setMembers({{"a", "zone-a", false}, {"b", "zone-b", false}, {"c", "zone-c", false}, {"d", "zone-b", true}}, at(0));
+    fence();
+    ordered->onFence(attempt, granted("b", {4, 10}), at(2));
+    ordered->onFence(attempt, granted("c", {4, 11}), at(2));
+    BOOST_TEST(only<ClaimInStore>(ordered->onTimer(at(20))).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NeedNotAllBeHeardWithThePrimary)
+{
+    ordered->setAcknowledgingReplicas(1);
+    fence();
+    ordered->onFence(attempt, granted("a", {4, 12}), at(2));
+    ordered->onFence(attempt, granted("b", {4, 10}), at(2));
+    BOOST_TEST(only<ClaimInStore>(ordered->onTimer(at(20))).size() == 1U);
+}
+
 // Guards against losing a commit that only a member on an abandoned branch holds besides the primary.
 BOOST_AUTO_TEST_CASE(CountWhatABranchSharesWithTheLatestTerm)
 {
--- a/tests/core/promotionorders_test.cpp
+++ b/tests/core/promotionorders_test.cpp
@@ -34,6 +34,8 @@
     Term over = 0;
     // Whether the promoted log holds entries that an earlier promotion had rolled back.
     bool bringsBackEntries = false;
+    // Whether it lacks entries that had been acknowledged.
+    bool lacksAcknowledged = false;
 };
 
 // An entry of a log, unique in its schedule.
@@ -47,11 +49,17 @@
 class Schedule
 {
 public:
-    Schedule(std::uint64_t seed, const PromoterFaults &faults) : m_random(seed)
+    // With `acknowledging` replicas, 0 or 1, the group has a fourth member, which leaves; none joins, as a
+    // replica that joins acknowledges before any host knows it.
+    Schedule(std::uint64_t seed, const PromoterFaults &faults, std::size_t acknowledging = 0)
+        : m_random(seed), m_acknowledging(acknowledging)
     {
         for (const char *name : {"a", "b", "c"}) {
             m_members[name] = Member{};
         }
+        if (acknowledging > 0) {
+            m_members["d"] = Member{};
+        }
         for (std::size_t i = 0; i < 3; ++i) {
             PromoterOptions options;
             options.promoteBy = PromoteBy::ThirdParty;
@@ -61,6 +69,7 @@
             m_hosts.push_back(std::make_unique<Host>());
             m_hosts.back()->promoter =
                 std::make_unique<Promoter>(PromoterIdentity{"bookings", home, "host-" + home}, specs(), seed + i, options);
+            m_hosts.back()->promoter->setAcknowledgingReplicas(acknowledging);
             at(milliseconds(1 + 7 * static_cast<int>(i)), [this, i] { look(i); });
         }
         write();
@@ -99,6 +108,9 @@
         std::set<std::string> cut;
         // The latest term that it has seen or learnt.
         Term knownTerm = 0;
+        // The last primary that it has seen, and its term.
+        std::string seenPrimary;
+        Term seenTerm = 0;
     };
 
     bool chance(double share)
@@ -118,13 +130,13 @@
     {
         std::vector<MemberSpec> specs;
         for (const auto &[name, member] : m_members) {
-            specs.push_back(MemberSpec{name, "zone-" + name, false});
+            specs.push_back(MemberSpec{name, "zone-" + name, m_acknowledging > 0 && name == "d"});
         }
         return specs;
     }
 
-    // The primary acknowledges on its own; others receive while they are neither fenced nor cut off,
-    // each with some lag.
+    // The primary acknowledges on its own, or once a replica has received; others receive while they are neither fenced nor cut
+    // off, each with some lag.
     void write()
     {
         Member &primary = m_members.at(m_primary);
@@ -132,6 +144,7 @@
         for (auto &[name, member] : m_members) {
             if (name != m_primary && member.receives && member.held <= m_term && chance(0.7)) {
                 follow(member, primary);
+                m_acknowledged = m_acknowledging > 0 ? primary.log.size() : 0;
             }
         }
         at(milliseconds{10}, [this] { write(); });
@@ -166,7 +179,7 @@
         for (auto &[name, member] : m_members) {
             member.receives = chance(0.6);
         }
-        if (m_members.size() < 5 && chance(0.6)) {
+        if (m_acknowledging == 0 && m_members.size() < 5 && chance(0.6)) {
             at(between(300, 1500), [this] { join(); });
         }
         at(between(2000, 7000), [this] { heal(); });
@@ -180,7 +193,8 @@
         }
         for (auto &[name, member] : m_members) {
             member.receives = true;
-            member.held = 0;
+            // Some members start again, which ends their fence.
+            member.held = m_acknowledging > 0 ? member.held : 0;
         }
     }
 
@@ -241,10 +255,16 @@
         view.term = host.knownTerm;
         view.primary = sees ? m_primary : std::string();
         view.primaryConfirmed = sees;
+        if (sees) {
+            host.seenPrimary = m_primary;
+            host.seenTerm = m_term;
+        }
         host.missingSince = sees ? TimePoint::max() : std::min(host.missingSince, m_now);
         perform(index, host.promoter->onGroup(view, statuses, m_now));
         if (!sees && m_now - host.missingSince >= suspicionTime) {
-            const Suspicion suspicion{SuspicionReason::NoPrimary, "", view.term};
+            const bool names = m_acknowledging > 0 && host.seenTerm == view.term;
+            const Suspicion suspicion{names ? SuspicionReason::PrimarySilent : SuspicionReason::NoPrimary,
+                                      names ? host.seenPrimary : std::string(), view.term};
             perform(index, host.promoter->onSuspicion(suspicion, promised, m_now));
         }
         at(viewInterval, [this, index] { look(index); });
@@ -351,7 +371,11 @@
         Member &member = m_members.at(order.upstream);
         const bool bringsBack =
             std::ranges::any_of(member.log, [this](const Entry &entry) { return m_rolledBack.contains(entry.id); });
-        m_promotions.push_back(CarriedOut{order.upstream, m_overOf.at(order.fencingToken), bringsBack});
+        const std::vector<Entry> &former = m_members.at(m_primary).log;
+        const bool lacks = m_acknowledged > 0
+            && (member.log.size() < m_acknowledged || member.log[m_acknowledged - 1] != former[m_acknowledged - 1]);
+        m_acknowledged = lacks ? 0 : m_acknowledged;
+        m_promotions.push_back(CarriedOut{order.upstream, m_overOf.at(order.fencingToken), bringsBack, lacks});
         noteRolledBack(member);
         ++m_term;
         m_primary = order.upstream;
@@ -379,9 +403,18 @@
         }
     }
 
-    void act(std::size_t, const SendFollow &order)
+    void act(std::size_t index, const SendFollow &order)
     {
-        if (const auto found = m_members.find(order.upstream); found != m_members.end()) {
+        if (const auto found = m_members.find(order.upstream); m_acknowledging > 0 && found != m_members.end()) {
+            if (m_hosts[index]->cut.contains(order.upstream)) {
+                return;
+            }
+            at(hop, [this, index, order] {
+                m_members.at(order.upstream).held = 0;
+                ControlAnswer answer{true, statusOf(order.upstream)};
+                perform(index, m_hosts[index]->promoter->onFollow(answer, m_now));
+            });
+        } else if (found != m_members.end()) {
             found->second.held = 0;
         }
     }
@@ -426,6 +459,10 @@
     std::uint64_t m_highestToken = 0;
     std::vector<CarriedOut> m_promotions;
     std::uint32_t m_lastEntry = 0;
+    const std::size_t m_acknowledging;
+    // The length of the primary's log up to its last acknowledged entry; not counted without
+    // acknowledging replicas.
+    std::size_t m_acknowledged = 0;
     std::set<std::uint32_t> m_rolledBack;
 };
 
@@ -436,6 +473,9 @@
     // Schedules in which a promotion brought back entries that an earlier one had rolled back.
     std::size_t returned = 0;
     std::uint64_t firstReturned = 0;
+    // Schedules in which a promotion lacked acknowledged entries.
+    std::size_t lost = 0;
+    std::uint64_t firstLost = 0;
 };
 
 // A schedule is broken if two candidates were promoted over one term, or one over a term after which
@@ -454,11 +494,11 @@
     return false;
 }
 
-Totals play(const PromoterFaults &faults)
+Totals play(const PromoterFaults &faults, std::size_t acknowledging = 0)
 {
     Totals totals;
     for (std::uint64_t seed = 1; seed <= schedules; ++seed) {
-        const auto promotions = Schedule(seed, faults).run();
+        const auto promotions = Schedule(seed, faults, acknowledging).run();
         totals.promotions += promotions.size();
         if (isBroken(promotions)) {
             totals.firstBroken = totals.broken == 0 ? seed : totals.firstBroken;
@@ -468,10 +508,15 @@
             totals.firstReturned = totals.returned == 0 ? seed : totals.firstReturned;
             ++totals.returned;
         }
+        if (std::ranges::any_of(promotions, &CarriedOut::lacksAcknowledged)) {
+            totals.firstLost = totals.lost == 0 ? seed : totals.firstLost;
+            ++totals.lost;
+        }
     }
     BOOST_TEST_MESSAGE(totals.promotions << " promotions in " << schedules << " schedules, " << totals.broken
                                          << " broken, the first at seed " << totals.firstBroken << "; " << totals.returned
-                                         << " brought back entries, the first at seed " << totals.firstReturned);
+                                         << " brought back entries, the first at seed " << totals.firstReturned << "; "
+                                         << totals.lost << " lost acknowledged entries, the first at seed " << totals.firstLost);
     return totals;
 }
 
@@ -513,3 +558,30 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(AcknowledgedEntries)
+
+// Guards against a promotion without commits that a replica alone had received and acknowledged.
+BOOST_AUTO_TEST_CASE(AreInThePromotedLog)
+{
+    const Totals totals = play({}, 1);
+    BOOST_TEST(totals.lost == 0U, "seed " << totals.firstLost);
+    BOOST_TEST(totals.broken == 0U, "seed " << totals.firstBroken);
+    BOOST_TEST(totals.promotions > static_cast<std::size_t>(schedules) / 2, "the schedules promoted too rarely to show anything");
+}
+
+BOOST_AUTO_TEST_CASE(WouldBeLostIfSilentReplicasDidNotCount)
+{
+    PromoterFaults faults;
+    faults.ignoreSilentReplicas = true;
+    BOOST_TEST(play(faults, 1).lost > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(WouldBeLostIfAllWereReleasedBeforeTheOrderEnds)
+{
+    PromoterFaults faults;
+    faults.releaseBeforeOrderEnds = true;
+    BOOST_TEST(play(faults, 1).lost > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
