--- a/testing/platform/linegroup.cpp
+++ b/testing/platform/linegroup.cpp
@@ -76,6 +76,7 @@
     bool dark = false;
     int answersToLose = 0;
     int refusals = 0;
+    std::deque<StatementFate> plannedFates;
     int activeStatements = 0;
     int mostConnections = 0;
     int refusedConnections = 0;
@@ -160,6 +161,7 @@
     void handleLine(std::string line);
     void handleStartup(std::string rest);
     void handleStatement(std::string rest);
+    StatementFate takeFate(const std::string &verb);
     bool handleWithoutSlot(const std::string &verb, std::string rest);
     void handleControl(const std::string &verb, const std::string &rest);
     void runInSlot(const std::string &verb, std::string rest);
@@ -268,7 +270,13 @@
         after = markFrom(takeWord(rest));
         verb = takeWord(rest);
     }
-    if (m_state == 'E' && verb != "ROLLBACK" && verb != "COMMIT") {
+    const StatementFate fate = takeFate(verb);
+    if (fate == StatementFate::Close) {
+        close();
+    } else if (fate == StatementFate::Fail) {
+        m_state = m_state == 'I' ? 'I' : 'E';
+        fail("FAILED");
+    } else if (m_state == 'E' && verb != "ROLLBACK" && verb != "COMMIT") {
         fail("MALFORMED");
     } else if (after && m_member.position() < *after) {
         fail("LAGGING");
@@ -277,6 +285,17 @@
     }
 }
 
+StatementFate Connection::takeFate(const std::string &verb)
+{
+    const bool controls = verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" || verb == "STEPDOWN";
+    if (controls || m_member.plannedFates.empty()) {
+        return StatementFate::Run;
+    }
+    const StatementFate fate = m_member.plannedFates.front();
+    m_member.plannedFates.pop_front();
+    return fate;
+}
+
 // Handles statements that need no slot; returns false for all others.
 bool Connection::handleWithoutSlot(const std::string &verb, std::string rest)
 {
@@ -608,6 +627,11 @@
     m_impl->run([&] { m_impl->member(member).refusals = count; });
 }
 
+void LineGroup::planStatements(const std::string &member, std::vector<StatementFate> fates)
+{
+    m_impl->run([&] { m_impl->member(member).plannedFates.assign(fates.begin(), fates.end()); });
+}
+
 void LineGroup::dropConnections(const std::string &member)
 {
     m_impl->run([&] {
--- a/testing/platform/linegroup.h
+++ b/testing/platform/linegroup.h
@@ -53,6 +53,15 @@
     std::string caller;
 };
 
+// What happens to a statement that a member receives.
+enum class StatementFate {
+    Run,
+    // It is answered FAILED and has no effect; an open transaction fails.
+    Fail,
+    // The connection is closed before it runs.
+    Close,
+};
+
 // Methods may be called from any thread, but not concurrently.
 class LineGroup
 {
@@ -85,6 +94,9 @@
     // The member answers BUSY to its next `count` statements that need a slot, reads and
     // writes alike, except STATUS.
     void refuseNext(const std::string &member, int count);
+    // The fates of the member's next statements in the order of their arrival, setup statements included;
+    // those that control it are not counted. Replaces what was planned before.
+    void planStatements(const std::string &member, std::vector<StatementFate> fates);
     // Closes all connections of a member.
     void dropConnections(const std::string &member);
 
