Report fatal signals and uncaught exceptions in the log

Hosts that ended by themselves left nothing: the operators' record has a signal seen from outside and no line of the process. Three hypotheses could not be told apart by it.

--- a/src/runtime/host/hostdaemon.cpp
+++ b/src/runtime/host/hostdaemon.cpp
@@ -342,10 +342,16 @@
         joinWhenDue();
         scheduleRecordLog();
     });
-    m_threads.emplace_back([this] { m_control.run(); });
-    m_threads.emplace_back([this] { m_link.run(); });
+    const auto startThread = [this](const char *name, asio::io_context &context) {
+        m_threads.emplace_back([name, &context] {
+            const crash::ThreadCover cover(name);
+            context.run();
+        });
+    };
+    startThread("control", m_control);
+    startThread("link", m_link);
     for (const auto &context : m_traffic) {
-        m_threads.emplace_back([&context] { context->run(); });
+        startThread("traffic", *context);
     }
 }
 
--- a/src/runtime/host/hostdaemonimpl.h
+++ b/src/runtime/host/hostdaemonimpl.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "runtime/host/crashreport.h"
 #include "runtime/host/hostdaemon.h"
 #include "runtime/host/mechanisms.h"
 
--- a/src/tools/egrettided.cpp
+++ b/src/tools/egrettided.cpp
@@ -1,6 +1,7 @@
 // egrettided: the daemon of one entry host.
 
 #include "platform/hostparts.h"
+#include "runtime/host/crashreport.h"
 #include "runtime/host/hostdaemon.h"
 #include "runtime/host/log.h"
 #include "runtime/host/settings.h"
@@ -86,6 +87,7 @@
 int run(const egrettide::Settings &settings, const std::string &path)
 {
     namespace log = egrettide::log;
+    egrettide::crash::install(settings.host);
     log::open(settings.host, log::levelNamed(settings.logLevel));
     // The signal handlers are installed before other threads start, so that no signal is
     // lost.
