Reproduce: one odd object of the store ends hosts, or hides the whole list

The stand-in sends an object's content as any text, since no JSON value holds what another writer may leave.

--- a/testing/platform/platformstandin.cpp
+++ b/testing/platform/platformstandin.cpp
@@ -195,6 +195,11 @@
     // The highest fencing token received for each service.
     std::map<std::string, std::uint64_t> fences;
 
+    void putObject(const std::string &kind, const std::string &name, json spec);
+    void putRawObject(const std::string &kind, const std::string &name, std::string specText);
+    void removeObject(const std::string &kind, const std::string &name);
+    // The answer's text, with the texts of raw objects in their places.
+    std::string textOf(const json &body) const;
     void completeKindWatches();
     void closeKindWatches();
     void restoreCopy();
@@ -235,6 +240,8 @@
 
     asio::io_context m_context;
     tcp::acceptor m_acceptor;
+    // Texts of raw objects by the string that the store holds in their place.
+    std::map<std::string, std::string> m_rawTexts;
     std::map<std::uint64_t, Watch> m_watches;
     std::map<std::uint64_t, KindWatch> m_kindWatches;
     std::uint64_t m_lastWatch = 0;
@@ -311,7 +318,7 @@
         }
         if (outcome.status != http::status::not_modified) {
             m_response.set(http::field::content_type, "application/json");
-            m_response.body() = outcome.body.dump();
+            m_response.body() = m_server.textOf(outcome.body);
         }
         m_response.prepare_payload();
         http::async_write(m_stream, m_response, [self = shared_from_this()](const error_code &error, std::size_t) {
@@ -413,6 +420,16 @@
         members(body);
         return answer(http::status::ok, json::object());
     }
+    if (path == "/admin/objects" && body.is_object()) {
+        const std::string kind = body.value("kind", "");
+        const std::string name = body.value("name", "");
+        if (body.contains("text")) {
+            putRawObject(kind, name, body["text"]);
+        } else {
+            removeObject(kind, name);
+        }
+        return answer(http::status::ok, json::object());
+    }
     if (path == "/admin/hosts" && body.is_array()) {
         std::vector<PlatformHost> hosts;
         std::transform(body.begin(), body.end(), std::back_inserter(hosts), hostOf);
@@ -564,6 +581,40 @@
     return outcomeOf(std::move(result));
 }
 
+void PlatformStandIn::Server::putObject(const std::string &kind, const std::string &name, json spec)
+{
+    const json object{{"meta", {{"name", name}}}, {"spec", std::move(spec)}};
+    if (kinds.create(kind, object).status != static_cast<int>(http::status::ok)) {
+        kinds.replace(kind, name, object);
+    }
+    completeKindWatches();
+}
+
+void PlatformStandIn::Server::removeObject(const std::string &kind, const std::string &name)
+{
+    kinds.remove(kind, name);
+    completeKindWatches();
+}
+
+void PlatformStandIn::Server::putRawObject(const std::string &kind, const std::string &name, std::string specText)
+{
+    const std::string placeholder = "@raw-text-" + std::to_string(m_rawTexts.size()) + "@";
+    m_rawTexts.emplace(placeholder, std::move(specText));
+    putObject(kind, name, placeholder);
+}
+
+std::string PlatformStandIn::Server::textOf(const json &body) const
+{
+    std::string text = body.dump();
+    for (const auto &[placeholder, raw] : m_rawTexts) {
+        const std::string quoted = '"' + placeholder + '"';
+        for (std::size_t at = 0; (at = text.find(quoted, at)) != std::string::npos; at += raw.size()) {
+            text.replace(at, quoted.size(), raw);
+        }
+    }
+    return text;
+}
+
 void PlatformStandIn::Server::completeKindWatches()
 {
     std::vector<std::pair<std::function<void(Outcome)>, Outcome>> due;
@@ -895,21 +946,17 @@
 
 void PlatformStandIn::putObject(const std::string &kind, const std::string &name, json spec)
 {
-    m_server->run([&](Server &server) {
-        const json object{{"meta", {{"name", name}}}, {"spec", std::move(spec)}};
-        if (server.kinds.create(kind, object).status != static_cast<int>(http::status::ok)) {
-            server.kinds.replace(kind, name, object);
-        }
-        server.completeKindWatches();
-    });
+    m_server->run([&](Server &server) { server.putObject(kind, name, std::move(spec)); });
+}
+
+void PlatformStandIn::putRawObject(const std::string &kind, const std::string &name, std::string specText)
+{
+    m_server->run([&](Server &server) { server.putRawObject(kind, name, std::move(specText)); });
 }
 
 void PlatformStandIn::removeObject(const std::string &kind, const std::string &name)
 {
-    m_server->run([&](Server &server) {
-        server.kinds.remove(kind, name);
-        server.completeKindWatches();
-    });
+    m_server->run([&](Server &server) { server.removeObject(kind, name); });
 }
 
 std::optional<json> PlatformStandIn::objectOfKind(const std::string &kind, const std::string &name) const
--- a/testing/platform/platformstandin.h
+++ b/testing/platform/platformstandin.h
@@ -12,6 +12,7 @@
 //   pages and watches, and POST /promote with a fencing token.
 //   PUT    /admin/members {"dark": NAME} or {"bright": NAME}, where a service runs here
 //   PUT    /admin/hosts                        replaces the list; visible after the lag
+//   PUT    /admin/objects {"kind","name","text"}: putRawObject(); without text, removes the object
 //   PUT    /admin/faults {"down","delayMs","loseNextAnswers","failNextCalls","hostListLagMs","downAfterNextChange"}
 //   GET    /admin/calls                        calls received, by kind
 
@@ -113,6 +114,9 @@
     std::vector<PromotionOrder> promotions() const;
     // Creates or replaces an object of a kind, bypassing all faults.
     void putObject(const std::string &kind, const std::string &name, nlohmann::json spec);
+    // The same with a `spec` that is sent as this text, whatever it is: no JSON value can hold all that
+    // another writer's object may consist of.
+    void putRawObject(const std::string &kind, const std::string &name, std::string specText);
     void removeObject(const std::string &kind, const std::string &name);
     std::optional<nlohmann::json> objectOfKind(const std::string &kind, const std::string &name) const;
 
