Read each object of the store on its own, within limits

What callers saw: hosts ended by SIGSEGV, so requests that a host had read ended without an answer; or hosts stopped following the store, so a leaving primary still led and no host that started became ready.

Cause: an answer of the store was parsed, copied and serialized as one value. The JSON library parses without recursion, but serializes, copies and compares by one call a level: one object with 200,000 nested arrays overflowed the stack of each host that read it, at each start again. One number out of range or one lone surrogate made the whole answer invalid, which counted as no answer and left no line.

An answer is now split by its brackets and strings into objects, and these into name, revision and content; each is parsed alone, at most 64 levels deep. An object that cannot be read keeps its name and has no value: it is refused by name (store_object_refused, once a fault), counted, and passed on to other hosts as null, so a host of an earlier release does not end by it. An answer that cannot be split is reported (store_answer_refused); a waiting call that brings one, or one that is too long, is followed by a list.

--- a/src/runtime/operators/hoststatus.cpp
+++ b/src/runtime/operators/hoststatus.cpp
@@ -102,6 +102,8 @@
     registry.counter("store_calls_total", {{"kind", "write"}}).add(counts.writes);
     registry.counter("store_calls_total", {{"kind", "watch"}}).add(counts.watches);
     registry.counter("store_calls_total", {{"kind", "hosts"}}).add(counts.hostLists);
+    registry.counter("store_objects_refused_total", {}).add(counts.refusedObjects);
+    registry.counter("store_answers_refused_total", {}).add(counts.refusedAnswers);
 }
 
 void addLogMetrics(MetricsRegistry &registry)
--- a/src/runtime/store/httpclient.cpp
+++ b/src/runtime/store/httpclient.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -220,7 +221,8 @@
         idle.clear();
     }
     const HttpHandler handler = std::exchange(connection->handler, nullptr);
-    handler(tl::make_unexpected(HttpFailure{mayHaveArrived, step + " failed: " + error.message()}));
+    handler(
+        tl::make_unexpected(HttpFailure{mayHaveArrived, step + " failed: " + error.message(), error == http::error::body_limit}));
 }
 
 void HttpClient::State::shutDown()
--- a/src/runtime/store/httpclient.h
+++ b/src/runtime/store/httpclient.h
@@ -35,6 +35,8 @@
     // True once any byte of the request may have left: the server may have run it.
     bool mayHaveArrived = false;
     std::string reason;
+    // The server answered with more than this client accepts.
+    bool isTooLong = false;
 };
 
 using HttpHandler = std::function<void(tl::expected<HttpAnswer, HttpFailure>)>;
--- a/src/runtime/store/store.h
+++ b/src/runtime/store/store.h
@@ -70,12 +70,15 @@
     bool leaving = false;
 };
 
-// Started calls by kind, as the platform counts them; they must grow more slowly than the fleet.
+// Started calls by kind, as the platform counts them; they must grow more slowly than the fleet. Also
+// what came back that could not be read; see StoreRefusals.
 struct StoreCallCounts {
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
     std::uint64_t watches = 0;
     std::uint64_t hostLists = 0;
+    std::uint64_t refusedObjects = 0;
+    std::uint64_t refusedAnswers = 0;
 };
 
 using ObjectHandler = std::function<void(tl::expected<VersionedObject, StoreError>)>;
@@ -117,7 +120,7 @@
     // Calls from now on go to another address.
     virtual void moveTo(const boost::asio::ip::tcp::endpoint &address) = 0;
 
-    virtual const StoreCallCounts &callCounts() const = 0;
+    virtual StoreCallCounts callCounts() const = 0;
 };
 
 } // namespace egrettide
--- a/src/runtime/store/storeclient.cpp
+++ b/src/runtime/store/storeclient.cpp
@@ -2,6 +2,8 @@
 
 #include "runtime/store/storeclient.h"
 
+#include "runtime/store/urlescape.h"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -21,28 +23,9 @@
 // changes ends with the platform's own answer.
 constexpr milliseconds WatchMargin{250};
 
-std::string escaped(const std::string &text)
-{
-    static constexpr char Hex[] = "0123456789ABCDEF";
-    std::string result;
-    for (const char c : text) {
-        const auto byte = static_cast<unsigned char>(c);
-        const bool plain = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z') || (byte >= '0' && byte <= '9')
-            || byte == '-' || byte == '_' || byte == '.' || byte == '~' || byte == '/';
-        if (plain) {
-            result += c;
-            continue;
-        }
-        result += '%';
-        result += Hex[byte >> 4];
-        result += Hex[byte & 0xF];
-    }
-    return result;
-}
-
 std::string objectTarget(const std::string &key)
 {
-    return "/objects/" + escaped(key);
+    return "/objects/" + urlEscaped(key);
 }
 
 tl::unexpected<StoreError> failure(StoreFailure failure, ErrorKind kind, std::string message, std::uint64_t currentVersion = 0)
@@ -217,7 +200,7 @@
     m_http.retarget(address);
 }
 
-const StoreCallCounts &StoreClient::callCounts() const
+StoreCallCounts StoreClient::callCounts() const
 {
     return m_counts;
 }
--- a/src/runtime/store/storeclient.h
+++ b/src/runtime/store/storeclient.h
@@ -30,7 +30,7 @@
     void registerHost(const ListedHost &self, TimePoint deadline, DoneHandler handler) override;
     void removeHost(const std::string &name, TimePoint deadline, DoneHandler handler) override;
     void moveTo(const boost::asio::ip::tcp::endpoint &address) override;
-    const StoreCallCounts &callCounts() const override;
+    StoreCallCounts callCounts() const override;
 
 private:
     boost::asio::io_context &m_context;
--- a/tests/platform/objectstore_test.cpp
+++ b/tests/platform/objectstore_test.cpp
@@ -319,12 +319,12 @@
 {
     const std::string page = "{\"items\":[{\"meta\":{\"name\":\"i-1\"},\"spec\":{\"zone\":\"a\"}},\n"
                              "{\"meta\":{\"name\":\"i-2\"},\"spec\":{\"zone\":\"\xff\xfe\x01\"}}]}";
-    const json read = platform::parsedJson(page);
-    BOOST_TEST_REQUIRE(read.is_object());
-    BOOST_TEST(read["items"][0]["spec"]["zone"] == "a");
-    BOOST_TEST(read["items"][1]["meta"]["name"] == "i-2");
-    BOOST_TEST(platform::parsedJson("{\"half").is_discarded());
-    BOOST_TEST(platform::parsedJson("\"\xc3\xa9\"") == json("\xc3\xa9"), "a valid text was changed");
+    const auto read = platform::parsedJson(page);
+    BOOST_TEST_REQUIRE((read && read->is_object()));
+    BOOST_TEST(read->at("items")[0]["spec"]["zone"] == "a");
+    BOOST_TEST(read->at("items")[1]["meta"]["name"] == "i-2");
+    BOOST_TEST(!platform::parsedJson("{\"half").has_value());
+    BOOST_TEST((platform::parsedJson("\"\xc3\xa9\"") == json("\xc3\xa9")), "a valid text was changed");
 }
 
 BOOST_FIXTURE_TEST_CASE(OfOddObjectsAreReadAndThrowNothing, Fixture)
--- a/tests/runtime/membershipdriver_test.cpp
+++ b/tests/runtime/membershipdriver_test.cpp
@@ -48,7 +48,7 @@
     void moveTo(const boost::asio::ip::tcp::endpoint &) override
     {
     }
-    const StoreCallCounts &callCounts() const override
+    StoreCallCounts callCounts() const override
     {
         return m_counts;
     }
