Refuse deeply nested objects that another host sends

What callers saw: hosts that did not read the store themselves ended by SIGSEGV too. A host of an earlier release that reads one deeply nested object of the operators' kind sends it to its zone, and each receiver serialized it again to keep it.

The same cause as in the store's answers, one hop on: the push was parsed as one value. It is split by its members now, each within the limit on depth; one that is not is kept as null, and a text that held one is not passed on as it came. Registrations that are sent as entries get the same check before they enter the copy.

discoveredconfiguration_test RefuseDeeplyNestedObjectsOfEachOther: 'memory access violation' before, passes; the fixture's parser refuses what is no object, as the real one does.

--- a/src/runtime/configuration/catalogtexts.cpp
+++ b/src/runtime/configuration/catalogtexts.cpp
@@ -4,6 +4,8 @@
 
 #include "wire/difference.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -19,6 +21,15 @@
 
 } // namespace
 
+std::string catalogText(const CollectionCopy &copy)
+{
+    std::string whole = "{";
+    copy.forEach([&whole](const std::string &name, const std::string &text) {
+        whole += (whole.size() > 1 ? "," : "") + nlohmann::json(name).dump() + ":" + text;
+    });
+    return whole + "}";
+}
+
 void CatalogTexts::set(std::string text)
 {
     const std::uint64_t digest = digestOf(text);
--- a/src/runtime/configuration/catalogtexts.h
+++ b/src/runtime/configuration/catalogtexts.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "egrettide/core/collectioncopy.h"
 #include "wire/hopcodec.h"
 
 #include <tl/expected.hpp>
@@ -14,6 +15,10 @@
 namespace egrettide
 {
 
+// One JSON object of all objects of the copy by name. Equal copies give equal texts, as objects are
+// kept in their compact form.
+std::string catalogText(const CollectionCopy &copy);
+
 class CatalogTexts
 {
 public:
--- a/src/runtime/configuration/discoveredconfiguration.cpp
+++ b/src/runtime/configuration/discoveredconfiguration.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/configuration/discoveredconfiguration.h"
 
+#include "egrettide/core/jsontext.h"
 #include "egrettide/core/storeepoch.h"
 #include "egrettide/core/waitstagger.h"
 #include "runtime/host/freememory.h"
@@ -45,7 +46,7 @@
 // a value that no hook accepts.
 nlohmann::json parsedObject(const std::string &text)
 {
-    return nlohmann::json::parse(text, nullptr, false);
+    return parseJson(text).value_or(nlohmann::json());
 }
 
 NamedObjects objectsOf(const CollectionCopy &copy)
@@ -55,17 +56,6 @@
     return objects;
 }
 
-// One JSON object of all objects by name. Equal copies give equal texts, as objects are kept in
-// their compact form.
-std::string textOf(const CollectionCopy &copy)
-{
-    std::string whole = "{";
-    copy.forEach([&whole](const std::string &name, const std::string &text) {
-        whole += (whole.size() > 1 ? "," : "") + nlohmann::json(name).dump() + ":" + text;
-    });
-    return whole + "}";
-}
-
 } // namespace
 
 Configuration withUpstreams(const TranslatedIntent &intent, const RegisteredUpstreams &upstreams)
@@ -164,7 +154,7 @@
 
 void DiscoveredConfiguration::onIntentChanged()
 {
-    if (acceptIntent(objectsOf(m_intentFollower.copy()), textOf(m_intentFollower.copy()), storeSource)) {
+    if (acceptIntent(objectsOf(m_intentFollower.copy()), catalogText(m_intentFollower.copy()), storeSource)) {
         m_rebuild.request();
         serveEarlyPulls();
         informZone();
--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/configuration/discoveredconfiguration.h"
 
+#include "egrettide/core/jsontext.h"
 #include "egrettide/core/storeepoch.h"
 #include "runtime/host/log.h"
 
@@ -17,6 +18,9 @@
 
 using nlohmann::json;
 
+// Stands for an object that cannot be read.
+constexpr const char *unreadableText = "null";
+
 // Minimum time between two requests to peers for a newer copy.
 constexpr milliseconds pullSpacing{1000};
 // The store informs its readers of a change within milliseconds of each other, and a zone's
@@ -46,6 +50,13 @@
 // Minimum time between two confirmations to the zone.
 constexpr milliseconds confirmSpacing{500};
 
+// The name of an object in a text of another host, without its escapes.
+std::string memberName(const JsonMember &member)
+{
+    const auto name = parseJson('"' + std::string(member.name) + '"');
+    return name ? name->get<std::string>() : std::string(member.name);
+}
+
 } // namespace
 
 // Reading the store.
@@ -410,20 +421,31 @@
         }
         return false;
     }
-    json document = json::parse(*text, nullptr, false);
-    if (!document.is_object()) {
+    const auto members = membersOfJson(*text);
+    if (!members) {
         refusePush(from, "The intent is no JSON object; request it from another host.");
         return false;
     }
     CollectionDelta whole{0, push.through.intent, push.through.intent, {}};
     NamedObjects objects;
-    for (auto &[name, object] : document.get_ref<json::object_t &>()) {
-        whole.entries.push_back({name, push.through.intent, object.dump()});
-        objects.emplace(name, std::move(object));
-    }
-    document = json();
-    m_intentFollower.adopt(std::move(whole), text->size());
-    return acceptIntent(std::move(objects), std::move(*text), from);
+    bool isWhole = true;
+    for (const JsonMember &member : *members) {
+        const std::string name = memberName(member);
+        auto object = parseJson(member.value);
+        isWhole = isWhole && object.has_value();
+        whole.entries.push_back({name, push.through.intent, object ? object->dump() : unreadableText});
+        objects.insert_or_assign(name, std::move(object).value_or(json()));
+    }
+    const std::size_t bytes = text->size();
+    std::string shared = std::move(*text);
+    if (!isWhole) {
+        // What this host cannot read it does not pass on either.
+        CollectionCopy readable;
+        readable.replace(whole.entries, whole.through);
+        shared = catalogText(readable);
+    }
+    m_intentFollower.adopt(std::move(whole), bytes);
+    return acceptIntent(std::move(objects), std::move(shared), from);
 }
 
 // Returns true when registrations, or their epoch, changed.
@@ -442,6 +464,12 @@
         refusePush(from, delta.error().message);
         return false;
     }
+    for (StoredEntry &entry : delta->entries) {
+        // Hosts of earlier releases pass on what they read in the store.
+        if (!entry.isRemoval() && !isWithinJsonDepth(entry.text)) {
+            entry.text = unreadableText;
+        }
+    }
     delta->since = push.registrationsSince;
     delta->through = push.through.registrations;
     delta->contentRevision = push.version.registrations;
--- a/tests/runtime/discoveredconfiguration_test.cpp
+++ b/tests/runtime/discoveredconfiguration_test.cpp
@@ -3,8 +3,12 @@
 #define BOOST_TEST_MODULE DiscoveredConfiguration
 #include <boost/test/unit_test.hpp>
 
+#include "egrettide/core/jsontext.h"
 #include "storefleet.h"
+#include "wire/catalogentries.h"
+#include "wire/difference.h"
 
+#include <algorithm>
 #include <numeric>
 #include <random>
 
@@ -261,6 +265,58 @@
     BOOST_TEST(fleet.regressions == 0);
 }
 
+// Guards against hosts that end by, or pass on, a deeply nested object that a host of an earlier release
+// has read.
+BOOST_AUTO_TEST_CASE(RefuseDeeplyNestedObjectsOfEachOther)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    StoreFleet fleet(3, 9);
+    fleet.configure(1);
+    fleet.store.put("registrations", "upstream-1", {{"leaving", false}});
+    BOOST_TEST_REQUIRE(fleet.runUntil([&] { return fleet.allHave(1) && fleet.allKnowUpstreams(1); }));
+    for (const std::string host : {"host-1", "host-2"}) {
+        fleet.store.cutOff(host, true);
+    }
+    bool isEarlierRelease = true;
+    int odd = 0;
+    int deepSent = 0;
+    const auto intentWith = [&deep](std::uint64_t version) {
+        return R"({"main":{"version":)" + std::to_string(version) + R"(},"odd":)" + deep + "}";
+    };
+    fleet.onSend = [&](hop::HopMessage &message) {
+        auto *push = std::get_if<hop::CatalogPush>(&message);
+        if (push == nullptr) {
+            return;
+        }
+        if (!isEarlierRelease) {
+            const auto text = push->baseDigest == 0 ? applyDifference({}, push->difference, push->digest) : std::string();
+            const auto entries = unpackEntries(push->entries);
+            const bool isDeepEntry = entries
+                && std::ranges::any_of(entries->entries, [](const StoredEntry &entry) { return !isWithinJsonDepth(entry.text); });
+            deepSent += (text && !isWithinJsonDepth(*text)) || isDeepEntry ? 1 : 0;
+            return;
+        }
+        ++odd;
+        const std::string text = intentWith(push->version.intent);
+        push->baseDigest = 0;
+        push->difference = makeDifference({}, text);
+        push->digest = digestOf(text);
+        CollectionDelta delta{push->registrationsSince, push->through.registrations, push->version.registrations, {}};
+        delta.entries.push_back({"upstream-1", push->version.registrations, R"({"leaving":false})"});
+        delta.entries.push_back({"upstream-odd", push->version.registrations, deep});
+        push->entries = packEntries(delta);
+    };
+    fleet.configure(2);
+    fleet.store.put("registrations", "upstream-2", {{"leaving", false}});
+    BOOST_TEST(fleet.runUntil([&] { return fleet.allHave(2); }));
+    BOOST_TEST(odd > 0);
+    isEarlierRelease = false;
+    fleet.freeze("host-0", true);
+    fleet.restart("host-2");
+    BOOST_TEST(fleet.runUntil([&] { return fleet.versionAt("host-2") == 2; }));
+    BOOST_TEST(deepSent == 0);
+}
+
 // Guards against hosts that accept no changes while the store holds an older configuration than
 // they have.
 BOOST_AUTO_TEST_CASE(FollowRegistrationsWhileOperatorsHaveNotWrittenAgain)
--- a/tests/runtime/storefleet.h
+++ b/tests/runtime/storefleet.h
@@ -442,6 +442,9 @@
 
     static tl::expected<RegisteredUpstream, Error> parseRegistration(const std::string &name, const nlohmann::json &value)
     {
+        if (!value.is_object()) {
+            return tl::unexpected(Error{ErrorKind::InvalidInput, "The registration is no object.", milliseconds{0}});
+        }
         RegisteredUpstream registered;
         registered.upstream.name = name;
         registered.upstream.address = name;
