Bound the depth of all JSON that another program wrote

The class of the cause before: a value from outside that is parsed whole, and then serialized, copied, compared or checked by recursion. Looked for in each place that parses JSON; the same stood in the object store of the product's own platform, in configurations that hosts send each other there, configuration files, settings (also at SIGHUP), the body of an order for a planned change, answers of hosts to egrettidectl, and log lines that 'egrettidectl explain' reads. One entry of another writer no longer hides the host list of the product's own platform.

All use the same reader, or its check of the depth where the parser is another one. The statement classifier bounds its texts already (classifier_test, left-deep trees).

--- a/src/core/configuration/configurationfile.cpp
+++ b/src/core/configuration/configurationfile.cpp
@@ -4,6 +4,7 @@
 
 #include "core/configuration/configurationcheck.h"
 #include "core/configuration/schemacheck.h"
+#include "egrettide/core/jsontext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -217,6 +218,9 @@
 
 tl::expected<Configuration, std::vector<Error>> parseConfiguration(std::string_view text)
 {
+    if (!isWithinJsonDepth(text)) {
+        return tl::make_unexpected(std::vector{detail::fault("", "the file is nested too deeply; remove what no field needs")});
+    }
     DuplicateFinder duplicates;
     const auto callback = [&duplicates](int, json::parse_event_t event, json &parsed) {
         duplicates.onEvent(event, parsed);
--- a/src/core/operators/requesttrace.cpp
+++ b/src/core/operators/requesttrace.cpp
@@ -2,6 +2,8 @@
 
 #include "egrettide/core/requesttrace.h"
 
+#include "egrettide/core/jsontext.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -83,7 +85,8 @@
         m_skipped += line.find_first_not_of(" \t\r") == std::string_view::npos ? 0 : 1;
         return;
     }
-    auto fields = nlohmann::ordered_json::parse(line.substr(brace), nullptr, false);
+    const std::string_view text = line.substr(brace);
+    auto fields = isWithinJsonDepth(text) ? nlohmann::ordered_json::parse(text, nullptr, false) : nlohmann::ordered_json();
     const auto is = [&fields](const char *name, auto check) {
         const auto found = fields.find(name);
         return found != fields.end() && check(*found);
--- a/src/runtime/configuration/configurationkeeper.cpp
+++ b/src/runtime/configuration/configurationkeeper.cpp
@@ -3,6 +3,7 @@
 #include "runtime/configuration/configurationkeeper.h"
 
 #include "egrettide/core/configurationapply.h"
+#include "egrettide/core/jsontext.h"
 #include "runtime/host/log.h"
 
 #include <nlohmann/json.hpp>
@@ -189,12 +190,13 @@
 void ConfigurationKeeper::onPush(const std::string &from, const hop::ConfigPush &push)
 {
     m_pullBefore = TimePoint{};
-    const auto value = nlohmann::json::parse(push.json, nullptr, false);
-    if (value.is_discarded()) {
-        log::warning("configuration_push_malformed", {{"peer", from}, {"version", push.version}});
+    const auto value = parseJson(push.json);
+    if (!value) {
+        log::warning("configuration_push_malformed",
+                     {{"peer", from}, {"version", push.version}, {"fault", describe(value.error())}});
         return;
     }
-    takeObject(value, push.version, from);
+    takeObject(*value, push.version, from);
 }
 
 } // namespace egrettide
--- a/src/runtime/group/switchoverservice.cpp
+++ b/src/runtime/group/switchoverservice.cpp
@@ -1,6 +1,8 @@
 // Routes planned changes of the primary to the primary's home.
 
 #include "runtime/group/switchoverservice.h"
+
+#include "egrettide/core/jsontext.h"
 #include "runtime/host/timer.h"
 
 #include <boost/asio/post.hpp>
@@ -71,7 +73,7 @@
 
 void SwitchoverService::onOperator(const std::string &body, const OperatorResponder &respond)
 {
-    const auto document = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json document = parseJson(body).value_or(nlohmann::json());
     const bool named = document.is_object() && document.contains("database") && document["database"].is_string();
     if (!named) {
         respond(failureResponse(
--- a/src/runtime/host/settings.cpp
+++ b/src/runtime/host/settings.cpp
@@ -3,6 +3,7 @@
 #include "runtime/host/settings.h"
 
 #include "core/configuration/schemacheck.h"
+#include "egrettide/core/jsontext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -142,17 +143,19 @@
 
 tl::expected<Settings, std::vector<Error>> parseSettings(std::string_view text)
 {
-    const auto document = nlohmann::json::parse(text, nullptr, false);
-    if (document.is_discarded()) {
-        Error notJson{ErrorKind::InvalidInput, "The settings are not valid JSON; check brackets, commas and quotes.",
+    const auto document = parseJson(text);
+    if (!document) {
+        Error notJson{ErrorKind::InvalidInput,
+                      "The settings cannot be read: the file " + std::string(describe(document.error()))
+                          + "; check brackets, commas and quotes.",
                       milliseconds{0}};
         return tl::unexpected(std::vector<Error>{std::move(notJson)});
     }
-    std::vector<Error> faults = detail::schemaFaults(settingsSchema(), document);
+    std::vector<Error> faults = detail::schemaFaults(settingsSchema(), *document);
     if (!faults.empty()) {
         return tl::unexpected(std::move(faults));
     }
-    return settingsFrom(document);
+    return settingsFrom(*document);
 }
 
 } // namespace egrettide
--- a/src/runtime/operators/operatorcommands.cpp
+++ b/src/runtime/operators/operatorcommands.cpp
@@ -6,6 +6,7 @@
 #include "egrettide/core/requesttrace.h"
 
 #include "egrettide/core/configurationfile.h"
+#include "egrettide/core/jsontext.h"
 #include "runtime/configuration/applyrunner.h"
 #include "runtime/host/address.h"
 #include "runtime/operators/operatorstatus.h"
@@ -136,7 +137,7 @@
     if (!answer) {
         return tl::make_unexpected(hostUnreachable(host, answer.error()));
     }
-    json document = json::parse(answer->body, nullptr, false);
+    json document = parseJson(answer->body).value_or(json());
     if (answer->status != http::status::ok || !document.is_object()) {
         return tl::make_unexpected(
             failed(ExitCode::Unreachable, "What answers at " + textOf(host) + " is not an egrettide host; check --operator."));
@@ -167,7 +168,7 @@
     if (http::to_status_class(answer->status) == http::status_class::successful) {
         return done(success + '\n');
     }
-    const json body = json::parse(answer->body, nullptr, false);
+    const json body = parseJson(answer->body).value_or(json());
     const std::string explanation = textIn(body, "message");
     const std::string message = explanation.empty()
         ? "The host refused with HTTP status " + std::to_string(static_cast<int>(answer->status)) + "."
--- a/src/runtime/store/storeclient.cpp
+++ b/src/runtime/store/storeclient.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/store/storeclient.h"
 
+#include "egrettide/core/jsontext.h"
 #include "runtime/store/urlescape.h"
 
 #include <boost/asio/post.hpp>
@@ -92,15 +93,20 @@
         const bool unknown = writes && answer.error().mayHaveArrived;
         return unknown ? outcomeUnknown(answer.error().reason) : unavailable(answer.error().reason);
     }
-    json document = json::parse(answer->body, nullptr, false);
+    // A value that cannot be read leaves the object's version known.
+    const auto members = membersOfJson(answer->body).value_or(std::vector<JsonMember>());
+    json document = json::object();
+    for (const char *const field : {"version", "value"}) {
+        document[field] = parseJson(memberOf(members, field)).value_or(json());
+    }
     if (const auto error = errorOf(*answer, document, key, writes)) {
         return tl::make_unexpected(*error);
     }
-    const std::uint64_t version = document.is_object() ? versionIn(document) : 0;
+    const std::uint64_t version = versionIn(document);
     if (version == 0) {
         return writes ? outcomeUnknown("malformed answer") : unavailable("malformed answer");
     }
-    return VersionedObject{key, version, document.contains("value") ? std::move(document["value"]) : json()};
+    return VersionedObject{key, version, std::move(document["value"])};
 }
 
 std::string textIn(const json &document, const char *field)
@@ -114,17 +120,18 @@
     if (!answer) {
         return unavailable(answer.error().reason);
     }
-    const json document = json::parse(answer->body, nullptr, false);
-    if (answer->status != http::status::ok || !document.is_array()) {
+    const auto entries = elementsOfJson(answer->body);
+    if (answer->status != http::status::ok || !entries) {
         return unavailable("no host list in the answer");
     }
     std::vector<ListedHost> hosts;
-    for (const json &entry : document) {
-        if (!entry.is_object()) {
-            return unavailable("malformed host list");
+    for (const std::string_view text : *entries) {
+        const json entry = parseJson(text).value_or(json());
+        ListedHost host{textIn(entry, "name"), textIn(entry, "zone"), textIn(entry, "address"),
+                        textIn(entry, "state") == "leaving"};
+        if (!host.name.empty()) {
+            hosts.push_back(std::move(host));
         }
-        hosts.push_back(
-            {textIn(entry, "name"), textIn(entry, "zone"), textIn(entry, "address"), textIn(entry, "state") == "leaving"});
     }
     return hosts;
 }
--- a/testing/platform/platformstandin.cpp
+++ b/testing/platform/platformstandin.cpp
@@ -195,6 +195,8 @@
     // The highest fencing token received for each service.
     std::map<std::string, std::uint64_t> fences;
 
+    // Keeps the text and returns the string that stands for it in the store.
+    std::string placeholderFor(std::string text);
     void putObject(const std::string &kind, const std::string &name, json spec);
     void putRawObject(const std::string &kind, const std::string &name, std::string specText);
     void removeObject(const std::string &kind, const std::string &name);
@@ -596,11 +598,16 @@
     completeKindWatches();
 }
 
+std::string PlatformStandIn::Server::placeholderFor(std::string text)
+{
+    std::string placeholder = "@raw-text-" + std::to_string(m_rawTexts.size()) + "@";
+    m_rawTexts.emplace(placeholder, std::move(text));
+    return placeholder;
+}
+
 void PlatformStandIn::Server::putRawObject(const std::string &kind, const std::string &name, std::string specText)
 {
-    const std::string placeholder = "@raw-text-" + std::to_string(m_rawTexts.size()) + "@";
-    m_rawTexts.emplace(placeholder, std::move(specText));
-    putObject(kind, name, placeholder);
+    putObject(kind, name, placeholderFor(std::move(specText)));
 }
 
 std::string PlatformStandIn::Server::textOf(const json &body) const
@@ -975,6 +982,11 @@
     return m_server->run([&key](Server &server) { return server.store.read(key); });
 }
 
+std::uint64_t PlatformStandIn::putRaw(const std::string &key, std::string text)
+{
+    return m_server->run([&](Server &server) { return server.put(key, server.placeholderFor(std::move(text))); });
+}
+
 std::uint64_t PlatformStandIn::put(const std::string &key, json value)
 {
     return m_server->run([&key, &value](Server &server) { return server.put(key, std::move(value)); });
--- a/testing/platform/platformstandin.h
+++ b/testing/platform/platformstandin.h
@@ -124,6 +124,8 @@
     std::optional<StoredObject> object(const std::string &key) const;
     // Writes unconditionally, bypassing all faults; returns the new version.
     std::uint64_t put(const std::string &key, nlohmann::json value);
+    // The same with a value that is sent as this text; see putRawObject().
+    std::uint64_t putRaw(const std::string &key, std::string text);
 
 private:
     class Server;
--- a/tests/core/configurationfile_test.cpp
+++ b/tests/core/configurationfile_test.cpp
@@ -249,4 +249,14 @@
     }
 }
 
+// Guards against a stack overflow while a file is checked against its schema.
+BOOST_AUTO_TEST_CASE(RefusesDeeplyNestedFiles)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    const std::string text = R"({"databases":)" + deep + "}";
+    const auto parsed = parseConfiguration(std::string_view(text));
+    BOOST_TEST_REQUIRE(!parsed.has_value());
+    BOOST_TEST(parsed.error().front().message.find("nested too deeply") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/core/requesttrace_test.cpp
+++ b/tests/core/requesttrace_test.cpp
@@ -94,6 +94,16 @@
     }));
 }
 
+// Guards against a tool that ends by one damaged line of a log.
+BOOST_AUTO_TEST_CASE(SkipsDeeplyNestedLines)
+{
+    RequestTrace trace("abc");
+    trace.addLine(R"({"time_ms":1,"host":"front-1","event":"request_failed","id":"abc","reason":)" + std::string(200'000, '[')
+                  + std::string(200'000, ']') + "}");
+    BOOST_TEST(trace.skipped() == 1U);
+    BOOST_TEST(!trace.found());
+}
+
 BOOST_AUTO_TEST_CASE(SurvivesAnyBytes)
 {
     BOOST_TEST(rc::check("lines of any content", [](const std::vector<std::string> &added) { traceOf("abc", added); }));
--- a/tests/runtime/settings_test.cpp
+++ b/tests/runtime/settings_test.cpp
@@ -137,4 +137,13 @@
     BOOST_TEST(parseSettings(validSettings().dump())->mechanismsOff.empty());
 }
 
+// Guards against a running host that ends when it reads a changed file.
+BOOST_AUTO_TEST_CASE(RefusesDeeplyNestedFiles)
+{
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    const auto settings = parseSettings(R"({"host":)" + deep + "}");
+    BOOST_TEST_REQUIRE(!settings.has_value());
+    BOOST_TEST(settings.error().front().message.find("nested too deeply") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/runtime/storeclient_test.cpp
+++ b/tests/runtime/storeclient_test.cpp
@@ -263,6 +263,22 @@
     BOOST_TEST(store.hosts()->front().name == "h1", "a later list overtook an earlier one");
 }
 
+// Guards against a host that ends, or never hears of a later version, by an object that it cannot read.
+BOOST_AUTO_TEST_CASE(ReadsAnOddObjectAsOneWithoutValue)
+{
+    PlatformStandIn platform;
+    Caller store(platform);
+    const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const std::string &text : {deep, std::string("1e999"), std::string(R"("\ud800")")}) {
+        const std::uint64_t version = platform.putRaw("k", text);
+        for (const auto &object : {store.read("k"), store.watch("k", version - 1)}) {
+            BOOST_TEST_REQUIRE(object.has_value());
+            BOOST_TEST(object->version == version);
+            BOOST_TEST(object->value.is_null());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(CountsCallsAsThePlatformDoes)
 {
     PlatformStandIn platform;
