Read group records strictly, and bound the answers of the store by their stated length

Two more ways in which one odd object can keep a host from following the store.

A group's record with a number out of range (-1, 1e300, 2^64-1) was converted into a term that no group has; a promotion compares its own terms with it. Numbers are unsigned and at most 2^53 now, or the record counts as absent, as other malformed ones do.

The header is read first and its length checked; too long a list of changes is followed by a list, which comes in parts.

--- a/src/runtime/group/groupcoordination.cpp
+++ b/src/runtime/group/groupcoordination.cpp
@@ -46,12 +46,32 @@
     return value;
 }
 
+// Far above the terms and positions of any group; a larger number was not written by a host.
+constexpr std::uint64_t largestNumber = std::uint64_t{1} << 53;
+
+// Throws a JSON exception when the value is no unsigned number or above largestNumber. A conversion
+// would turn other numbers into terms that no group has.
+std::uint64_t numberFrom(const nlohmann::json &value)
+{
+    const std::uint64_t number = value.get_ref<const nlohmann::json::number_unsigned_t &>();
+    if (number > largestNumber) {
+        throw nlohmann::json::out_of_range::create(406, "the number is out of range", &value);
+    }
+    return number;
+}
+
+// 0 without the field.
+std::uint64_t numberIn(const nlohmann::json &object, const char *field)
+{
+    return object.contains(field) ? numberFrom(object.at(field)) : 0;
+}
+
 PromotionOrder promotionOrderFrom(const nlohmann::json &value)
 {
     PromotionOrder order;
     order.upstream = value.value("upstream", std::string());
-    order.over = value.value("over", Term{0});
-    order.mark = LogMark{value.value("markTerm", Term{0}), value.value("markPosition", Position{0})};
+    order.over = numberIn(value, "over");
+    order.mark = LogMark{numberIn(value, "markTerm"), numberIn(value, "markPosition")};
     order.token = value.value("token", std::string());
     return order;
 }
@@ -61,17 +81,17 @@
 {
     GroupRecord record;
     try {
-        record.term = value.value("term", Term{0});
+        record.term = numberIn(value, "term");
         record.primary = value.value("primary", std::string());
         record.claimToken = value.value("claimToken", std::string());
         record.claimHolder = value.value("claimHolder", std::string());
-        record.claimedOver = value.value("claimedOver", Term{0});
+        record.claimedOver = numberIn(value, "claimedOver");
         if (value.contains("order")) {
             record.order = promotionOrderFrom(value.at("order"));
         }
         for (const nlohmann::json &each : value.value("beginnings", nlohmann::json::array())) {
-            const LogMark mark{each.at(1).get<Term>(), each.at(2).get<Position>()};
-            record.beginnings.push_back(TermBeginning{each.at(0).get<Term>(), mark, each.at(3).get<bool>()});
+            const LogMark mark{numberFrom(each.at(1)), numberFrom(each.at(2))};
+            record.beginnings.push_back(TermBeginning{numberFrom(each.at(0)), mark, each.at(3).get<bool>()});
         }
     } catch (const nlohmann::json::exception &) {
         return GroupRecord{};
--- a/src/runtime/store/httpclient.cpp
+++ b/src/runtime/store/httpclient.cpp
@@ -67,6 +67,7 @@
     void connect(const ConnectionPtr &connection);
     void send(const ConnectionPtr &connection);
     void receive(const ConnectionPtr &connection);
+    void receiveBody(const ConnectionPtr &connection);
     void finish(const ConnectionPtr &connection);
     void fail(const ConnectionPtr &connection, bool mayHaveArrived, const std::string &step, const error_code &error);
     ConnectionPtr takeIdle();
@@ -187,6 +188,25 @@
 {
     connection->parser.emplace();
     connection->parser->body_limit(BodyLimit);
+    // The parser loses its own error about the length when body bytes arrive with the header.
+    http::async_read_header(connection->stream, connection->buffer, *connection->parser,
+                            [self = shared_from_this(), connection](error_code error, std::size_t) {
+                                if (self->closed) {
+                                    return;
+                                }
+                                if (!error && connection->parser->content_length().value_or(0) > BodyLimit) {
+                                    error = http::error::body_limit;
+                                }
+                                if (error) {
+                                    self->fail(connection, true, "receive", error);
+                                    return;
+                                }
+                                self->receiveBody(connection);
+                            });
+}
+
+void HttpClient::State::receiveBody(const ConnectionPtr &connection)
+{
     http::async_read(connection->stream, connection->buffer, *connection->parser,
                      [self = shared_from_this(), connection](const error_code &error, std::size_t) {
                          if (self->closed) {
--- a/tests/platform/oddobjects_test.cpp
+++ b/tests/platform/oddobjects_test.cpp
@@ -155,6 +155,21 @@
     }
 }
 
+// Guards against a follower that asks again and again for changes that are longer than it accepts.
+BOOST_AUTO_TEST_CASE(OfManyIsListedWhenTheChangesAreTooLong)
+{
+    const Page before = list("servers");
+    BOOST_TEST_REQUIRE(before.has_value());
+    const std::string text = '"' + std::string(1'000'000, 'x') + '"';
+    for (int i = 0; i < 10; ++i) {
+        platform.putRawObject("servers", "odd", text);
+    }
+    const Changes seen = changes("servers", before->revision);
+    BOOST_TEST_REQUIRE(!seen.has_value());
+    BOOST_TEST((seen.error() == CollectionFailure::HistoryGone));
+    BOOST_TEST(list("servers").has_value());
+}
+
 // Guards against hosts that no other host hears of because of one odd entry beside theirs.
 BOOST_AUTO_TEST_CASE(LeavesTheOthersOfTheHostListReadable)
 {
--- a/tests/runtime/groupcoordination_test.cpp
+++ b/tests/runtime/groupcoordination_test.cpp
@@ -115,6 +115,25 @@
                "an order that a later term has ended stays in the record");
 }
 
+// Guards against a group that never promotes again because another writer left a number out of range.
+BOOST_FIXTURE_TEST_CASE(RecordsWithNumbersOutOfRangeCountAsAbsent, Fixture)
+{
+    for (const char *const number : {"-1", "1e300", "1.5", "18446744073709551615", "\"7\""}) {
+        for (const std::string &text : {std::string(R"({"primary":"m1","term":)") + number + "}",
+                                        std::string(R"({"primary":"m1","term":2,"claimedOver":)") + number + "}",
+                                        std::string(R"({"primary":"m1","beginnings":[[1,1,)") + number + ",true]]}",
+                                        std::string(R"({"primary":"m1","order":{"over":)") + number + "}}"}) {
+            platform.putRaw(groupRecordKey("d"), text);
+            std::optional<VersionedRecord> seen;
+            hooks.readRecord("d", Clock::now() + 30s, [&](const std::optional<VersionedRecord> &record) { seen = record; });
+            BOOST_TEST_REQUIRE(runUntil([&] { return seen.has_value(); }));
+            BOOST_TEST(seen->version > 0U, "a claim has to replace this record");
+            BOOST_TEST(seen->record.primary.empty(), text << " was taken for a record");
+            BOOST_TEST(seen->record.term == 0U);
+        }
+    }
+}
+
 // Guards against losing where earlier terms began when the outcome of a promotion is recorded.
 BOOST_FIXTURE_TEST_CASE(KeepsTheBeginningsOfTermsThatTheOutcomeDoesNotName, Fixture)
 {
