Refuse a request to the operators' port at once when its body is too long

The header is read first; a length above 64 KiB is answered with 413.

operatorserver_test AreRefusedAtOnceWhenTheirBodyIsTooLong: no answer before.

--- a/src/runtime/operators/operatorserver.cpp
+++ b/src/runtime/operators/operatorserver.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cstdint>
+
 namespace egrettide
 {
 
@@ -22,6 +24,8 @@
 // A request that takes longer to arrive is dropped, so that half-open connections
 // do not accumulate.
 constexpr std::chrono::seconds requestTimeout{10};
+// Orders name a database and an upstream.
+constexpr std::uint64_t maxRequestBody = std::uint64_t{64} * 1024;
 // A switchover waits for open transactions, so an answer may take longer.
 constexpr std::chrono::seconds answerTimeout{60};
 
@@ -35,14 +39,32 @@
     void start()
     {
         m_stream.expires_after(requestTimeout);
-        http::async_read(m_stream, m_buffer, m_request, [self = shared_from_this()](beast::error_code failure, std::size_t) {
+        m_parser.body_limit(maxRequestBody);
+        // The parser loses its own error about the length when body bytes arrive with the header.
+        http::async_read_header(m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) {
+            const bool isTooLong =
+                failure == http::error::body_limit || (!failure && self->m_parser.content_length().value_or(0) > maxRequestBody);
+            if (isTooLong) {
+                self->answer(OperatorResponse{
+                    413, "application/json",
+                    R"({"error":"invalid_input","message":"The request is too long; see docs/OPERATIONS.md.","retryAfterMs":0})"});
+            } else if (!failure) {
+                self->receiveBody();
+            }
+        });
+    }
+
+private:
+    void receiveBody()
+    {
+        http::async_read(m_stream, m_buffer, m_parser, [self = shared_from_this()](beast::error_code failure, std::size_t) {
             if (!failure) {
+                self->m_request = self->m_parser.release();
                 self->handle();
             }
         });
     }
 
-private:
     void handle()
     {
         m_stream.expires_after(answerTimeout);
@@ -68,6 +90,7 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    http::request_parser<http::string_body> m_parser;
     http::request<http::string_body> m_request;
     http::response<http::string_body> m_response;
     // A copy, because the server may be destroyed before the last exchange ends.
