--- a/src/runtime/configuration/discoveredsharing.cpp
+++ b/src/runtime/configuration/discoveredsharing.cpp
@@ -50,11 +50,11 @@
 // Minimum time between two confirmations to the zone.
 constexpr milliseconds confirmSpacing{500};
 
-// The name of an object in a text of another host, without its escapes.
+// The name of an object in a text of another host, without its escapes; empty when it cannot be read.
 std::string memberName(const JsonMember &member)
 {
     const auto name = parseJson('"' + std::string(member.name) + '"');
-    return name ? name->get<std::string>() : std::string(member.name);
+    return name ? name->get<std::string>() : std::string();
 }
 
 } // namespace
@@ -432,7 +432,10 @@
     for (const JsonMember &member : *members) {
         const std::string name = memberName(member);
         auto object = parseJson(member.value);
-        isWhole = isWhole && object.has_value();
+        isWhole = isWhole && object && !name.empty();
+        if (name.empty()) {
+            continue;
+        }
         whole.entries.push_back({name, push.through.intent, object ? object->dump() : unreadableText});
         objects.insert_or_assign(name, std::move(object).value_or(json()));
     }
--- a/tests/platform/oddobjects_test.cpp
+++ b/tests/platform/oddobjects_test.cpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace egrettide;
 using namespace egrettide::test;
@@ -170,6 +171,28 @@
     BOOST_TEST(list("servers").has_value());
 }
 
+// Guards against a list that ends at a name which is no valid part of a request.
+BOOST_AUTO_TEST_CASE(OfAnyNameIsPassedWhenAListGoesOn)
+{
+    const std::vector<std::string> names{"a b", "c&d", "e#f", "g%h", "i\r\nj", "\xc4\x9f", "z"};
+    platform.setPageSize(1);
+    for (const std::string &name : names) {
+        platform.putObject("servers", name, plain);
+    }
+    std::vector<std::string> listed;
+    Page page = list("servers");
+    while (page) {
+        BOOST_TEST_REQUIRE(page->objects.size() == 1U);
+        listed.push_back(page->objects.front().name);
+        if (!page->more) {
+            break;
+        }
+        const auto more = std::exchange(page->more, {});
+        page = await<Page>([&](auto done) { more(Clock::now() + callBound, done); });
+    }
+    BOOST_TEST(std::ranges::is_permutation(listed, names));
+}
+
 // Guards against hosts that no other host hears of because of one odd entry beside theirs.
 BOOST_AUTO_TEST_CASE(LeavesTheOthersOfTheHostListReadable)
 {
