End a crashed process also when nobody reads its log

The line of a crash was written without a bound: with a full pipe that nobody reads, the process would neither serve nor end, and its connections would stay open. Each line waits at most 100 ms for the output now.

--- a/src/runtime/host/crashreport.cpp
+++ b/src/runtime/host/crashreport.cpp
@@ -1,10 +1,11 @@
 // Writes the line of a fatal signal with calls that are safe in a signal handler: no allocation, no
-// locks, one write().
+// locks, and no wait for an output that is not read.
 
 #include "runtime/host/crashreport.h"
 
 #include <execinfo.h>
 #include <link.h>
+#include <poll.h>
 #include <pthread.h>
 #include <unistd.h>
 
@@ -55,6 +56,9 @@
 // Where the executable is loaded: frames are written relative to it, as addr2line takes them.
 std::uintptr_t loadAddress = 0;
 
+// For each line; a pipe that polls as writable takes a line without blocking.
+constexpr int maxOutputWaitMs = 100;
+
 // The first thread that crashes reports; others wait for the end of the process.
 std::atomic_flag isReporting = ATOMIC_FLAG_INIT;
 
@@ -101,6 +105,11 @@
     {
         std::size_t done = 0;
         while (done < m_size) {
+            // An output that nobody reads must not keep the process from its end.
+            pollfd ready{output, POLLOUT, 0};
+            if (::poll(&ready, 1, maxOutputWaitMs) <= 0) {
+                return;
+            }
             const ssize_t written = ::write(output, m_bytes.data() + done, m_size - done);
             if (written < 0 && errno != EINTR) {
                 return;
--- a/tests/runtime/crashreport_test.cpp
+++ b/tests/runtime/crashreport_test.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -129,6 +130,29 @@
     }
 }
 
+// Guards against a host that neither serves nor ends, since nobody reads its log.
+BOOST_AUTO_TEST_CASE(DoNotWaitForAnOutputThatIsNotRead)
+{
+    std::array<int, 2> ends{};
+    BOOST_TEST_REQUIRE(::pipe(ends.data()) == 0);
+    const pid_t child = ::fork();
+    BOOST_TEST_REQUIRE(child >= 0);
+    if (child == 0) {
+        ::fcntl(ends[1], F_SETFL, O_NONBLOCK);
+        const std::string filler(4096, 'x');
+        while (::write(ends[1], filler.data(), filler.size()) > 0) { }
+        ::fcntl(ends[1], F_SETFL, 0);
+        crash::install("host-a", ends[1]);
+        ::raise(SIGSEGV);
+        ::_exit(0);
+    }
+    int status = 0;
+    BOOST_TEST_REQUIRE(::waitpid(child, &status, 0) == child);
+    BOOST_TEST((WIFSIGNALED(status) && WTERMSIG(status) == SIGSEGV));
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
 // Guards against an exception that ends the process without a word about its type.
 BOOST_AUTO_TEST_CASE(ByExceptionAreReportedWithTheirTypeAndMessage)
 {
